--- /dev/null
+++ b/crates/curranttrestle-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -0,0 +1,1 @@
+//! The decisions of a router. No I/O, no clock, no random number of its own.
--- /dev/null
+++ b/crates/curranttrestle/src/protocol/mod.rs
@@ -0,0 +1,7 @@
+//! Messages between routers, and with the platform, endpoints and callers.
+
+pub mod outcome;
+pub mod peer;
+pub mod platform;
+
+pub use outcome::{Outcome, Refusal, RefusalReason};
--- /dev/null
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -0,0 +1,53 @@
+//! Messages between routers.
+//!
+//! They travel in batches, an [`Envelope`] at a time. A message concerns one module of
+//! the coordination layer and is defined in the file named after it.
+
+mod claims;
+mod fair_share;
+mod slots;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::event::HybridTime;
+use crate::state::{Incarnation, InstanceId};
+
+pub use claims::{ClaimAnswer, ClaimRequest};
+pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
+pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
+
+/// One batch of messages from one router to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sender.
+    pub from: InstanceId,
+    /// The sender's run.
+    pub incarnation: Incarnation,
+    /// The sender's clock.
+    pub time: HybridTime,
+    /// The messages, in order.
+    pub messages: Vec<PeerMessage>,
+}
+
+/// One message from one router to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Asks a slot owner for slots.
+    Bid(Bid),
+    /// Lends a slot.
+    Lend(Lend),
+    /// Gives a slot back.
+    Return(Return),
+    /// Asks for a slot back.
+    Recall(Recall),
+    /// Renews the leases held from the receiver.
+    Renewal(Renewal),
+    /// Service given in a subtree, towards the root.
+    ServiceReport(ServiceReport),
+    /// Service given in a data centre, from its root.
+    ServiceTotals(ServiceTotals),
+    /// Asks the usual writer of a claim object to record claims.
+    ClaimRequest(ClaimRequest),
+    /// The answer to a claim request.
+    ClaimAnswer(ClaimAnswer),
+}
--- /dev/null
+++ b/crates/curranttrestle/src/state/finding.rs
@@ -0,0 +1,87 @@
+//! Findings: faults of an input, collected with their place and reported together.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Where in an input a finding lies. Lines and columns count from one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// The file, or the name of the input.
+    pub file: String,
+    /// The line; none when the finding concerns the whole input.
+    pub line: Option<u64>,
+    /// The column of the line.
+    pub column: Option<u64>,
+    /// The settings key or column name.
+    pub key: Option<String>,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.file)?;
+        if let Some(line) = self.line {
+            write!(formatter, ":{line}")?;
+        }
+        if let Some(column) = self.column {
+            write!(formatter, ":{column}")?;
+        }
+        if let Some(key) = &self.key {
+            write!(formatter, " ({key})")?;
+        }
+        Ok(())
+    }
+}
+
+/// One fault of an input.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Where the fault lies.
+    pub place: Place,
+    /// What is wrong, and what would be right.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.place, self.message)
+    }
+}
+
+/// All faults of an input, in the order of their places. As an error it is never empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub struct Findings(pub Vec<Finding>);
+
+impl Findings {
+    /// Adds a finding.
+    pub fn add(&mut self, place: Place, message: impl Into<String>) {
+        self.0.push(Finding {
+            place,
+            message: message.into(),
+        });
+    }
+
+    /// Returns `value` when nothing was found, all findings otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings when there is at least one.
+    pub fn into_result<T>(self, value: T) -> Result<T, Findings> {
+        if self.0.is_empty() {
+            return Ok(value);
+        }
+        Err(self)
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle/src/state/mod.rs
@@ -0,0 +1,15 @@
+//! Plain data shared by all layers.
+
+pub mod event;
+pub mod finding;
+pub mod ids;
+pub mod now;
+pub mod sheet;
+
+pub use event::{Event, EventKind};
+pub use finding::{Finding, Findings, Place};
+pub use ids::{
+    AccountId, AttemptId, CustomerId, DataCentreId, EndpointId, Incarnation, InstanceId, PoolId,
+    RequestId,
+};
+pub use now::Now;
--- /dev/null
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! The I/O of a router.
--- /dev/null
+++ b/crates/curranttrestled/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
