--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -1,1 +1,3 @@
 //! The decisions of a router. No I/O, no clock, no random number of its own.
+
+pub mod rendezvous;
--- a/crates/curranttrestle/src/state/mod.rs
+++ b/crates/curranttrestle/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub mod event;
 pub mod finding;
 pub mod ids;
+pub mod member;
 pub mod now;
 pub mod sheet;
 
@@ -12,4 +13,5 @@
     AccountId, AttemptId, CustomerId, DataCentreId, EndpointId, Incarnation, InstanceId, PoolId,
     RequestId,
 };
+pub use member::{Member, MemberView};
 pub use now::Now;
