Add membership and the transport between routers

Membership probes one member an interval and spreads news on probes (SWIM), weighed against a full mesh of heartbeats, whose cost grows with the fleet. Envelopes are sealed with the fleet key and sent by tarpc, one in flight to each receiver, which batches under load.

--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -5,6 +5,8 @@
 
 mod claims;
 mod fair_share;
+mod membership;
+mod seal;
 mod slots;
 
 use serde::{Deserialize, Serialize};
@@ -14,6 +16,8 @@
 
 pub use claims::{ClaimAnswer, ClaimRequest};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
+pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
+pub use seal::{FleetKey, SealError, SealedEnvelope};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
 
 /// One batch of messages from one router to another.
@@ -32,6 +36,12 @@
 /// One message from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
+    /// Probes a member.
+    Ping(Ping),
+    /// Answers a probe.
+    Ack(Ack),
+    /// Asks for an indirect probe.
+    PingRequest(PingRequest),
     /// Asks a slot owner for slots.
     Bid(Bid),
     /// Lends a slot.
--- /dev/null
+++ b/crates/curranttrestle/src/protocol/peer/seal.rs
@@ -0,0 +1,91 @@
+//! Envelopes as authenticated bytes.
+
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+use super::Envelope;
+
+/// Length of the authentication tag in bytes.
+const TAG_BYTES: usize = 16;
+
+/// An envelope as bytes, with a tag that only holders of the fleet key can make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealedEnvelope {
+    /// The truncated HMAC-SHA-256 of the bytes.
+    pub tag: [u8; TAG_BYTES],
+    /// The encoded envelope.
+    pub bytes: Vec<u8>,
+}
+
+/// Why a sealed envelope was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SealError {
+    /// The tag does not fit the bytes: another fleet key, or altered bytes.
+    #[error("the envelope was not sealed with this fleet's key")]
+    WrongTag,
+    /// The bytes are not an envelope, although the tag fits.
+    #[error("the envelope cannot be decoded")]
+    Malformed,
+}
+
+/// The result of opening an envelope.
+pub type Result<T> = std::result::Result<T, SealError>;
+
+/// The key that all routers of a fleet share.
+#[derive(Clone)]
+pub struct FleetKey(Hmac<Sha256>);
+
+impl FleetKey {
+    /// A key from the settings' text.
+    ///
+    /// # Panics
+    ///
+    /// Never: HMAC takes keys of any length.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        Self(Hmac::new_from_slice(secret.as_bytes()).expect("HMAC takes keys of any length"))
+    }
+
+    /// Encodes and seals an envelope.
+    ///
+    /// # Panics
+    ///
+    /// Never: envelopes hold only types that can be encoded.
+    #[must_use]
+    pub fn seal(&self, envelope: &Envelope) -> SealedEnvelope {
+        let bytes = postcard::to_stdvec(envelope).expect("an envelope can be encoded");
+        SealedEnvelope {
+            tag: self.tag(&bytes),
+            bytes,
+        }
+    }
+
+    /// Verifies and decodes a sealed envelope.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SealError`] when the tag or the encoding is wrong.
+    pub fn open(&self, sealed: &SealedEnvelope) -> Result<Envelope> {
+        let mut mac = self.0.clone();
+        mac.update(&sealed.bytes);
+        mac.verify_truncated_left(&sealed.tag)
+            .map_err(|_| SealError::WrongTag)?;
+        postcard::from_bytes(&sealed.bytes).map_err(|_| SealError::Malformed)
+    }
+
+    fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
+        let mut mac = self.0.clone();
+        mac.update(bytes);
+        let full = mac.finalize().into_bytes();
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&full[..TAG_BYTES]);
+        tag
+    }
+}
+
+impl std::fmt::Debug for FleetKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("FleetKey(..)")
+    }
+}
--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -1,1 +1,3 @@
 //! The I/O of a router.
+
+pub mod peer;
--- /dev/null
+++ b/crates/curranttrestle/src/transport/peer/sender.rs
@@ -0,0 +1,195 @@
+//! Sends messages, many in one envelope.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_compat::Compat;
+use futures_lite::FutureExt;
+use indexmap::IndexMap;
+use smol::net::TcpStream;
+use tarpc::{client, context};
+
+use super::counting::{ByteCounts, CountingStream};
+use super::{PeerClient, framed};
+use crate::protocol::peer::{Envelope, FleetKey, PeerMessage};
+use crate::state::event::HybridTime;
+use crate::state::{Incarnation, InstanceId};
+
+/// How messages are sent.
+#[derive(Clone, Debug)]
+pub struct PeerSenderOptions {
+    /// The sending instance.
+    pub instance: InstanceId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The fleet key.
+    pub key: FleetKey,
+    /// Counts the bytes.
+    pub counts: ByteCounts,
+    /// Time within which a connection must be made.
+    pub connect_timeout_ms: u64,
+    /// Time within which an envelope must be acknowledged. After it the connection is
+    /// dropped and the next envelope goes over a new one.
+    pub deliver_timeout_ms: u64,
+    /// How many messages may wait for one receiver; more are dropped.
+    pub queue_messages: usize,
+    /// How many messages go into one envelope.
+    pub envelope_messages: usize,
+}
+
+impl PeerSenderOptions {
+    /// The usual options for an instance.
+    #[must_use]
+    pub fn new(instance: InstanceId, incarnation: Incarnation, key: FleetKey) -> Self {
+        Self {
+            instance,
+            incarnation,
+            key,
+            counts: ByteCounts::default(),
+            connect_timeout_ms: 500,
+            deliver_timeout_ms: 1_000,
+            queue_messages: 4_096,
+            envelope_messages: 256,
+        }
+    }
+}
+
+/// A message on its way to one receiver.
+#[derive(Clone, Debug)]
+pub struct OutboundMessage {
+    /// The sender's clock.
+    pub time: HybridTime,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// Sends messages to other routers, over one connection to each.
+///
+/// Delivery is best effort: what cannot be delivered in time is dropped, and each protocol
+/// between routers repeats what must arrive.
+#[derive(Debug)]
+pub struct PeerSender {
+    options: PeerSenderOptions,
+    queues: IndexMap<SocketAddr, Sender<OutboundMessage>>,
+    dropped_messages: u64,
+}
+
+impl PeerSender {
+    /// A sender without connections.
+    #[must_use]
+    pub fn new(options: PeerSenderOptions) -> Self {
+        Self {
+            options,
+            queues: IndexMap::new(),
+            dropped_messages: 0,
+        }
+    }
+
+    /// Queues a message for the router at `address`.
+    pub fn send(&mut self, address: SocketAddr, message: OutboundMessage) {
+        let options = &self.options;
+        let queue = self.queues.entry(address).or_insert_with(|| {
+            let (sender, receiver) = async_channel::bounded(options.queue_messages);
+            let connection = Connection {
+                options: options.clone(),
+                address,
+                client: None,
+            };
+            smol::spawn(Compat::new(connection.run(receiver))).detach();
+            sender
+        });
+        if queue.try_send(message).is_err() {
+            self.dropped_messages += 1;
+        }
+    }
+
+    /// How many messages were dropped because a receiver's queue was full.
+    #[must_use]
+    pub fn dropped_messages(&self) -> u64 {
+        self.dropped_messages
+    }
+}
+
+/// Why an envelope was not delivered.
+#[derive(Debug, thiserror::Error)]
+enum SendError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("no acknowledgement: {0}")]
+    Rpc(#[from] client::RpcError),
+}
+
+/// The connection to one receiver, made anew when it fails.
+struct Connection {
+    options: PeerSenderOptions,
+    address: SocketAddr,
+    client: Option<PeerClient>,
+}
+
+impl Connection {
+    async fn run(mut self, queue: Receiver<OutboundMessage>) {
+        while let Ok(first) = queue.recv().await {
+            let envelope = self.collect(first, &queue);
+            if let Err(error) = self.deliver(&envelope).await {
+                log::debug!(
+                    "kind=peer-send-failed address={} error={:?}",
+                    self.address,
+                    error.to_string()
+                );
+                self.client = None;
+            }
+        }
+    }
+
+    /// Puts all messages that wait into one envelope.
+    fn collect(&self, first: OutboundMessage, queue: &Receiver<OutboundMessage>) -> Envelope {
+        let mut time = first.time;
+        let mut messages = vec![first.message];
+        while messages.len() < self.options.envelope_messages {
+            let Ok(next) = queue.try_recv() else {
+                break;
+            };
+            time = time.max(next.time);
+            messages.push(next.message);
+        }
+        Envelope {
+            from: self.options.instance.clone(),
+            incarnation: self.options.incarnation,
+            time,
+            messages,
+        }
+    }
+
+    async fn deliver(&mut self, envelope: &Envelope) -> Result<(), SendError> {
+        let sealed = self.options.key.seal(envelope);
+        if self.client.is_none() {
+            self.client = Some(self.connect().await?);
+        }
+        let Some(client) = &self.client else {
+            return Ok(());
+        };
+        let mut context = context::current();
+        context.deadline = Instant::now() + Duration::from_millis(self.options.deliver_timeout_ms);
+        client.deliver(context, sealed).await?;
+        Ok(())
+    }
+
+    async fn connect(&self) -> Result<PeerClient, SendError> {
+        let timeout = Duration::from_millis(self.options.connect_timeout_ms);
+        let connecting = async { TcpStream::connect(self.address).await };
+        let expired = async {
+            smol::Timer::after(timeout).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let stream = connecting.or(expired).await?;
+        stream.set_nodelay(true)?;
+        let counted = CountingStream::new(stream, self.options.counts.clone());
+        let new_client = PeerClient::new(client::Config::default(), framed(counted));
+        smol::spawn(Compat::new(async move {
+            let _ = new_client.dispatch.await;
+        }))
+        .detach();
+        Ok(new_client.client)
+    }
+}
