--- /dev/null
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -0,0 +1,527 @@
+//! The life of a request: arrival, claim, queue, attempts, outcome.
+
+use crate::coordination::queue::Waiting;
+use crate::coordination::quarantine::Admission;
+use crate::protocol::outcome::{Outcome, Refusal, RefusalReason};
+use crate::protocol::peer::{ClaimResult, Lease, StoredAnswer};
+use crate::state::event::EventKind;
+use crate::state::sheet::EndpointKind;
+use crate::state::{AccountId, AttemptId, EndpointId, Now, RequestId};
+
+use super::active::{ActiveRequest, RunningAttempt, Stage};
+use super::{AttemptResult, Decision, Dispatch, NewRequest, Policy, Router};
+
+/// When a caller whose customer's queue is full may try again.
+const QUEUE_FULL_RETRY_AFTER_MS: u64 = 1_000;
+
+impl Router {
+    /// Takes a request from a caller.
+    pub(super) fn request_arrived(&mut self, new: NewRequest, now: Now) {
+        let request = new.request;
+        let active = match self.admit(new, now) {
+            Ok(active) => active,
+            Err((new, refusal)) => {
+                self.decide_refusal(new.request, refusal, now);
+                return;
+            }
+        };
+        self.emit(
+            now,
+            EventKind::Arrived,
+            Some(request),
+            &[
+                ("customer", &active.new.customer),
+                ("operation", &active.new.operation),
+                ("expected_units", &active.expected_units),
+            ],
+        );
+        let needs_claim = !active.idempotent;
+        self.active.requests.insert(request, active);
+        if needs_claim {
+            self.begin_claim(request, now);
+        } else {
+            self.enqueue(request, now);
+        }
+    }
+
+    /// Checks a request against the sheet in force.
+    fn admit(
+        &mut self,
+        new: NewRequest,
+        now: Now,
+    ) -> Result<ActiveRequest, (NewRequest, Refusal)> {
+        let refused = |new, reason, detail: &str| Err((new, Refusal::not_run(reason, detail)));
+        if self.stopping || self.sheet.number == 0 {
+            return refused(new, RefusalReason::NotReady, "this router takes no requests");
+        }
+        let Some(operation) = self.sheet.operations.get(&new.operation) else {
+            return refused(new, RefusalReason::NoSuchOperation, "no such operation");
+        };
+        if !self.sheet.customers.contains_key(&new.customer) {
+            return refused(new, RefusalReason::Unauthorized, "no such customer");
+        }
+        if self.quarantine.admission(&new.digest, now) == Admission::Refused {
+            let detail = "endpoints crashed while they ran this request";
+            return refused(new, RefusalReason::Quarantined, detail);
+        }
+        let Some(kind) = self.pool_kind(&operation.pool) else {
+            return refused(new, RefusalReason::NoEndpoint, "the pool has no endpoint");
+        };
+        let hint = new.hint_units.unwrap_or(operation.expected_cost);
+        let expected_units = self.costs.expect(&new.customer, &new.operation, hint);
+        Ok(ActiveRequest {
+            account: AccountId {
+                pool: operation.pool.clone(),
+                customer: new.customer.clone(),
+            },
+            idempotent: operation.idempotent,
+            kind,
+            priority: operation.priority,
+            expected_units,
+            arrived_ms: now.steady_ms,
+            stage: Stage::Claiming,
+            claim: None,
+            running: Vec::new(),
+            avoid: Vec::new(),
+            handed_over: false,
+            hedged: false,
+            new,
+        })
+    }
+
+    /// Puts a request into its customer's queue.
+    pub(super) fn enqueue(&mut self, request: RequestId, now: Now) {
+        let Some(active) = self.active.requests.get_mut(&request) else {
+            return;
+        };
+        active.stage = Stage::Waiting;
+        let waiting = Waiting {
+            request,
+            account: active.account.clone(),
+            priority: active.priority,
+            expected_cost: active.expected_units,
+            arrived_ms: active.arrived_ms,
+            deadline_ms: active.new.deadline_ms,
+            avoid: active.avoid.clone(),
+            exclusive: self.quarantine.admission(&active.new.digest, now) == Admission::Alone,
+        };
+        let account = active.account.clone();
+        let limit = self
+            .sheet
+            .customers
+            .get(&account.customer)
+            .map_or(0, |customer| customer.queue_limit as usize);
+        if self.queues.push(waiting, limit).is_err() {
+            let refusal = Refusal {
+                retry_after_ms: Some(QUEUE_FULL_RETRY_AFTER_MS),
+                ..Refusal::not_run(RefusalReason::QueueFull, "the customer's queue is full")
+            };
+            self.end_refused(request, refusal, now);
+            return;
+        }
+        self.emit(now, EventKind::Queued, Some(request), &[("pool", &account.pool)]);
+    }
+
+    /// Hands a request that waited to an endpoint.
+    pub(super) fn dispatch(
+        &mut self,
+        request: RequestId,
+        endpoint: &EndpointId,
+        lease: Option<&Lease>,
+        now: Now,
+    ) -> bool {
+        let Some(address) = self.sheet.endpoints.get(endpoint).map(|row| row.address) else {
+            return false;
+        };
+        let valid_until_ms = match lease {
+            Some(lease) => match self.holder.valid_until_ms(&lease.id, now) {
+                Some(valid_until_ms) => valid_until_ms,
+                None => return false,
+            },
+            None => now.steady_ms + self.options.slots.lease_ms,
+        };
+        let attempt = self.next_attempt_id();
+        let Some(active) = self.active.requests.get_mut(&request) else {
+            return false;
+        };
+        // A booking runs only under a claim that is still good.
+        if let Some(claim) = &active.claim
+            && !self.claims.may_dispatch(claim, now)
+        {
+            let detail = "the idempotency key left its window while the request waited";
+            let refusal = Refusal::not_run(RefusalReason::KeyOutsideWindow, detail);
+            self.end_refused(request, refusal, now);
+            return false;
+        }
+        self.invariants.check(
+            active.idempotent || (active.claim.is_some() && !active.handed_over),
+            "non-idempotent-runs-once",
+            request,
+        );
+        active.stage = Stage::Running;
+        active.running.push(attempt.clone());
+        active.handed_over = true;
+        let hedge = active.running.len() > 1;
+        let charged_units = active.expected_units;
+        let account = active.account.clone();
+        let kind = active.kind;
+        let exclusive = lease.is_some_and(|lease| lease.exclusive);
+        self.fair.charge(&account, charged_units, now);
+        self.active.attempts.insert(
+            attempt.clone(),
+            RunningAttempt {
+                attempt: attempt.clone(),
+                request,
+                endpoint: endpoint.clone(),
+                lease: lease.map(|lease| lease.id.clone()),
+                charged_units,
+                dispatched_ms: now.steady_ms,
+                exclusive,
+            },
+        );
+        self.drain.attempt_started(endpoint, &attempt);
+        self.emit(
+            now,
+            EventKind::Dispatched,
+            Some(request),
+            &[
+                ("attempt", &attempt),
+                ("endpoint", endpoint),
+                ("customer", &account.customer),
+                ("level", &format!("{:.1}", self.fair.level(&account))),
+                ("hedge", &hedge),
+            ],
+        );
+        let decision = Decision::Dispatch(Dispatch {
+            attempt,
+            endpoint: endpoint.clone(),
+            address,
+            kind,
+            valid_until_ms,
+            hedge,
+        });
+        self.decide(request, decision);
+        true
+    }
+
+    /// Charges what an attempt has cost beyond its estimate.
+    pub(super) fn attempt_progressed(
+        &mut self,
+        attempt: &AttemptId,
+        units: f64,
+        elapsed_ms: u64,
+        now: Now,
+    ) {
+        let Some(running) = self.active.attempts.get_mut(attempt) else {
+            return;
+        };
+        let endpoint = running.endpoint.clone();
+        let beyond_units = units - running.charged_units;
+        running.charged_units = running.charged_units.max(units);
+        let account = self
+            .active
+            .requests
+            .get(&running.request)
+            .map(|active| active.account.clone());
+        if let Some(account) = account {
+            if beyond_units > 0.0 {
+                self.fair.charge(&account, beyond_units, now);
+            }
+            self.speed
+                .observe(&account.pool, &endpoint, units, elapsed_ms, now);
+        }
+    }
+
+    /// Ends an attempt and decides what becomes of its request.
+    pub(super) fn attempt_ended(
+        &mut self,
+        attempt: &AttemptId,
+        result: AttemptResult,
+        elapsed_ms: u64,
+        now: Now,
+    ) {
+        let digests = match &result {
+            AttemptResult::Interrupted { broken: true, .. } => self
+                .active
+                .attempts
+                .get(attempt)
+                .map(|running| self.active.digests_on(&running.endpoint)),
+            _ => None,
+        };
+        let Some(running) = self.active.remove_attempt(attempt) else {
+            return;
+        };
+        self.release_slot(&running, now);
+        self.drain.attempt_ended(&running.endpoint, attempt);
+        self.true_up(&running, &result, now);
+        self.emit(
+            now,
+            EventKind::AttemptEnded,
+            Some(running.request),
+            &[
+                ("attempt", attempt),
+                ("endpoint", &running.endpoint),
+                ("result", &result_name(&result)),
+                ("elapsed_ms", &elapsed_ms),
+            ],
+        );
+        if let Some(digests) = digests {
+            self.endpoint_died(&running.endpoint, &digests, now);
+        }
+        match result {
+            AttemptResult::Answered { units, stored } => {
+                self.attempt_answered(&running, units, stored, elapsed_ms, now);
+            }
+            AttemptResult::NotRun {
+                detail,
+                unreachable,
+            } => {
+                if unreachable {
+                    self.endpoint_unreachable(&running.endpoint, now);
+                }
+                self.attempt_not_run(&running, &detail, now);
+            }
+            AttemptResult::Interrupted { detail, .. } => {
+                self.attempt_interrupted(&running, &detail, now);
+            }
+            AttemptResult::CallerGone { .. } => {
+                let detail = "the caller went away";
+                self.end_unknown(running.request, RefusalReason::CallerGone, detail, now);
+            }
+        }
+    }
+
+    /// Corrects the charge of an attempt to what it cost.
+    fn true_up(&mut self, running: &RunningAttempt, result: &AttemptResult, now: Now) {
+        let units = match result {
+            AttemptResult::Answered { units, .. }
+            | AttemptResult::Interrupted { units, .. }
+            | AttemptResult::CallerGone { units } => *units,
+            AttemptResult::NotRun { .. } => 0.0,
+        };
+        let Some(active) = self.active.requests.get(&running.request) else {
+            return;
+        };
+        let account = active.account.clone();
+        self.fair.charge(&account, units - running.charged_units, now);
+    }
+
+    fn attempt_answered(
+        &mut self,
+        running: &RunningAttempt,
+        units: f64,
+        stored: Option<StoredAnswer>,
+        elapsed_ms: u64,
+        now: Now,
+    ) {
+        let Some(active) = self.active.requests.swap_remove(&running.request) else {
+            return;
+        };
+        self.costs
+            .observe(&active.new.customer, &active.new.operation, units);
+        self.speed
+            .observe_end(&active.account.pool, &running.endpoint, units, elapsed_ms, now);
+        self.quarantine.finished(&active.new.digest, running.exclusive, now);
+        if let Some(claim) = &active.claim {
+            let result = stored.map_or(ClaimResult::Unknown, ClaimResult::Answered);
+            let effects = self.claims.finish(claim, result, now);
+            self.run_claim_effects(effects, now);
+        }
+        self.cancel_others(&active, now);
+        let total_ms = now.since_ms(active.arrived_ms);
+        self.emit(
+            now,
+            EventKind::Answered,
+            Some(running.request),
+            &[
+                ("customer", &active.new.customer),
+                ("endpoint", &running.endpoint),
+                ("units", &units),
+                ("total_ms", &total_ms),
+            ],
+        );
+        self.counters.answered += 1;
+    }
+
+    /// Forgets the other attempts of an answered request; their slots are released when
+    /// their handlers report the end.
+    fn cancel_others(&mut self, active: &ActiveRequest, now: Now) {
+        for attempt in &active.running {
+            if let Some(other) = self.active.attempts.swap_remove(attempt) {
+                self.fair.charge(&active.account, -other.charged_units, now);
+                self.release_slot(&other, now);
+                self.drain.attempt_ended(&other.endpoint, attempt);
+            }
+        }
+    }
+
+    /// Tries a request again that an endpoint proved not to have begun.
+    fn attempt_not_run(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
+        let Some(active) = self.active.requests.get_mut(&running.request) else {
+            return;
+        };
+        if !active.running.is_empty() {
+            return;
+        }
+        active.handed_over = false;
+        active.avoid.push(running.endpoint.clone());
+        let expired = now.steady_ms >= active.new.deadline_ms;
+        if expired || !self.retries.try_take(now) {
+            let refusal = Refusal::not_run(RefusalReason::EndpointRefused, detail);
+            self.end_refused(running.request, refusal, now);
+            return;
+        }
+        self.emit(
+            now,
+            EventKind::Retried,
+            Some(running.request),
+            &[("cause", &detail)],
+        );
+        self.counters.retried += 1;
+        self.enqueue(running.request, now);
+    }
+
+    /// Tries an idempotent request again whose attempt was lost; ends any other.
+    fn attempt_interrupted(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
+        let Some(active) = self.active.requests.get_mut(&running.request) else {
+            return;
+        };
+        if !active.running.is_empty() {
+            return;
+        }
+        active.avoid.push(running.endpoint.clone());
+        let digest = active.new.digest;
+        let expired = now.steady_ms >= active.new.deadline_ms;
+        let may_repeat = active.idempotent && !expired;
+        if self.quarantine.admission(&digest, now) == Admission::Refused {
+            let detail = "endpoints crashed while they ran this request";
+            self.end_unknown(running.request, RefusalReason::Quarantined, detail, now);
+            return;
+        }
+        if !may_repeat || !self.retries.try_take(now) {
+            self.end_unknown(running.request, RefusalReason::AttemptLost, detail, now);
+            return;
+        }
+        self.emit(
+            now,
+            EventKind::Retried,
+            Some(running.request),
+            &[("cause", &detail)],
+        );
+        self.counters.retried += 1;
+        self.enqueue(running.request, now);
+    }
+
+    /// The caller of a request that waits went away.
+    pub(super) fn caller_gone(&mut self, request: RequestId, now: Now) {
+        let Some(active) = self.active.requests.get(&request) else {
+            return;
+        };
+        if active.stage == Stage::Running {
+            return;
+        }
+        let refusal = Refusal::not_run(RefusalReason::CallerGone, "the caller went away");
+        self.end_refused(request, refusal, now);
+    }
+
+    /// Refuses the requests whose deadline passed while they waited.
+    pub(super) fn expire_waiting(&mut self, now: Now) {
+        for waiting in self.queues.expire(now) {
+            let detail = "no slot became free before the deadline";
+            let refusal = Refusal::not_run(RefusalReason::DeadlinePassed, detail);
+            let handed_over = self
+                .active
+                .requests
+                .get(&waiting.request)
+                .is_some_and(|active| active.handed_over);
+            if handed_over {
+                self.end_unknown(waiting.request, RefusalReason::DeadlinePassed, detail, now);
+            } else {
+                self.end_refused(waiting.request, refusal, now);
+            }
+        }
+    }
+
+    /// Ends a request that did not run.
+    pub(super) fn end_refused(&mut self, request: RequestId, refusal: Refusal, now: Now) {
+        self.queues.remove(&request);
+        let Some(active) = self.active.requests.swap_remove(&request) else {
+            return;
+        };
+        self.invariants.check(
+            refusal.outcome != Outcome::NotRun || !active.handed_over,
+            "not-run-was-never-dispatched",
+            request,
+        );
+        if let Some(claim) = &active.claim {
+            let effects = self.claims.finish(claim, ClaimResult::NotRun, now);
+            self.run_claim_effects(effects, now);
+        }
+        self.decide_refusal(request, refusal, now);
+    }
+
+    /// Ends a request whose outcome is not known.
+    pub(super) fn end_unknown(
+        &mut self,
+        request: RequestId,
+        reason: RefusalReason,
+        detail: &str,
+        now: Now,
+    ) {
+        self.queues.remove(&request);
+        let Some(active) = self.active.requests.swap_remove(&request) else {
+            return;
+        };
+        if let Some(claim) = &active.claim {
+            let effects = self.claims.finish(claim, ClaimResult::Unknown, now);
+            self.run_claim_effects(effects, now);
+        }
+        self.decide_refusal(request, Refusal::unknown(reason, detail), now);
+    }
+
+    /// Tells the handler of a request that it is refused.
+    pub(super) fn decide_refusal(&mut self, request: RequestId, refusal: Refusal, now: Now) {
+        let kind = match refusal.outcome {
+            Outcome::Unknown => EventKind::Unknown,
+            Outcome::NotRun | Outcome::Answered => EventKind::Refused,
+        };
+        self.emit(
+            now,
+            kind,
+            Some(request),
+            &[("reason", &refusal.reason), ("detail", &refusal.detail)],
+        );
+        match refusal.outcome {
+            Outcome::Unknown => self.counters.unknown += 1,
+            Outcome::NotRun | Outcome::Answered => self.counters.refused += 1,
+        }
+        self.decide(request, Decision::Refuse(refusal));
+    }
+
+    fn release_slot(&mut self, running: &RunningAttempt, now: Now) {
+        match &running.lease {
+            Some(lease) => self.holder.release(lease, now),
+            None if self.options.policy == Policy::Naive => {
+                self.naive.release(&running.endpoint);
+            }
+            None => {}
+        }
+    }
+
+    fn pool_kind(&self, pool: &crate::state::PoolId) -> Option<EndpointKind> {
+        self.sheet
+            .endpoints
+            .values()
+            .find(|endpoint| endpoint.pool == *pool)
+            .map(|endpoint| endpoint.kind)
+    }
+}
+
+fn result_name(result: &AttemptResult) -> String {
+    match result {
+        AttemptResult::Answered { units, .. } => format!("answered,units={units}"),
+        AttemptResult::NotRun { detail, .. } => format!("not-run,detail={detail}"),
+        AttemptResult::Interrupted { detail, .. } => format!("interrupted,detail={detail}"),
+        AttemptResult::CallerGone { .. } => "caller-gone".into(),
+    }
+}
--- a/crates/curranttrestle/src/protocol/mod.rs
+++ b/crates/curranttrestle/src/protocol/mod.rs
@@ -3,5 +3,6 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod resume;
 
 pub use outcome::{Outcome, Refusal, RefusalReason};
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -17,7 +17,7 @@
 pub use claims::{ClaimAnswer, ClaimRequest};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
-pub use seal::{FleetKey, SealError, SealedEnvelope};
+pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
 
 /// One batch of messages from one router to another.
--- a/crates/curranttrestle/src/protocol/peer/seal.rs
+++ b/crates/curranttrestle/src/protocol/peer/seal.rs
@@ -7,7 +7,7 @@
 use super::Envelope;
 
 /// Length of the authentication tag in bytes.
-const TAG_BYTES: usize = 16;
+pub const TAG_BYTES: usize = 16;
 
 /// An envelope as bytes, with a tag that only holders of the fleet key can make.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,14 +67,23 @@
     ///
     /// Returns [`SealError`] when the tag or the encoding is wrong.
     pub fn open(&self, sealed: &SealedEnvelope) -> Result<Envelope> {
-        let mut mac = self.0.clone();
-        mac.update(&sealed.bytes);
-        mac.verify_truncated_left(&sealed.tag)
-            .map_err(|_| SealError::WrongTag)?;
+        if !self.verifies(&sealed.bytes, &sealed.tag) {
+            return Err(SealError::WrongTag);
+        }
         postcard::from_bytes(&sealed.bytes).map_err(|_| SealError::Malformed)
     }
 
-    fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
+    /// Whether `tag` is the tag of `bytes`, compared in constant time.
+    #[must_use]
+    pub fn verifies(&self, bytes: &[u8], tag: &[u8; TAG_BYTES]) -> bool {
+        let mut mac = self.0.clone();
+        mac.update(bytes);
+        mac.verify_truncated_left(tag).is_ok()
+    }
+
+    /// The tag of `bytes`.
+    #[must_use]
+    pub fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
         let mut mac = self.0.clone();
         mac.update(bytes);
         let full = mac.finalize().into_bytes();
