Add the clients of the platform and of endpoints

The platform client tells a call that surely had no effect from one whose answer was lost. Neither repeats a request.

--- a/crates/curranttrestle/src/protocol/mod.rs
+++ b/crates/curranttrestle/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between routers, and with the platform, endpoints and callers.
 
+pub mod endpoint;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/curranttrestle/src/transport/endpoint.rs
@@ -0,0 +1,384 @@
+//! The client of model engines and plain services.
+//!
+//! Each request goes over a connection of its own and is sent once: nothing here repeats it.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use trillium_client::{Client, Conn, KnownHeaderName, Status};
+
+use super::frames::FrameStream;
+use super::http_client::{SendError, fresh_connections, send, url, within};
+use crate::protocol::endpoint::{
+    ATTEMPT_HEADER, CacheEvent, IDEMPOTENCY_KEY_HEADER, LoadReport, Order, OrderAnswer, StreamId,
+    StreamRequest,
+};
+use crate::protocol::outcome::{OUTCOME_HEADER, Outcome};
+use crate::state::AttemptId;
+
+/// Why an attempt gave no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AttemptError {
+    /// The attempt provably did not run.
+    #[error("the attempt did not run: {reason}")]
+    NotRun {
+        /// The proof.
+        reason: NotRunReason,
+    },
+    /// The request may have been sent; there is no whole answer.
+    #[error("the attempt was interrupted after {offset} bytes: {cause}")]
+    Interrupted {
+        /// How many bytes of the answer were delivered, from its beginning.
+        offset: u64,
+        /// What happened.
+        cause: InterruptCause,
+    },
+}
+
+/// How it is known that an attempt did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotRunReason {
+    /// No connection was made, so nothing was sent.
+    #[error("no connection to the endpoint")]
+    Unreachable,
+    /// The endpoint said that it refused the request before it began.
+    #[error("refused by the endpoint")]
+    Refused,
+}
+
+/// What ended an attempt that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InterruptCause {
+    /// The connection broke.
+    #[error("the connection broke")]
+    ConnectionLost,
+    /// Nothing came for the longest time allowed.
+    #[error("the connection stayed silent")]
+    Silent,
+    /// The stream ended before the answer did.
+    #[error("the stream ended early")]
+    EndedEarly,
+    /// Bytes are missing between two frames.
+    #[error("bytes are missing")]
+    Gap,
+    /// The endpoint sent something that cannot be read.
+    #[error("the answer is malformed")]
+    Malformed,
+    /// The engine does not know the stream to be resumed.
+    #[error("the stream is gone")]
+    StreamGone,
+    /// The endpoint answered with this status.
+    #[error("the endpoint answered with status {0}")]
+    Status(u16),
+}
+
+/// The result of an attempt.
+pub type Result<T> = std::result::Result<T, AttemptError>;
+
+/// Settings of an [`EndpointClient`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointClientOptions {
+    /// How long opening a connection may take.
+    pub connect_timeout_ms: u64,
+    /// How long the head of a stream's response may take.
+    pub first_byte_timeout_ms: u64,
+    /// How long a stream may stay silent between frames.
+    pub idle_timeout_ms: u64,
+    /// How long the whole answer of a plain service may take.
+    pub service_timeout_ms: u64,
+    /// How long a load report, an order or a cancellation may take.
+    pub control_timeout_ms: u64,
+    /// The largest answer of a plain service.
+    pub max_answer_bytes: u64,
+}
+
+impl Default for EndpointClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 1_000,
+            first_byte_timeout_ms: 5_000,
+            idle_timeout_ms: 3_000,
+            service_timeout_ms: 30_000,
+            control_timeout_ms: 2_000,
+            max_answer_bytes: 16 * 1024 * 1024,
+        }
+    }
+}
+
+/// A call to a plain service.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceCall<'a> {
+    /// The operation.
+    pub operation: &'a str,
+    /// The body, passed on as it is.
+    pub body: &'a [u8],
+    /// The attempt.
+    pub attempt: &'a AttemptId,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<&'a str>,
+}
+
+/// The answer of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type of the body.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Sends work and orders to endpoints.
+///
+/// ```no_run
+/// use curranttrestle::transport::endpoint::{EndpointClient, EndpointClientOptions};
+///
+/// let client = EndpointClient::new(EndpointClientOptions::default());
+/// let address = "127.0.0.1:7001".parse().unwrap();
+/// let report = smol::block_on(client.load(address));
+/// println!("{report:?}");
+/// ```
+#[derive(Debug)]
+pub struct EndpointClient {
+    options: EndpointClientOptions,
+    client: Client,
+}
+
+impl EndpointClient {
+    /// Makes a client.
+    #[must_use]
+    pub fn new(options: EndpointClientOptions) -> Self {
+        Self {
+            options,
+            client: fresh_connections(options.connect_timeout_ms),
+        }
+    }
+
+    /// Starts a stream and returns once the engine has opened it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptError::NotRun`] when the attempt provably did not run and
+    /// [`AttemptError::Interrupted`] for every other failure.
+    pub async fn start_stream(
+        &self,
+        address: SocketAddr,
+        request: &StreamRequest,
+    ) -> Result<FrameStream> {
+        let conn = self.client.post(url(address, &["v1", "streams"]));
+        let conn = with_json(conn, request)?;
+        self.open_stream(conn, &request.attempt, 0).await
+    }
+
+    /// Resumes a stream from a byte offset over a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start_stream`]. `NotRun` here says only that the stream was not resumed.
+    pub async fn resume_stream(
+        &self,
+        address: SocketAddr,
+        stream: &StreamId,
+        attempt: &AttemptId,
+        offset: u64,
+    ) -> Result<FrameStream> {
+        let attempt = attempt.to_string();
+        let mut url = url(address, &["v1", "streams", &stream.0]);
+        url.query_pairs_mut()
+            .append_pair("offset", &offset.to_string())
+            .append_pair("attempt", &attempt);
+        self.open_stream(self.client.get(url), &attempt, offset)
+            .await
+    }
+
+    async fn open_stream(&self, conn: Conn, attempt: &str, offset: u64) -> Result<FrameStream> {
+        let timeout_ms = self.options.first_byte_timeout_ms;
+        let conn = send(conn, timeout_ms)
+            .await
+            .map_err(|error| send_failure(error, offset))?;
+        check_status(&conn, offset)?;
+        FrameStream::open(conn.into(), attempt, offset, self.options.idle_timeout_ms).await
+    }
+
+    /// Cancels a stream. A stream that is gone counts as cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it is not known whether the stream was cancelled.
+    pub async fn cancel_stream(&self, address: SocketAddr, stream: &StreamId) -> Result<()> {
+        let conn = self
+            .client
+            .delete(url(address, &["v1", "streams", &stream.0]));
+        match self.control(conn).await {
+            Ok(_)
+            | Err(AttemptError::Interrupted {
+                cause: InterruptCause::StreamGone,
+                ..
+            }) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Calls a plain service over a connection that carries nothing else.
+    ///
+    /// An answer with any status counts as an answer, except a refusal that says that the
+    /// call did not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptError::NotRun`] when the call provably did not run and
+    /// [`AttemptError::Interrupted`] when there is no whole answer.
+    pub async fn call_service(
+        &self,
+        address: SocketAddr,
+        call: ServiceCall<'_>,
+    ) -> Result<ServiceAnswer> {
+        let mut conn = self
+            .client
+            .post(url(address, &["operations", call.operation]))
+            .with_request_header(ATTEMPT_HEADER, call.attempt.to_string())
+            .with_body(call.body.to_vec());
+        if let Some(key) = call.idempotency_key {
+            conn = conn.with_request_header(IDEMPOTENCY_KEY_HEADER, key.to_owned());
+        }
+        let timeout_ms = self.options.service_timeout_ms;
+        within(timeout_ms, self.service_exchange(conn))
+            .await
+            .unwrap_or(Err(interrupted(InterruptCause::Silent)))
+    }
+
+    async fn service_exchange(&self, conn: Conn) -> Result<ServiceAnswer> {
+        let timeout_ms = self.options.service_timeout_ms;
+        let mut conn = send(conn, timeout_ms)
+            .await
+            .map_err(|error| send_failure(error, 0))?;
+        if says_not_run(&conn) {
+            return Err(refused());
+        }
+        let status = conn.status().map_or(0, |status| status as u16);
+        let content_type = conn
+            .response_headers()
+            .get_str(KnownHeaderName::ContentType)
+            .map(str::to_owned);
+        let body = read_body(&mut conn, self.options.max_answer_bytes).await?;
+        Ok(ServiceAnswer {
+            status,
+            content_type,
+            body,
+        })
+    }
+
+    /// Asks an endpoint for its load.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no report came.
+    pub async fn load(&self, address: SocketAddr) -> Result<LoadReport> {
+        let conn = self.client.get(url(address, &["v1", "load"]));
+        json(&self.control(conn).await?)
+    }
+
+    /// Gives an endpoint an order. An order that the endpoint refuses is an answer too.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptError::NotRun`] when the order surely took no effect and
+    /// [`AttemptError::Interrupted`] when that is not known.
+    pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderAnswer> {
+        let conn = self.client.post(url(address, &["v1", "orders"]));
+        let conn = with_json(conn, order)?;
+        json(&self.control(conn).await?)
+    }
+
+    /// Asks a model engine for the cache events after a sequence number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came.
+    pub async fn cache_events(&self, address: SocketAddr, after: u64) -> Result<Vec<CacheEvent>> {
+        let mut url = url(address, &["v1", "events"]);
+        url.query_pairs_mut()
+            .append_pair("after", &after.to_string());
+        json(&self.control(self.client.get(url)).await?)
+    }
+
+    /// Makes a short call and returns the body of its answer.
+    async fn control(&self, conn: Conn) -> Result<Vec<u8>> {
+        let timeout_ms = self.options.control_timeout_ms;
+        let exchange = async {
+            let mut conn = send(conn, timeout_ms)
+                .await
+                .map_err(|error| send_failure(error, 0))?;
+            check_status(&conn, 0)?;
+            read_body(&mut conn, self.options.max_answer_bytes).await
+        };
+        within(timeout_ms, exchange)
+            .await
+            .unwrap_or(Err(interrupted(InterruptCause::Silent)))
+    }
+}
+
+fn interrupted(cause: InterruptCause) -> AttemptError {
+    AttemptError::Interrupted { offset: 0, cause }
+}
+
+fn refused() -> AttemptError {
+    AttemptError::NotRun {
+        reason: NotRunReason::Refused,
+    }
+}
+
+fn send_failure(error: SendError, offset: u64) -> AttemptError {
+    let cause = match error {
+        SendError::NotSent => {
+            return AttemptError::NotRun {
+                reason: NotRunReason::Unreachable,
+            };
+        }
+        SendError::ConnectionLost => InterruptCause::ConnectionLost,
+        SendError::TimedOut => InterruptCause::Silent,
+    };
+    AttemptError::Interrupted { offset, cause }
+}
+
+fn says_not_run(conn: &Conn) -> bool {
+    let outcome = conn.response_headers().get_str(OUTCOME_HEADER);
+    conn.status() == Some(Status::ServiceUnavailable) && outcome == Some(Outcome::NotRun.as_str())
+}
+
+fn check_status(conn: &Conn, offset: u64) -> Result<()> {
+    if says_not_run(conn) {
+        return Err(refused());
+    }
+    let cause = match conn.status() {
+        Some(status) if status.is_success() => return Ok(()),
+        Some(Status::NotFound) => InterruptCause::StreamGone,
+        Some(status) => InterruptCause::Status(status as u16),
+        None => InterruptCause::Malformed,
+    };
+    Err(AttemptError::Interrupted { offset, cause })
+}
+
+async fn read_body(conn: &mut Conn, max_bytes: u64) -> Result<Vec<u8>> {
+    conn.response_body()
+        .with_max_len(max_bytes)
+        .read_bytes()
+        .await
+        .map_err(|_| interrupted(InterruptCause::ConnectionLost))
+}
+
+/// Adds a JSON body. A message that cannot be written is never sent.
+fn with_json(conn: Conn, message: &impl Serialize) -> Result<Conn> {
+    let body = serde_json::to_string(message).map_err(|_| AttemptError::NotRun {
+        reason: NotRunReason::Unreachable,
+    })?;
+    Ok(conn
+        .with_request_header(KnownHeaderName::ContentType, "application/json")
+        .with_body(body))
+}
+
+fn json<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|_| interrupted(InterruptCause::Malformed))
+}
--- /dev/null
+++ b/crates/curranttrestle/src/transport/platform.rs
@@ -0,0 +1,198 @@
+//! The client of the platform's object API.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use trillium_client::{Client, Conn, KnownHeaderName, Status, Url};
+
+use super::http_client::{SendError, fresh_connections, kept_connections, send, url, within};
+use crate::protocol::platform::{Expected, Object, StoreAnswer, StoreCall, Version};
+
+/// The largest answer that is read; larger ones count as lost.
+const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Settings of a [`PlatformClient`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformClientOptions {
+    /// Where the platform listens.
+    pub address: SocketAddr,
+    /// How long opening a connection may take.
+    pub connect_timeout_ms: u64,
+    /// How long a call may take, except a watch.
+    pub timeout_ms: u64,
+    /// How long a watch may take. Longer than the platform keeps a watch waiting.
+    pub watch_timeout_ms: u64,
+}
+
+impl Default for PlatformClientOptions {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            connect_timeout_ms: 1_000,
+            timeout_ms: 2_000,
+            watch_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// Makes calls to the platform's object API. It never repeats a call by itself.
+///
+/// ```no_run
+/// use curranttrestle::protocol::platform::StoreCall;
+/// use curranttrestle::transport::platform::{PlatformClient, PlatformClientOptions};
+///
+/// let client = PlatformClient::new(PlatformClientOptions {
+///     address: "127.0.0.1:7000".parse().unwrap(),
+///     ..PlatformClientOptions::default()
+/// });
+/// let answer = smol::block_on(client.call(&StoreCall::Instances));
+/// println!("{answer:?}");
+/// ```
+#[derive(Debug)]
+pub struct PlatformClient {
+    options: PlatformClientOptions,
+    calls: Mutex<Client>,
+    watches: Client,
+}
+
+impl PlatformClient {
+    /// Makes a client. It connects when a call needs it.
+    #[must_use]
+    pub fn new(options: PlatformClientOptions) -> Self {
+        Self {
+            options,
+            calls: Mutex::new(kept_connections(options.connect_timeout_ms)),
+            watches: fresh_connections(options.connect_timeout_ms),
+        }
+    }
+
+    /// Makes one call and returns its answer.
+    ///
+    /// [`StoreAnswer::Unavailable`] means that the call surely had no effect: no connection
+    /// was made, or the platform answered 503 or 429. Every other failure is
+    /// [`StoreAnswer::Lost`].
+    pub async fn call(&self, call: &StoreCall) -> StoreAnswer {
+        let (conn, timeout_ms) = self.request(call);
+        let exchange = exchange(conn, timeout_ms);
+        let Some(response) = within(timeout_ms, exchange).await else {
+            self.drop_kept_connections();
+            return StoreAnswer::Lost;
+        };
+        match response {
+            Ok(response) => interpret(call, &response),
+            Err(SendError::NotSent) => StoreAnswer::Unavailable,
+            Err(SendError::ConnectionLost | SendError::TimedOut) => {
+                self.drop_kept_connections();
+                StoreAnswer::Lost
+            }
+        }
+    }
+
+    /// Forgets the kept connections, since one that went silent was among them.
+    fn drop_kept_connections(&self) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        *calls = kept_connections(self.options.connect_timeout_ms);
+    }
+
+    fn request(&self, call: &StoreCall) -> (Conn, u64) {
+        if let StoreCall::Watch { name, after } = call {
+            let mut url = self.url(&["objects", name]);
+            url.query_pairs_mut()
+                .append_pair("after", &after.0.to_string());
+            return (self.watches.get(url), self.options.watch_timeout_ms);
+        }
+        let client = self
+            .calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        (self.short_request(&client, call), self.options.timeout_ms)
+    }
+
+    fn short_request(&self, client: &Client, call: &StoreCall) -> Conn {
+        match call {
+            StoreCall::Read { name } | StoreCall::Watch { name, .. } => {
+                client.get(self.url(&["objects", name]))
+            }
+            StoreCall::Update {
+                name,
+                expected,
+                value,
+            } => with_condition(client.put(self.url(&["objects", name])), *expected)
+                .with_body(value.clone()),
+            StoreCall::List { prefix } => {
+                let mut url = self.url(&["objects"]);
+                url.query_pairs_mut().append_pair("prefix", prefix);
+                client.get(url)
+            }
+            StoreCall::Delete { name } => client.delete(self.url(&["objects", name])),
+            StoreCall::Instances => client.get(self.url(&["instances"])),
+        }
+    }
+
+    fn url(&self, segments: &[&str]) -> Url {
+        url(self.options.address, segments)
+    }
+}
+
+/// The status and body of a response.
+struct Response {
+    status: Option<Status>,
+    body: Vec<u8>,
+}
+
+/// The body of the answer to an update or a removal.
+#[derive(Deserialize)]
+struct Written {
+    version: Version,
+}
+
+fn with_condition(conn: Conn, expected: Expected) -> Conn {
+    match expected {
+        Expected::Absent => conn.with_request_header(KnownHeaderName::IfNoneMatch, "*"),
+        Expected::Version(version) => {
+            conn.with_request_header(KnownHeaderName::IfMatch, version.0.to_string())
+        }
+    }
+}
+
+async fn exchange(conn: Conn, timeout_ms: u64) -> Result<Response, SendError> {
+    let mut conn = send(conn, timeout_ms).await?;
+    let status = conn.status();
+    let body = conn
+        .response_body()
+        .with_max_len(MAX_ANSWER_BYTES)
+        .read_bytes()
+        .await
+        .map_err(|_| SendError::ConnectionLost)?;
+    Ok(Response { status, body })
+}
+
+fn interpret(call: &StoreCall, response: &Response) -> StoreAnswer {
+    match response.status {
+        Some(Status::Ok) => parse(call, &response.body).unwrap_or(StoreAnswer::Lost),
+        Some(Status::NotFound | Status::NoContent) => StoreAnswer::Absent,
+        Some(Status::PreconditionFailed) => StoreAnswer::Conflict,
+        Some(Status::ServiceUnavailable | Status::TooManyRequests) => StoreAnswer::Unavailable,
+        _ => StoreAnswer::Lost,
+    }
+}
+
+fn parse(call: &StoreCall, body: &[u8]) -> Option<StoreAnswer> {
+    match call {
+        StoreCall::Read { .. } | StoreCall::Watch { .. } => {
+            json::<Object>(body).map(StoreAnswer::Found)
+        }
+        StoreCall::Update { .. } | StoreCall::Delete { .. } => {
+            json::<Written>(body).map(|written| StoreAnswer::Updated(written.version))
+        }
+        StoreCall::List { .. } => json(body).map(StoreAnswer::Names),
+        StoreCall::Instances => json(body).map(StoreAnswer::Instances),
+    }
+}
+
+fn json<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
