--- a/crates/curranttrestle/src/state/mod.rs
+++ b/crates/curranttrestle/src/state/mod.rs
@@ -5,6 +5,7 @@
 pub mod ids;
 pub mod member;
 pub mod now;
+pub mod settings;
 pub mod sheet;
 
 pub use event::{Event, EventKind};
--- /dev/null
+++ b/crates/curranttrestle/src/state/settings/reader.rs
@@ -0,0 +1,316 @@
+//! Reads all tables of the settings file and collects the findings.
+
+use std::ops::Range;
+
+use indexmap::IndexMap;
+use log::LevelFilter;
+use toml::de::DeTable;
+
+use super::section::Section;
+use super::{
+    Fleet, Instance, Limits, Listen, LoadReports, Log, Operators, Platform, Policy, PolicyKind,
+    Settings, Threads, Timing,
+};
+use crate::state::sheet::KeyDigest;
+use crate::state::{DataCentreId, Findings, InstanceId, Place};
+
+/// One day, the longest that any interval or timeout may last.
+const LONGEST_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// The largest body limit: requests are held in memory.
+const LARGEST_BODY_BYTES: u64 = 1024 * 1024 * 1024;
+
+/// The shortest fleet key.
+const FLEET_KEY_BYTES: usize = 16;
+
+const SECTIONS: [&str; 10] = [
+    "instance",
+    "listen",
+    "platform",
+    "fleet",
+    "operators",
+    "limits",
+    "timing",
+    "policy",
+    "log",
+    "threads",
+];
+
+const POLICY_KINDS: [(&str, PolicyKind); 2] =
+    [("fair", PolicyKind::Fair), ("naive", PolicyKind::Naive)];
+
+const LOAD_REPORTS: [(&str, LoadReports); 3] = [
+    ("reconcile", LoadReports::Reconcile),
+    ("trust", LoadReports::Trust),
+    ("ignore", LoadReports::Ignore),
+];
+
+const LOG_LEVELS: [(&str, LevelFilter); 6] = [
+    ("off", LevelFilter::Off),
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+    ("trace", LevelFilter::Trace),
+];
+
+/// The text of a settings file and what was found in it so far.
+pub(super) struct Reader {
+    file_name: String,
+    text: String,
+    /// Where each key that was read stands.
+    spans: IndexMap<String, Range<usize>>,
+    /// The text has syntax errors, so a key may seem to be missing that is not.
+    damaged: bool,
+    findings: Findings,
+}
+
+impl Reader {
+    pub(super) fn new(file_name: &str, text: &str) -> Self {
+        Self {
+            file_name: file_name.to_owned(),
+            text: text.to_owned(),
+            spans: IndexMap::new(),
+            damaged: false,
+            findings: Findings::default(),
+        }
+    }
+
+    /// Reads all tables.
+    pub(super) fn settings(&mut self) -> Settings {
+        let text = self.text.clone();
+        let (root, errors) = DeTable::parse_recoverable(&text);
+        for error in errors {
+            self.damaged = true;
+            self.add(&error.span().unwrap_or(0..0), "", error.message());
+        }
+        let root = root.get_ref();
+        self.report_unknown_tables(root);
+        Settings {
+            instance: read_instance(Section::new("instance", root, self)),
+            listen: read_listen(Section::new("listen", root, self)),
+            platform: read_platform(Section::new("platform", root, self)),
+            fleet: read_fleet(Section::new("fleet", root, self)),
+            operators: read_operators(Section::new("operators", root, self)),
+            limits: read_limits(Section::new("limits", root, self)),
+            timing: read_timing(Section::new("timing", root, self)),
+            policy: read_policy(Section::new("policy", root, self)),
+            log: read_log(Section::new("log", root, self)),
+            threads: read_threads(Section::new("threads", root, self)),
+        }
+    }
+
+    /// Reports a finding at `span` of the text.
+    pub(super) fn add(&mut self, span: &Range<usize>, key: &str, message: &str) {
+        let place = self.place(Some(span), key);
+        self.findings.add(place, message);
+    }
+
+    /// Reports that a key is missing from a table; none: the table is missing too.
+    pub(super) fn add_missing(&mut self, table: Option<&Range<usize>>, key: &str) {
+        if !self.damaged {
+            let place = self.place(table, key);
+            self.findings.add(place, "is missing and has no default");
+        }
+    }
+
+    /// Notes where a key stands, for [`Reader::add_contradiction`].
+    pub(super) fn remember(&mut self, key: String, span: Range<usize>) {
+        self.spans.insert(key, span);
+    }
+
+    /// Whether the file holds `key`.
+    pub(super) fn has(&self, key: &str) -> bool {
+        self.spans.contains_key(key)
+    }
+
+    /// Reports a contradiction between keys, at the first one that the file holds.
+    pub(super) fn add_contradiction(&mut self, keys: &[&str], message: &str) {
+        let found = keys.iter().find(|key| self.has(key));
+        let key = found.or(keys.first()).copied().unwrap_or_default();
+        let span = self.spans.get(key).cloned();
+        let place = self.place(span.as_ref(), key);
+        self.findings.add(place, message);
+    }
+
+    /// Returns the settings when nothing was found, all findings otherwise.
+    pub(super) fn into_result(mut self, settings: Settings) -> Result<Settings, Findings> {
+        self.findings
+            .0
+            .sort_by_key(|finding| (finding.place.line, finding.place.column));
+        self.findings.into_result(settings)
+    }
+
+    fn report_unknown_tables(&mut self, root: &DeTable<'_>) {
+        for key in root.keys() {
+            if !SECTIONS.contains(&key.get_ref().as_ref()) {
+                let message = format!("unknown key; the tables are {}", SECTIONS.join(", "));
+                self.add(&key.span(), key.get_ref(), &message);
+            }
+        }
+    }
+
+    fn place(&self, span: Option<&Range<usize>>, key: &str) -> Place {
+        let position = span.map(|span| position(&self.text, span.start));
+        Place {
+            file: self.file_name.clone(),
+            line: position.map(|(line, _)| line),
+            column: position.map(|(_, column)| column),
+            key: Some(key.to_owned()).filter(|key| !key.is_empty()),
+        }
+    }
+}
+
+/// The line and the column of a byte offset, both from one; columns count characters.
+fn position(text: &str, offset: usize) -> (u64, u64) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    let line = before.matches('\n').count() + 1;
+    let column = before[line_start..].chars().count() + 1;
+    (line as u64, column as u64)
+}
+
+fn read_instance(mut section: Section<'_, '_>) -> Instance {
+    let name = section.name("name").unwrap_or_default();
+    let data_centre = section.name("data_centre").unwrap_or_default();
+    section.require(&["name", "data_centre"]);
+    section.finish();
+    Instance {
+        name: InstanceId::new(&name),
+        data_centre: DataCentreId::new(&data_centre),
+    }
+}
+
+fn read_listen(mut section: Section<'_, '_>) -> Listen {
+    let mut listen = Listen::default();
+    section.address("callers", &mut listen.callers);
+    section.address("operators", &mut listen.operators);
+    section.address("peers", &mut listen.peers);
+    section.require(&["callers", "operators", "peers"]);
+    section.finish();
+    listen
+}
+
+fn read_platform(mut section: Section<'_, '_>) -> Platform {
+    let mut platform = Platform::default();
+    section.address("address", &mut platform.address);
+    section.integer(
+        "calls_per_second",
+        1..=10_000,
+        &mut platform.calls_per_second,
+    );
+    section.integer("timeout_ms", 1..=LONGEST_MS, &mut platform.timeout_ms);
+    section.integer(
+        "watch_timeout_ms",
+        1..=LONGEST_MS,
+        &mut platform.watch_timeout_ms,
+    );
+    section.require(&["address"]);
+    section.finish();
+    platform
+}
+
+fn read_fleet(mut section: Section<'_, '_>) -> Fleet {
+    let mut fleet = Fleet::default();
+    section.secret("key", FLEET_KEY_BYTES, &mut fleet.key);
+    section.addresses("seeds", &mut fleet.seeds);
+    section.require(&["key"]);
+    section.finish();
+    fleet
+}
+
+fn read_operators(mut section: Section<'_, '_>) -> Operators {
+    let mut operators = Operators::default();
+    let mut text = String::new();
+    section.text("token_digest", &mut text);
+    let mut bytes = [0; 32];
+    if hex::decode_to_slice(&text, &mut bytes).is_ok() {
+        operators.token_digest = KeyDigest(bytes);
+    } else if !text.is_empty() {
+        let span = section.span("token_digest");
+        let message = "must be a SHA-256 digest: 64 hexadecimal digits";
+        section.add(&span, "token_digest", message);
+    }
+    section.require(&["token_digest"]);
+    section.finish();
+    operators
+}
+
+fn read_limits(mut section: Section<'_, '_>) -> Limits {
+    let mut limits = Limits::default();
+    let times = 1..=LONGEST_MS;
+    section.integer("body_bytes", 1..=LARGEST_BODY_BYTES, &mut limits.body_bytes);
+    section.integer(
+        "header_timeout_ms",
+        times.clone(),
+        &mut limits.header_timeout_ms,
+    );
+    section.integer(
+        "sender_timeout_ms",
+        times.clone(),
+        &mut limits.sender_timeout_ms,
+    );
+    section.integer("connections", 1..=1_000_000, &mut limits.connections);
+    section.integer(
+        "queue_per_customer",
+        1..=1_000_000,
+        &mut limits.queue_per_customer,
+    );
+    section.integer("deadline_ms", times.clone(), &mut limits.deadline_ms);
+    section.integer("shutdown_ms", times, &mut limits.shutdown_ms);
+    section.finish();
+    limits
+}
+
+fn read_timing(mut section: Section<'_, '_>) -> Timing {
+    let mut timing = Timing::default();
+    let times = 1..=LONGEST_MS;
+    section.integer(
+        "heartbeat_interval_ms",
+        times.clone(),
+        &mut timing.heartbeat_interval_ms,
+    );
+    section.integer(
+        "suspect_after_ms",
+        times.clone(),
+        &mut timing.suspect_after_ms,
+    );
+    section.integer("dead_after_ms", times.clone(), &mut timing.dead_after_ms);
+    section.integer("lease_ms", times.clone(), &mut timing.lease_ms);
+    section.integer(
+        "service_round_ms",
+        times.clone(),
+        &mut timing.service_round_ms,
+    );
+    section.integer(
+        "load_report_interval_ms",
+        times,
+        &mut timing.load_report_interval_ms,
+    );
+    section.finish();
+    timing
+}
+
+fn read_policy(mut section: Section<'_, '_>) -> Policy {
+    let mut policy = Policy::default();
+    section.choice("kind", &POLICY_KINDS, &mut policy.kind);
+    section.boolean("hedging", &mut policy.hedging);
+    section.choice("load_reports", &LOAD_REPORTS, &mut policy.load_reports);
+    section.finish();
+    policy
+}
+
+fn read_log(mut section: Section<'_, '_>) -> Log {
+    let mut log = Log::default();
+    section.choice("level", &LOG_LEVELS, &mut log.level);
+    section.integer("events_capacity", 1..=10_000_000, &mut log.events_capacity);
+    section.finish();
+    log
+}
+
+fn read_threads(mut section: Section<'_, '_>) -> Threads {
+    let mut threads = Threads::default();
+    section.integer("traffic", 1..=256, &mut threads.traffic);
+    section.finish();
+    threads
+}
