--- a/crates/curranttrestle/src/coordination/router/input.rs
+++ b/crates/curranttrestle/src/coordination/router/input.rs
@@ -85,8 +85,6 @@
         attempt: AttemptId,
         /// Its cost so far, in units of the pool.
         units: f64,
-        /// Time since its dispatch.
-        elapsed_ms: u64,
     },
     /// An attempt ended.
     Ended {
@@ -94,8 +92,6 @@
         attempt: AttemptId,
         /// How it ended.
         result: AttemptResult,
-        /// Time since its dispatch.
-        elapsed_ms: u64,
     },
     /// The platform answered a call.
     StoreAnswered {
--- /dev/null
+++ b/crates/curranttrestled/src/daemon.rs
@@ -0,0 +1,236 @@
+//! Puts a router together from its settings.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+use std::thread::JoinHandle;
+
+use async_channel::Sender;
+use curranttrestle::coordination::router::{Input, Router};
+use curranttrestle::protocol::peer::{Envelope, FleetKey};
+use curranttrestle::state::settings::Settings;
+use curranttrestle::state::sheet::{KeyDigest, Sheet};
+use curranttrestle::state::{Incarnation, Member};
+use curranttrestle::transport::endpoint::{EndpointClient, EndpointClientOptions};
+use curranttrestle::transport::peer::{
+    ByteCounts, PeerListener, PeerListenerOptions, PeerSender, PeerSenderOptions,
+};
+use curranttrestle::transport::platform::{PlatformClient, PlatformClientOptions};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol::net::TcpListener;
+use trillium_http::HttpConfig;
+use trillium_smol::Stopper;
+
+use crate::clock::Clock;
+use crate::control::{Control, ControlMetrics};
+use crate::shared::{ControlMessage, Shared};
+use crate::{front, operators, router_options};
+
+/// Messages to the control thread that may wait.
+const CONTROL_MESSAGES: usize = 16_384;
+/// Envelopes of other routers that may wait.
+const INBOX_ENVELOPES: usize = 4_096;
+/// Bits of an incarnation that are random, so that two runs that begin in the same
+/// millisecond differ.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
+/// Why a daemon could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// A listener could not be bound.
+    #[error("cannot listen on {address}: {error}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The operating system's error.
+        error: io::Error,
+    },
+    /// The control thread could not be started.
+    #[error("cannot start the control thread: {0}")]
+    Thread(#[from] io::Error),
+    /// A metric could not be registered.
+    #[error("cannot register the metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// The result of starting a daemon.
+pub type Result<T> = std::result::Result<T, DaemonError>;
+
+/// A running router.
+#[derive(Debug)]
+pub struct Daemon {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    peers: SocketAddr,
+    control: Sender<ControlMessage>,
+    thread: JoinHandle<()>,
+    stopper: Stopper,
+}
+
+impl Daemon {
+    /// Binds the listeners and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first listener or thread that could not be had.
+    pub fn start(settings: &Settings) -> Result<Self> {
+        smol::block_on(Self::start_async(settings))
+    }
+
+    async fn start_async(settings: &Settings) -> Result<Self> {
+        let mut rng = ChaCha8Rng::from_os_rng();
+        let clock = Clock::default();
+        let callers = bind(settings.listen.callers).await?;
+        let operators = bind(settings.listen.operators).await?;
+        let key = FleetKey::new(settings.fleet.key.expose());
+        let counts = ByteCounts::default();
+        let peers = PeerListener::bind(PeerListenerOptions {
+            address: settings.listen.peers,
+            key: key.clone(),
+            counts: counts.clone(),
+        })
+        .await
+        .map_err(|error| DaemonError::Bind {
+            address: settings.listen.peers,
+            error,
+        })?;
+        let random = rng.random_range(0..1_u64 << INCARNATION_RANDOM_BITS);
+        let incarnation = Incarnation(clock.now().unix_ms << INCARNATION_RANDOM_BITS | random);
+        let me = Member {
+            instance: settings.instance.name.clone(),
+            incarnation,
+            data_centre: settings.instance.data_centre.clone(),
+            address: peers.local_addr()?,
+        };
+        let (control, messages) = async_channel::bounded(CONTROL_MESSAGES);
+        let shared = Arc::new(Shared {
+            clock,
+            control: control.clone(),
+            endpoints: EndpointClient::new(EndpointClientOptions::default()),
+            platform: PlatformClient::new(PlatformClientOptions {
+                address: settings.platform.address,
+                timeout_ms: settings.platform.timeout_ms,
+                watch_timeout_ms: settings.platform.watch_timeout_ms,
+                ..PlatformClientOptions::default()
+            }),
+            sheet: RwLock::new(Arc::new(Sheet::default())),
+            limits: settings.limits.clone(),
+            fleet_key: key.clone(),
+        });
+        let sender = PeerSender::new(PeerSenderOptions {
+            counts: counts.clone(),
+            ..PeerSenderOptions::new(me.instance.clone(), incarnation, key)
+        });
+        let options = router_options::from_settings(settings);
+        let router = Router::new(me, options, clock.now());
+        let control_thread = Control::new(
+            router,
+            shared.clone(),
+            messages,
+            sender,
+            settings.log.events_capacity,
+            ControlMetrics::new(counts)?,
+            rng,
+        );
+        let daemon = Self {
+            callers: callers.local_addr()?,
+            operators: operators.local_addr()?,
+            peers: peers.local_addr()?,
+            control,
+            stopper: Stopper::new(),
+            thread: std::thread::Builder::new()
+                .name("control".into())
+                .spawn(move || control_thread.run())?,
+        };
+        daemon.listen(settings, &shared, callers, operators, peers);
+        Ok(daemon)
+    }
+
+    fn listen(
+        &self,
+        settings: &Settings,
+        shared: &Arc<Shared>,
+        callers: TcpListener,
+        operators: TcpListener,
+        peers: PeerListener,
+    ) {
+        let (inbox, envelopes) = async_channel::bounded::<Envelope>(INBOX_ENVELOPES);
+        smol::spawn(peers.run(inbox)).detach();
+        let control = self.control.clone();
+        smol::spawn(async move {
+            while let Ok(envelope) = envelopes.recv().await {
+                let message = ControlMessage::Input(Input::Envelope(envelope));
+                if control.send(message).await.is_err() {
+                    return;
+                }
+            }
+        })
+        .detach();
+        let connections = settings.limits.connections as usize;
+        let for_callers = shared.clone();
+        self.serve(callers, connections, move |conn| {
+            front::handle(conn, for_callers.clone())
+        });
+        let for_operators = shared.clone();
+        let token_digest: KeyDigest = settings.operators.token_digest;
+        self.serve(operators, connections, move |conn| {
+            operators::handle(conn, for_operators.clone(), token_digest)
+        });
+    }
+
+    fn serve<F, Answer>(&self, listener: TcpListener, connections: usize, handler: F)
+    where
+        F: Fn(trillium::Conn) -> Answer + Send + Sync + 'static,
+        Answer: Future<Output = trillium::Conn> + Send + 'static,
+    {
+        // Each chunk of a streamed answer goes out at once.
+        let http = HttpConfig::default().with_response_buffer_len(0);
+        let server = trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_http_config(http)
+            .with_max_connections(Some(connections))
+            .with_stopper(self.stopper.clone())
+            .with_prebound_server(listener)
+            .run_async(handler);
+        smol::spawn(server).detach();
+    }
+
+    /// Where callers are served.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where operators are served.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Where other routers are served.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Begins a graceful shutdown: no new work is taken, running work is finished.
+    pub fn stop(&self) {
+        let _ = self
+            .control
+            .try_send(ControlMessage::Input(Input::Stop));
+    }
+
+    /// Waits until the graceful shutdown has finished.
+    pub fn join(self) {
+        let _ = self.thread.join();
+        self.stopper.stop();
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| DaemonError::Bind { address, error })
+}
--- /dev/null
+++ b/crates/curranttrestled/src/front/attempts.rs
@@ -0,0 +1,239 @@
+//! Runs the attempts of one request and reports how they end.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use curranttrestle::coordination::router::{AttemptResult, Decision, Dispatch, Input};
+use curranttrestle::protocol::Refusal;
+use curranttrestle::protocol::endpoint::StreamRequest;
+use curranttrestle::protocol::outcome::RefusalReason;
+use curranttrestle::protocol::peer::StoredAnswer;
+use curranttrestle::state::sheet::EndpointKind;
+use curranttrestle::transport::endpoint::{
+    AttemptError, InterruptCause, NotRunReason, ServiceAnswer, ServiceCall,
+};
+use curranttrestle::transport::frames::{Chunk, FrameStream};
+use futures_lite::{FutureExt, StreamExt};
+use futures_util::stream::FuturesUnordered;
+
+use super::prompt::Prompt;
+use super::request::CallerRequest;
+use crate::shared::Shared;
+
+/// An attempt that has begun to answer.
+pub enum Opened {
+    /// A stream with its first part; none when the answer is empty.
+    Stream(Box<FrameStream>, Option<Chunk>),
+    /// The whole answer of a plain service.
+    Service(ServiceAnswer),
+}
+
+/// What a request comes to before anything is sent to its caller.
+pub enum First {
+    /// An attempt has begun to answer.
+    Opened(Dispatch, Opened),
+    /// The request is refused.
+    Refused(Refusal),
+    /// The request is answered from the record.
+    Replayed(StoredAnswer),
+}
+
+type Opening = Pin<Box<dyn Future<Output = (Dispatch, Result<Opened, AttemptError>)> + Send>>;
+
+/// What happens next while attempts are opened.
+enum Next {
+    Decision(Option<Decision>),
+    Opening(Dispatch, Result<Opened, AttemptError>),
+}
+
+/// The attempts of one request.
+pub struct Attempts {
+    shared: Arc<Shared>,
+    caller: Arc<CallerRequest>,
+    prompt: Option<Prompt>,
+    decisions: Receiver<Decision>,
+}
+
+impl Attempts {
+    /// The attempts of `caller`, ordered by the control thread through `decisions`.
+    pub fn new(
+        shared: Arc<Shared>,
+        caller: Arc<CallerRequest>,
+        prompt: Option<Prompt>,
+        decisions: Receiver<Decision>,
+    ) -> Self {
+        Self {
+            shared,
+            caller,
+            prompt,
+            decisions,
+        }
+    }
+
+    /// Follows decisions until an attempt begins to answer or the request ends.
+    pub async fn first(&mut self) -> First {
+        let mut openings: FuturesUnordered<Opening> = FuturesUnordered::new();
+        let mut open: Vec<Dispatch> = Vec::new();
+        loop {
+            match self.next(&mut openings).await {
+                Next::Decision(None) => return First::Refused(control_ended()),
+                Next::Decision(Some(Decision::Refuse(refusal))) => return First::Refused(refusal),
+                Next::Decision(Some(Decision::Replay(answer))) => return First::Replayed(answer),
+                Next::Decision(Some(Decision::Dispatch(dispatch))) => {
+                    open.push(dispatch.clone());
+                    openings.push(self.open(dispatch));
+                }
+                Next::Opening(dispatch, Ok(opened)) => {
+                    open.retain(|other| other.attempt != dispatch.attempt);
+                    self.abandon(&open).await;
+                    return First::Opened(dispatch, opened);
+                }
+                Next::Opening(dispatch, Err(error)) => {
+                    open.retain(|other| other.attempt != dispatch.attempt);
+                    self.report(&dispatch, failed(&error, 0.0)).await;
+                }
+            }
+        }
+    }
+
+    /// Tells the control thread how an attempt ended.
+    pub async fn report(&self, dispatch: &Dispatch, result: AttemptResult) {
+        self.shared
+            .tell(Input::Ended {
+                attempt: dispatch.attempt.clone(),
+                result,
+            })
+            .await;
+    }
+
+    async fn next(&self, openings: &mut FuturesUnordered<Opening>) -> Next {
+        let decision = async { Next::Decision(self.decisions.recv().await.ok()) };
+        if openings.is_empty() {
+            return decision.await;
+        }
+        let opening = async {
+            match openings.next().await {
+                Some((dispatch, result)) => Next::Opening(dispatch, result),
+                None => std::future::pending().await,
+            }
+        };
+        opening.or(decision).await
+    }
+
+    /// Ends attempts that lost against a faster one.
+    async fn abandon(&self, losers: &[Dispatch]) {
+        for dispatch in losers {
+            let result = AttemptResult::Interrupted {
+                units: 0.0,
+                detail: "another attempt answered first".into(),
+                broken: false,
+            };
+            self.report(dispatch, result).await;
+        }
+    }
+
+    fn open(&self, dispatch: Dispatch) -> Opening {
+        let shared = self.shared.clone();
+        let caller = self.caller.clone();
+        let prompt = self.prompt.clone();
+        Box::pin(async move {
+            let result = match dispatch.kind {
+                EndpointKind::Model => open_stream(&shared, &caller, prompt, &dispatch).await,
+                EndpointKind::Service => open_service(&shared, &caller, &dispatch).await,
+            };
+            (dispatch, result)
+        })
+    }
+}
+
+/// Refuses to begin an attempt whose permission has run out, as after a pause of the process.
+fn check_valid(shared: &Shared, dispatch: &Dispatch) -> Result<(), AttemptError> {
+    if shared.clock.now().steady_ms < dispatch.valid_until_ms {
+        return Ok(());
+    }
+    Err(AttemptError::NotRun {
+        reason: NotRunReason::Refused,
+    })
+}
+
+async fn open_stream(
+    shared: &Shared,
+    caller: &CallerRequest,
+    prompt: Option<Prompt>,
+    dispatch: &Dispatch,
+) -> Result<Opened, AttemptError> {
+    let prompt = prompt.unwrap_or_default();
+    let pool = shared
+        .sheet()
+        .endpoints
+        .get(&dispatch.endpoint)
+        .map_or_else(|| "".into(), |endpoint| endpoint.pool.clone());
+    let request = StreamRequest {
+        attempt: dispatch.attempt.to_string(),
+        request: caller.new.request.to_string(),
+        customer: caller.new.customer.clone(),
+        operation: caller.new.operation.clone(),
+        pool,
+        prompt: prompt.prompt,
+        max_tokens: prompt.max_tokens,
+        expected_cost: caller.new.hint_units,
+    };
+    check_valid(shared, dispatch)?;
+    let mut stream = shared
+        .endpoints
+        .start_stream(dispatch.address, &request)
+        .await?;
+    let first = stream.next().await?;
+    Ok(Opened::Stream(Box::new(stream), first))
+}
+
+async fn open_service(
+    shared: &Shared,
+    caller: &CallerRequest,
+    dispatch: &Dispatch,
+) -> Result<Opened, AttemptError> {
+    let key = caller.new.key.map(|key| key.to_string());
+    let call = ServiceCall {
+        operation: &caller.new.operation,
+        body: &caller.body,
+        attempt: &dispatch.attempt,
+        idempotency_key: key.as_deref(),
+    };
+    check_valid(shared, dispatch)?;
+    let answer = shared.endpoints.call_service(dispatch.address, call).await?;
+    Ok(Opened::Service(answer))
+}
+
+/// The result of a failed attempt that cost `units` so far.
+pub fn failed(error: &AttemptError, units: f64) -> AttemptResult {
+    let detail = error.to_string();
+    match error {
+        AttemptError::NotRun { reason } => AttemptResult::NotRun {
+            detail,
+            unreachable: *reason == NotRunReason::Unreachable,
+        },
+        AttemptError::Interrupted { cause, .. } => AttemptResult::Interrupted {
+            units,
+            detail,
+            broken: is_broken(*cause),
+        },
+    }
+}
+
+/// Whether a cause is what a crash of the endpoint looks like.
+fn is_broken(cause: InterruptCause) -> bool {
+    match cause {
+        InterruptCause::ConnectionLost
+        | InterruptCause::EndedEarly
+        | InterruptCause::StreamGone => true,
+        InterruptCause::Silent
+        | InterruptCause::Gap
+        | InterruptCause::Malformed
+        | InterruptCause::Status(_) => false,
+    }
+}
+
+fn control_ended() -> Refusal {
+    Refusal::unknown(RefusalReason::AttemptLost, "the router is exiting")
+}
--- /dev/null
+++ b/crates/curranttrestled/src/front/service.rs
@@ -0,0 +1,60 @@
+//! Answers a request to a plain service.
+
+use std::sync::Arc;
+
+use curranttrestle::coordination::router::AttemptResult;
+use curranttrestle::protocol::Refusal;
+use curranttrestle::protocol::peer::StoredAnswer;
+use curranttrestle::state::Now;
+use curranttrestle::transport::endpoint::ServiceAnswer;
+
+use super::attempts::{Attempts, First, Opened};
+use crate::shared::Shared;
+
+/// The whole answer to a request, or why there is none.
+pub type WholeAnswer = Result<StoredAnswer, Refusal>;
+
+/// Runs a request to its end, also when its caller stops waiting.
+pub async fn answer(shared: Arc<Shared>, attempts: Attempts) -> Option<WholeAnswer> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let running = run(shared, attempts, sender);
+    smol::spawn(running).detach();
+    receiver.recv().await.ok()
+}
+
+async fn run(
+    shared: Arc<Shared>,
+    mut attempts: Attempts,
+    answers: async_channel::Sender<WholeAnswer>,
+) {
+    let started = shared.clock.now();
+    let answer = match attempts.first().await {
+        First::Refused(refusal) => Err(refusal),
+        First::Replayed(answer) => Ok(answer),
+        First::Opened(dispatch, Opened::Service(answer)) => {
+            let stored = stored_answer(answer);
+            let result = AttemptResult::Answered {
+                units: elapsed_units(started, shared.clock.now()),
+                stored: Some(stored.clone()),
+            };
+            attempts.report(&dispatch, result).await;
+            Ok(stored)
+        }
+        First::Opened(_, Opened::Stream(..)) => return,
+    };
+    let _ = answers.send(answer).await;
+}
+
+fn stored_answer(answer: ServiceAnswer) -> StoredAnswer {
+    StoredAnswer::whole(
+        answer.status,
+        answer.content_type.as_deref().unwrap_or("application/octet-stream"),
+        answer.body,
+    )
+}
+
+/// The unit of a plain service is a millisecond of its time.
+#[allow(clippy::cast_precision_loss)]
+fn elapsed_units(started: Now, now: Now) -> f64 {
+    now.since_ms(started.steady_ms).max(1) as f64
+}
--- /dev/null
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -0,0 +1,346 @@
+//! Passes a streamed answer on to its caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use curranttrestle::coordination::router::{AttemptResult, Dispatch, Input};
+use curranttrestle::protocol::resume::ResumeToken;
+use curranttrestle::protocol::{Refusal, RefusalReason};
+use curranttrestle::state::Now;
+use curranttrestle::transport::endpoint::AttemptError;
+use curranttrestle::transport::frames::{Chunk, FrameStream};
+use futures_lite::FutureExt;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::attempts::{Attempts, First, Opened, failed};
+use super::body::{BodyReader, body_channel};
+use super::request::CallerRequest;
+use super::sse;
+use crate::shared::Shared;
+
+/// Time between two reports of an attempt's cost.
+const PROGRESS_INTERVAL_MS: u64 = 200;
+/// How often a broken stream is resumed on its own endpoint before another one is tried.
+const RESUME_ATTEMPTS: u32 = 2;
+/// Time between two such attempts.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the front answers with: a body to send, or a refusal.
+pub type Head = Result<BodyReader, Refusal>;
+
+/// One streamed answer on its way.
+pub struct AnswerStream {
+    shared: Arc<Shared>,
+    caller: Arc<CallerRequest>,
+    attempts: Attempts,
+    chunks: Sender<Vec<u8>>,
+    /// Bytes passed on to the caller.
+    sent_bytes: u64,
+    /// The digest of those bytes, which a new attempt must reproduce.
+    sent_digest: Xxh3,
+    last_progress: Now,
+}
+
+/// How the passing on of one attempt ended.
+enum Passed {
+    /// The whole answer was passed on.
+    Whole,
+    /// The caller is gone or was told of the end.
+    Ended,
+    /// The attempt was lost; another may follow.
+    Lost,
+}
+
+/// Starts answering and returns the head once it is known.
+pub async fn answer(
+    shared: Arc<Shared>,
+    caller: Arc<CallerRequest>,
+    attempts: Attempts,
+) -> Option<Head> {
+    let (heads, head): (Sender<Head>, Receiver<Head>) = async_channel::bounded(1);
+    let (chunks, reader) = body_channel();
+    let answer = AnswerStream {
+        last_progress: shared.clock.now(),
+        shared,
+        caller,
+        attempts,
+        chunks,
+        sent_bytes: 0,
+        sent_digest: Xxh3::new(),
+    };
+    smol::spawn(answer.run(heads, reader)).detach();
+    head.recv().await.ok()
+}
+
+impl AnswerStream {
+    async fn run(mut self, heads: Sender<Head>, reader: BodyReader) {
+        let mut reader = Some(reader);
+        loop {
+            let first = self.attempts.first().await;
+            let (dispatch, stream, chunk) = match first {
+                First::Opened(dispatch, Opened::Stream(stream, chunk)) => (dispatch, stream, chunk),
+                First::Refused(refusal) => {
+                    self.refuse(refusal, &heads, reader.is_some()).await;
+                    return;
+                }
+                First::Opened(..) | First::Replayed(_) => return,
+            };
+            if let Some(reader) = reader.take() {
+                let _ = heads.send(Ok(reader)).await;
+            }
+            match self.pass_on(&dispatch, *stream, chunk).await {
+                Passed::Whole | Passed::Ended => return,
+                Passed::Lost => {}
+            }
+        }
+    }
+
+    async fn refuse(&self, refusal: Refusal, heads: &Sender<Head>, head_open: bool) {
+        if head_open {
+            let _ = heads.send(Err(refusal)).await;
+        } else {
+            let _ = self.chunks.send(sse::error(&refusal)).await;
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        dispatch: &Dispatch,
+        mut stream: FrameStream,
+        first: Option<Chunk>,
+    ) -> Passed {
+        let mut replay = Replay::new(self.sent_bytes);
+        let mut tokens = 0;
+        let mut next = first;
+        let mut resumes = 0;
+        if self.send_start(dispatch, &stream).await.is_err() {
+            return self.caller_gone(dispatch, tokens).await;
+        }
+        loop {
+            if let Some(chunk) = next.take() {
+                tokens = chunk.tokens_total;
+                let Some(text) = replay.take_new(&chunk, &self.sent_digest) else {
+                    return self.differs(dispatch, tokens).await;
+                };
+                if !text.is_empty() && self.send_part(text).await.is_err() {
+                    return self.caller_gone(dispatch, tokens).await;
+                }
+                self.report_progress(dispatch, tokens).await;
+            }
+            match stream.next().await {
+                Ok(Some(chunk)) => next = Some(chunk),
+                Ok(None) => return self.finish(dispatch, &stream).await,
+                Err(error) if resumes < RESUME_ATTEMPTS => {
+                    resumes += 1;
+                    match self.resume(dispatch, &stream).await {
+                        Ok(resumed) => stream = resumed,
+                        Err(_) => return self.lost(dispatch, &error, tokens).await,
+                    }
+                }
+                Err(error) => return self.lost(dispatch, &error, tokens).await,
+            }
+        }
+    }
+
+    async fn send_start(
+        &self,
+        dispatch: &Dispatch,
+        stream: &FrameStream,
+    ) -> Result<(), async_channel::SendError<Vec<u8>>> {
+        let token = ResumeToken {
+            endpoint: dispatch.endpoint.clone(),
+            stream: stream.stream().0.clone(),
+            attempt: dispatch.attempt.clone(),
+            request: self.caller.new.request,
+            customer: self.caller.new.customer.clone(),
+        };
+        let token = token.encode(&self.shared.fleet_key);
+        let start = sse::start(&self.caller.new.request, &token);
+        self.chunks.send(start).await
+    }
+
+    async fn send_part(&mut self, text: &str) -> Result<(), async_channel::SendError<Vec<u8>>> {
+        let part = sse::part(self.sent_bytes, text);
+        self.sent_bytes += text.len() as u64;
+        self.sent_digest.update(text.as_bytes());
+        self.chunks.send(part).await
+    }
+
+    async fn report_progress(&mut self, dispatch: &Dispatch, tokens: u64) {
+        let now = self.shared.clock.now();
+        if now.since_ms(self.last_progress.steady_ms) < PROGRESS_INTERVAL_MS {
+            return;
+        }
+        self.last_progress = now;
+        self.shared
+            .tell(Input::Progress {
+                attempt: dispatch.attempt.clone(),
+                units: units(tokens),
+            })
+            .await;
+    }
+
+    async fn resume(
+        &self,
+        dispatch: &Dispatch,
+        stream: &FrameStream,
+    ) -> Result<FrameStream, AttemptError> {
+        smol::Timer::after(RESUME_PAUSE).await;
+        self.shared
+            .endpoints
+            .resume_stream(
+                dispatch.address,
+                stream.stream(),
+                &dispatch.attempt,
+                stream.offset(),
+            )
+            .await
+    }
+
+    async fn finish(&self, dispatch: &Dispatch, stream: &FrameStream) -> Passed {
+        let result = AttemptResult::Answered {
+            units: units(stream.finished().unwrap_or_default()),
+            stored: None,
+        };
+        self.attempts.report(dispatch, result).await;
+        let _ = self.chunks.send(sse::done(self.sent_bytes)).await;
+        Passed::Whole
+    }
+
+    async fn lost(&self, dispatch: &Dispatch, error: &AttemptError, tokens: u64) -> Passed {
+        self.attempts
+            .report(dispatch, failed(error, units(tokens)))
+            .await;
+        Passed::Lost
+    }
+
+    async fn caller_gone(&self, dispatch: &Dispatch, tokens: u64) -> Passed {
+        let result = AttemptResult::CallerGone {
+            units: units(tokens),
+        };
+        self.attempts.report(dispatch, result).await;
+        Passed::Ended
+    }
+
+    /// Ends an answer whose new attempt does not begin with the bytes already passed on.
+    async fn differs(&self, dispatch: &Dispatch, tokens: u64) -> Passed {
+        let result = AttemptResult::CallerGone {
+            units: units(tokens),
+        };
+        self.attempts.report(dispatch, result).await;
+        let detail = "the answer broke off and a second attempt gave another one";
+        let refusal = Refusal::unknown(RefusalReason::AttemptLost, detail);
+        let _ = self.chunks.send(sse::error(&refusal)).await;
+        Passed::Ended
+    }
+}
+
+/// Skips the part of a new attempt's answer that an earlier attempt passed on already.
+struct Replay {
+    skip_bytes: u64,
+    skipped: Xxh3,
+    skipped_bytes: u64,
+}
+
+impl Replay {
+    fn new(skip_bytes: u64) -> Self {
+        Self {
+            skip_bytes,
+            skipped: Xxh3::new(),
+            skipped_bytes: 0,
+        }
+    }
+
+    /// The new text of a chunk; none when the skipped bytes differ from those with `digest`.
+    fn take_new<'a>(&mut self, chunk: &'a Chunk, digest: &Xxh3) -> Option<&'a str> {
+        let to_skip = self.skip_bytes - self.skipped_bytes;
+        if to_skip == 0 {
+            return Some(&chunk.text);
+        }
+        let length = usize::try_from(to_skip)
+            .unwrap_or(usize::MAX)
+            .min(chunk.text.len());
+        if !chunk.text.is_char_boundary(length) {
+            return None;
+        }
+        let (old, new) = chunk.text.split_at(length);
+        self.skipped.update(old.as_bytes());
+        self.skipped_bytes += length as u64;
+        let complete = self.skipped_bytes == self.skip_bytes;
+        if complete && self.skipped.digest() != digest.digest() {
+            return None;
+        }
+        Some(new)
+    }
+}
+
+/// Tokens as units of a pool.
+#[allow(clippy::cast_precision_loss)]
+fn units(tokens: u64) -> f64 {
+    tokens as f64
+}
+
+/// Passes on the rest of a stream that another router began.
+pub async fn resume(
+    shared: Arc<Shared>,
+    token: ResumeToken,
+    offset: u64,
+) -> Result<BodyReader, Refusal> {
+    let Some(address) = shared
+        .sheet()
+        .endpoints
+        .get(&token.endpoint)
+        .map(|endpoint| endpoint.address)
+    else {
+        let detail = "the endpoint that ran the stream is gone";
+        return Err(Refusal::unknown(RefusalReason::AttemptLost, detail));
+    };
+    let stream_id = curranttrestle::protocol::endpoint::StreamId(token.stream.clone());
+    let mut stream = shared
+        .endpoints
+        .resume_stream(address, &stream_id, &token.attempt, offset)
+        .await
+        .map_err(|error| Refusal::unknown(RefusalReason::AttemptLost, error.to_string()))?;
+    let (chunks, reader) = body_channel();
+    smol::spawn(async move {
+        let text = token.encode(&shared.fleet_key);
+        let _ = chunks.send(sse::start(&token.request, &text)).await;
+        loop {
+            match stream.next().await {
+                Ok(Some(chunk)) => {
+                    if chunks.send(sse::part(chunk.offset, &chunk.text)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(None) => {
+                    let _ = chunks.send(sse::done(stream.offset())).await;
+                    return;
+                }
+                Err(error) => {
+                    let refusal =
+                        Refusal::unknown(RefusalReason::AttemptLost, error.to_string());
+                    let _ = chunks.send(sse::error(&refusal)).await;
+                    return;
+                }
+            }
+        }
+    })
+    .detach();
+    Ok(reader)
+}
+
+/// Waits for `future` at most until `deadline_ms` of steady time.
+pub async fn until<T>(
+    shared: &Shared,
+    deadline_ms: u64,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let left_ms = deadline_ms.saturating_sub(shared.clock.now().steady_ms);
+    let done = async { Some(future.await) };
+    let expired = async {
+        smol::Timer::after(Duration::from_millis(left_ms)).await;
+        None
+    };
+    done.or(expired).await
+}
--- a/crates/curranttrestled/src/lib.rs
+++ b/crates/curranttrestled/src/lib.rs
@@ -1,1 +1,11 @@
-//! placeholder
+//! The daemon of a curranttrestle fleet: one router.
+
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod front;
+pub mod operators;
+mod router_options;
+pub mod shared;
+
+pub use daemon::{Daemon, DaemonError};
--- /dev/null
+++ b/crates/curranttrestled/src/router_options.rs
@@ -0,0 +1,35 @@
+//! Turns settings into the options of the router.
+
+use curranttrestle::coordination::membership::MembershipOptions;
+use curranttrestle::coordination::router::{Policy, RouterOptions};
+use curranttrestle::state::settings::{PolicyKind, Settings};
+
+/// The environment variable that makes violated invariants fatal.
+const FATAL_INVARIANTS_VARIABLE: &str = "CURRANTTRESTLE_FATAL_INVARIANTS";
+
+/// The router's options as the settings have them.
+#[must_use]
+pub fn from_settings(settings: &Settings) -> RouterOptions {
+    let timing = &settings.timing;
+    let mut options = RouterOptions {
+        policy: match settings.policy.kind {
+            PolicyKind::Fair => Policy::Fair,
+            PolicyKind::Naive => Policy::Naive,
+        },
+        hedging: settings.policy.hedging,
+        seeds: settings.fleet.seeds.clone(),
+        fatal_invariants: std::env::var_os(FATAL_INVARIANTS_VARIABLE).is_some(),
+        load_report_interval_ms: timing.load_report_interval_ms,
+        membership: MembershipOptions {
+            probe_interval_ms: timing.heartbeat_interval_ms,
+            probe_timeout_ms: timing.heartbeat_interval_ms,
+            suspect_after_ms: timing.suspect_after_ms,
+            dead_after_ms: timing.dead_after_ms,
+            ..MembershipOptions::default()
+        },
+        ..RouterOptions::default()
+    };
+    options.slots.lease_ms = timing.lease_ms;
+    options.fair_share.round_ms = timing.service_round_ms;
+    options
+}
