Read, write and compare sheets

The reader takes CSV as spreadsheets export it (byte-order mark, CRLF, quoted cells, empty cells at the end, comma, semicolon or tab) and reports all findings together with line and cell. A diff of two sheets reproduces the new one, its order included, and checks the outcome by digest. The object in the store names earlier submissions, so that a submitter whose answer was lost can tell what became of its sheet.

--- a/crates/curranttrestle/src/state/sheet/model.rs
+++ b/crates/curranttrestle/src/state/sheet/model.rs
@@ -27,10 +27,21 @@
     pub share: u32,
     /// The digest of the key its callers present.
     pub key_digest: KeyDigest,
-    /// How many of its requests may wait at one router.
+    /// How many of its requests may wait at one router; zero leaves it to the settings.
     pub queue_limit: u32,
 }
 
+impl Customer {
+    /// The queue limit, or that of the settings when the sheet gives none.
+    #[must_use]
+    pub fn queue_limit_or(&self, setting: u32) -> u32 {
+        match self.queue_limit {
+            0 => setting,
+            limit => limit,
+        }
+    }
+}
+
 /// What kind of work a pool's endpoints do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- /dev/null
+++ b/crates/curranttrestle/src/state/sheet/reader/checks.rs
@@ -0,0 +1,85 @@
+//! Faults that only several rows together have. They are looked for in the texts of all
+//! rows, also of those with faults of their own.
+
+use std::net::SocketAddr;
+
+use indexmap::map::Entry;
+use indexmap::{IndexMap, IndexSet};
+
+use super::super::RecordKind;
+use super::Reader;
+use super::row::Row;
+
+/// Reports all faults across rows.
+pub(super) fn report_across_rows(rows: &IndexMap<RecordKind, Vec<Row>>, reader: &mut Reader) {
+    for (kind, rows) in rows {
+        if rows.is_empty() {
+            reader.add_whole(format!("holds no {kind}"));
+        }
+        report_repeated(reader, rows, "name", str::to_owned);
+    }
+    let of_kind = |kind| rows.get(&kind).map_or(&[][..], Vec::as_slice);
+    let endpoints = of_kind(RecordKind::Endpoint);
+    report_repeated(
+        reader,
+        of_kind(RecordKind::Customer),
+        "key_digest",
+        str::to_ascii_lowercase,
+    );
+    report_repeated(reader, endpoints, "address", canonical_address);
+    report_mixed_pools(reader, endpoints);
+    report_unknown_pools(reader, of_kind(RecordKind::Operation), endpoints);
+}
+
+/// Reports each value of a column that stands in an earlier row too.
+fn report_repeated(
+    reader: &mut Reader,
+    rows: &[Row],
+    column: &'static str,
+    canonical: impl Fn(&str) -> String,
+) {
+    let mut first_lines: IndexMap<String, u64> = IndexMap::new();
+    for row in rows.iter().filter(|row| !row.text(column).is_empty()) {
+        match first_lines.entry(canonical(row.text(column))) {
+            Entry::Vacant(entry) => {
+                entry.insert(row.line());
+            }
+            Entry::Occupied(entry) => {
+                let message = format!("stands in line {} too", entry.get());
+                row.add(reader, column, &message);
+            }
+        }
+    }
+}
+
+fn canonical_address(text: &str) -> String {
+    let address = text.parse::<SocketAddr>();
+    address.map_or_else(|_| text.to_owned(), |address| address.to_string())
+}
+
+fn report_mixed_pools(reader: &mut Reader, endpoints: &[Row]) {
+    let mut pools: IndexMap<&str, (String, u64)> = IndexMap::new();
+    for row in endpoints {
+        let pool = row.text("pool");
+        let kind = row.text("kind").to_ascii_lowercase();
+        if pool.is_empty() || kind.is_empty() {
+            continue;
+        }
+        let first = pools.entry(pool).or_insert((kind.clone(), row.line()));
+        if first.0 != kind {
+            let message = format!("pool {pool} has kind {} in line {}", first.0, first.1);
+            row.add(reader, "kind", &message);
+        }
+    }
+}
+
+fn report_unknown_pools(reader: &mut Reader, operations: &[Row], endpoints: &[Row]) {
+    let pools: IndexSet<&str> = endpoints.iter().map(|row| row.text("pool")).collect();
+    for row in operations {
+        let pool = row.text("pool");
+        if !pool.is_empty() && !pools.contains(pool) {
+            let message = format!("no endpoint belongs to pool {pool:?}");
+            row.add(reader, "pool", &message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle/src/state/sheet/reader/mod.rs
@@ -0,0 +1,180 @@
+//! Reads a sheet from CSV as a spreadsheet exports it.
+//!
+//! The first cell of a line is the kind of its record, the others are its columns:
+//!
+//! ```text
+//! customer,name,share,key_digest,queue_limit
+//! operation,name,pool,idempotent,priority,expected_cost
+//! endpoint,name,pool,kind,data_centre,address,slots,checks_fencing,leaving
+//! ```
+//!
+//! A line such as these, with `name` in its second cell or any later one, is a header: it
+//! gives the order of the columns of its kind from there on, and may be left out. Lines
+//! whose first cell is empty or begins with `#` are comments. The separator is `,`, `;` or
+//! a tab. A byte-order mark, either kind of line end, quoted cells and empty cells at the
+//! end of a line are read as meant. In findings the column is the number of the cell.
+
+mod checks;
+mod input;
+mod records;
+mod row;
+
+use indexmap::IndexMap;
+
+use super::{RecordKind, Sheet};
+use crate::state::{Findings, Place};
+use input::Input;
+use row::{Layout, Row};
+
+/// The largest sheet, as a file and as the store holds it.
+pub const SHEET_LIMIT_BYTES: usize = 1_000_000;
+
+/// The room that the stamps of the submissions take in the store beside the sheet.
+const STAMPS_BYTES: usize = 16_384;
+
+/// Reads a sheet. Its number is zero, because it is not accepted yet.
+///
+/// # Errors
+///
+/// Returns all findings together, each with line and column.
+///
+/// ```
+/// use curranttrestle::state::sheet::read_sheet;
+/// let findings = read_sheet("sheet.csv", b"customer;atelier;0\n").unwrap_err();
+/// assert!(findings.to_string().contains("sheet.csv:1:3 (share): must be from 1 to"));
+/// ```
+pub fn read_sheet(file_name: &str, bytes: &[u8]) -> Result<Sheet, Findings> {
+    let mut reader = Reader::new(file_name);
+    if let Some(fault) = input::whole_input_fault(bytes, SHEET_LIMIT_BYTES) {
+        reader.add_whole(fault);
+        return reader.findings.into_result(Sheet::default());
+    }
+    for line in Input::new(bytes).lines() {
+        reader.read_line(line.number, &line.cells);
+    }
+    reader.report_across_rows();
+    reader.report_size();
+    reader.finish()
+}
+
+/// The records read so far, the rows they were read from, and what was found.
+struct Reader {
+    file_name: String,
+    layouts: IndexMap<RecordKind, Layout>,
+    /// All rows, those with faults too.
+    rows: IndexMap<RecordKind, Vec<Row>>,
+    sheet: Sheet,
+    findings: Findings,
+}
+
+impl Reader {
+    fn new(file_name: &str) -> Self {
+        let layouts = RecordKind::ALL.map(|kind| (kind, Layout::usual(kind)));
+        let rows = RecordKind::ALL.map(|kind| (kind, Vec::new()));
+        Self {
+            file_name: file_name.to_owned(),
+            layouts: layouts.into_iter().collect(),
+            rows: rows.into_iter().collect(),
+            sheet: Sheet::default(),
+            findings: Findings::default(),
+        }
+    }
+
+    fn read_line(&mut self, line: u64, cells: &[Vec<u8>]) {
+        let mut texts = Vec::with_capacity(cells.len());
+        for (column, cell) in (1..).zip(cells) {
+            texts.push(self.text_of_cell(line, column, cell));
+        }
+        let first = texts.first().map_or("", String::as_str);
+        if first.is_empty() || first.starts_with('#') {
+            return;
+        }
+        let Some(kind) = RecordKind::parse(first) else {
+            let message = format!("{first:?} is not customer, operation or endpoint");
+            return self.add(line, 1, "kind", &message);
+        };
+        if texts[1..].iter().any(|text| text == "name") {
+            return self.read_header(line, kind, &texts);
+        }
+        self.read_row(line, kind, texts);
+    }
+
+    fn read_header(&mut self, line: u64, kind: RecordKind, texts: &[String]) {
+        let layout = Layout::of_header(line, kind, texts, self);
+        self.layouts.insert(kind, layout);
+    }
+
+    fn read_row(&mut self, line: u64, kind: RecordKind, texts: Vec<String>) {
+        let layout = self.layouts.get(&kind).cloned().unwrap_or_default();
+        let row = Row::new(line, layout, texts);
+        row.report_extra_cells(self);
+        match kind {
+            RecordKind::Customer => {
+                let customer = records::customer(&row, self);
+                self.sheet.customers.extend(customer);
+            }
+            RecordKind::Operation => {
+                let operation = records::operation(&row, self);
+                self.sheet.operations.extend(operation);
+            }
+            RecordKind::Endpoint => {
+                let endpoint = records::endpoint(&row, self);
+                self.sheet.endpoints.extend(endpoint);
+            }
+        }
+        self.rows.entry(kind).or_default().push(row);
+    }
+
+    fn text_of_cell(&mut self, line: u64, column: u64, cell: &[u8]) -> String {
+        let Ok(text) = std::str::from_utf8(cell) else {
+            self.add(line, column, "", "is not UTF-8; export the sheet as UTF-8");
+            return String::from_utf8_lossy(cell).trim().to_owned();
+        };
+        let text = text.trim();
+        if text.contains(['\n', '\r']) {
+            self.add(line, column, "", "holds a line end; is a quote left open?");
+        }
+        text.to_owned()
+    }
+
+    fn report_across_rows(&mut self) {
+        let rows = std::mem::take(&mut self.rows);
+        checks::report_across_rows(&rows, self);
+    }
+
+    /// Reports a sheet that has no room in the store.
+    fn report_size(&mut self) {
+        let size = serde_json::to_string(&self.sheet).map_or(0, |text| text.len());
+        let limit = SHEET_LIMIT_BYTES - STAMPS_BYTES;
+        if size > limit {
+            self.add_whole(format!(
+                "takes {size} bytes in the store; the limit is {limit}"
+            ));
+        }
+    }
+
+    fn add(&mut self, line: u64, column: u64, key: &str, message: &str) {
+        let place = Place {
+            file: self.file_name.clone(),
+            line: Some(line),
+            column: Some(column),
+            key: Some(key.to_owned()).filter(|key| !key.is_empty()),
+        };
+        self.findings.add(place, message);
+    }
+
+    fn add_whole(&mut self, message: impl Into<String>) {
+        let place = Place {
+            file: self.file_name.clone(),
+            ..Place::default()
+        };
+        self.findings.add(place, message);
+    }
+
+    fn finish(mut self) -> Result<Sheet, Findings> {
+        self.findings
+            .0
+            .sort_by_key(|finding| (finding.place.line, finding.place.column));
+        self.findings.into_result(self.sheet)
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle/tests/sheet.rs
@@ -0,0 +1,288 @@
+//! Reading, writing and comparing sheets.
+
+use std::fmt::Write as _;
+
+use curranttrestle::state::sheet::{
+    KeyDigest, Sheet, SheetDiff, SheetObject, SheetStamp, read_sheet, write_csv,
+};
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use uuid::Uuid;
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]))
+}
+
+fn digest(key: &str) -> String {
+    hex::encode(KeyDigest::of(key).0)
+}
+
+fn small_sheet() -> String {
+    let (first, second) = (digest("first"), digest("second"));
+    format!(
+        "customer,name,share,key_digest,queue_limit\n\
+         customer,atelier,3,{first},50\n\
+         customer,pompiers,1,{second},\n\
+         operation,answer,chat,yes,1,200.5\n\
+         operation,book,desk,no,0,30\n\
+         endpoint,m1,chat,model,rennes,10.0.0.1:80,8,yes,no\n\
+         endpoint,d1,desk,service,brest,10.0.0.2:80,4,no,yes\n"
+    )
+}
+
+fn findings(text: &str) -> Vec<String> {
+    let findings = read_sheet("sheet.csv", text.as_bytes()).unwrap_err();
+    findings.0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn a_spreadsheet_export_reads_like_the_plain_form() {
+    let plain = read_sheet("sheet.csv", small_sheet().as_bytes()).unwrap();
+    let mut export = String::from("\u{feff}# Feuille du matin, exportée;;;\r\n;;;\r\n\r\n");
+    for line in small_sheet().lines() {
+        let line = line.replace("200.5", "200,5;");
+        let cells: Vec<&str> = if line.contains("200,5") {
+            vec!["operation", "answer", "chat", "yes", "1", "200,5"]
+        } else {
+            line.split(',').collect()
+        };
+        writeln!(export, "\"{}\";;;\r", cells.join("\";\"")).unwrap();
+    }
+    assert_eq!(
+        read_sheet("sheet.csv", export.as_bytes()),
+        Ok(plain.clone())
+    );
+    let tabs = small_sheet().replace(',', "\t");
+    assert_eq!(read_sheet("sheet.csv", tabs.as_bytes()), Ok(plain.clone()));
+    assert_eq!(plain.customers[0].queue_limit_or(200), 50);
+    assert_eq!(plain.customers[1].queue_limit_or(200), 200);
+}
+
+#[test]
+fn a_header_gives_the_order_of_columns() {
+    let key = digest("first");
+    let reordered = small_sheet().replace(
+        &format!("customer,atelier,3,{key},50"),
+        &format!("customer,share,name,key_digest\ncustomer,3,atelier,{key}"),
+    );
+    let reordered = reordered.replace("customer,pompiers,1,", "customer,1,pompiers,");
+    let sheet = read_sheet("sheet.csv", reordered.as_bytes()).unwrap();
+    assert_eq!(sheet.customers.keys().next().unwrap().as_str(), "atelier");
+    assert_eq!(sheet.customers[0].share, 3);
+}
+
+#[test]
+fn all_findings_are_reported_together_with_line_and_column() {
+    let key = digest("first");
+    let text = format!(
+        "# comment\n\
+         \n\
+         customer,atelier,0,{key},50,stray\n\
+         customer,atelier,2,{key},x\n\
+         customer,l'eau,2,12,\n\
+         tenant,a,b\n\
+         operation,book,desk,maybe,300,-1\n\
+         operation,book,nowhere,no,3,1\n\
+         endpoint,m1,chat,model,rennes,10.0.0.1,8,yes,no\n\
+         endpoint,m2,chat,service,rennes,10.0.0.2:80,0\n\
+         endpoint,m3,desk,service,rennes,10.0.0.2:80,1,perhaps,no\n\
+         endpoint,m4,desk,service\n"
+    );
+    let expected = [
+        "sheet.csv:3:3 (share): must be from 1 to 1000000, not \"0\"",
+        "sheet.csv:3:6: \"stray\" stands under no column",
+        "sheet.csv:4:2 (name): stands in line 3 too",
+        "sheet.csv:4:4 (key_digest): stands in line 3 too",
+        "sheet.csv:4:5 (queue_limit): must be from 1 to 1000000, not \"x\"",
+        "sheet.csv:5:2 (name): \"l'eau\" may hold letters, digits, '-', '_' and '.' only",
+        "sheet.csv:5:4 (key_digest): must be a SHA-256 digest: 64 hexadecimal digits",
+        "sheet.csv:6:1 (kind): \"tenant\" is not customer, operation or endpoint",
+        "sheet.csv:7:4 (idempotent): must be yes or no, not \"maybe\"",
+        "sheet.csv:7:5 (priority): must be from 0 to 255, not \"300\"",
+        "sheet.csv:7:6 (expected_cost): must be above 0 and at most 1000000000, not \"-1\"",
+        "sheet.csv:8:2 (name): stands in line 7 too",
+        "sheet.csv:8:3 (pool): no endpoint belongs to pool \"nowhere\"",
+        "sheet.csv:9:6 (address): \"10.0.0.1\" is not an address of the form IP:port",
+        "sheet.csv:10:4 (kind): pool chat has kind model in line 9",
+        "sheet.csv:10:7 (slots): must be from 1 to 10000, not \"0\"",
+        "sheet.csv:11:6 (address): stands in line 10 too",
+        "sheet.csv:11:8 (checks_fencing): must be yes or no, not \"perhaps\"",
+        "sheet.csv:12:5 (data_centre): is missing",
+        "sheet.csv:12:6 (address): is missing",
+        "sheet.csv:12:7 (slots): is missing",
+    ];
+    assert_eq!(findings(&text), expected);
+}
+
+#[test]
+fn inputs_that_are_no_sheet_are_findings() {
+    let empty = [
+        "sheet.csv: holds no customer",
+        "sheet.csv: holds no operation",
+        "sheet.csv: holds no endpoint",
+    ];
+    assert_eq!(findings(""), empty);
+    assert!(findings(&"#".repeat(1_000_001))[0].contains("the limit is 1000000"));
+    let utf16 = read_sheet("sheet.csv", b"\xFF\xFEc\0").unwrap_err();
+    assert!(utf16.to_string().contains("UTF-16"));
+    let latin1 = read_sheet("sheet.csv", b"customer,caf\xE9,1\n").unwrap_err();
+    assert!(latin1.to_string().contains("sheet.csv:1:2: is not UTF-8"));
+    let open_quote = findings("# note,\"open\ncustomer,a,1\n");
+    assert!(
+        open_quote
+            .iter()
+            .any(|line| line.contains("quote left open"))
+    );
+    let wrong_header = findings("customer,name,shares,name\n");
+    assert!(
+        wrong_header
+            .iter()
+            .any(|line| line.contains("1:3 (shares): unknown column"))
+    );
+    assert!(
+        wrong_header
+            .iter()
+            .any(|line| line.contains("1:4 (name): column named twice"))
+    );
+}
+
+#[test]
+fn a_sheet_too_large_for_the_store_is_a_finding() {
+    let mut text = small_sheet();
+    for index in 0..11_000 {
+        writeln!(text, "customer,c{index},1,{},", digest(&index.to_string())).unwrap();
+    }
+    assert!(text.len() < 1_000_000);
+    let found = findings(&text);
+    assert_eq!(found.len(), 1);
+    assert!(found[0].contains("bytes in the store"), "{found:?}");
+}
+
+#[test]
+fn no_bytes_make_the_reader_panic() {
+    let any_bytes = prop::collection::vec(any::<u8>(), 0..400);
+    runner(300)
+        .run(&any_bytes, |bytes| {
+            let _ = read_sheet("sheet.csv", &bytes);
+            Ok(())
+        })
+        .unwrap();
+    let mutation = (
+        any::<prop::sample::Index>(),
+        any::<prop::sample::Index>(),
+        ".{0,4}",
+    );
+    runner(300)
+        .run(&prop::collection::vec(mutation, 0..5), |mutations| {
+            let mut bytes = small_sheet().into_bytes();
+            for (start, length, text) in mutations {
+                let start = start.index(bytes.len());
+                let end = (start + length.index(9)).min(bytes.len());
+                bytes.splice(start..end, text.bytes());
+                bytes.push(b'\n');
+            }
+            if let Ok(sheet) = read_sheet("sheet.csv", &bytes) {
+                let again = read_sheet("sheet.csv", write_csv(&sheet).as_bytes());
+                prop_assert_eq!(again, Ok(sheet));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// A sheet of some of ten customers, operations and endpoints in some order.
+fn any_sheet() -> impl Strategy<Value = Sheet> {
+    let rows = || prop::collection::vec((0..10u16, 1..4u32), 0..10);
+    (rows(), rows(), rows(), 1..100u64).prop_map(|(customers, operations, endpoints, number)| {
+        let mut text = small_sheet();
+        let mut push = |line: String| writeln!(text, "{line}").unwrap();
+        for (index, share) in customers.into_iter().collect::<IndexMap<_, _>>() {
+            push(format!(
+                "customer,c{index},{share},{},",
+                digest(&index.to_string())
+            ));
+        }
+        for (index, cost) in operations.into_iter().collect::<IndexMap<_, _>>() {
+            push(format!("operation,o{index},chat,yes,0,{cost}.7"));
+        }
+        for (index, slots) in endpoints.into_iter().collect::<IndexMap<_, _>>() {
+            push(format!(
+                "endpoint,e{index},chat,model,vannes,10.0.1.{index}:80,{slots},no,no"
+            ));
+        }
+        let sheet = read_sheet("sheet.csv", text.as_bytes()).unwrap();
+        Sheet { number, ..sheet }
+    })
+}
+
+#[test]
+fn a_diff_applied_to_the_old_sheet_gives_the_new_one() {
+    runner(300)
+        .run(
+            &(any_sheet(), any_sheet(), any_sheet()),
+            |(old, new, other)| {
+                let diff = SheetDiff::between(&old, &new);
+                let bytes = postcard::to_stdvec(&diff).unwrap();
+                let received: SheetDiff = postcard::from_bytes(&bytes).unwrap();
+                let outcome = received.apply(&old);
+                prop_assert_eq!(outcome.as_ref(), Ok(&new));
+                // The order counts too, which the equality of maps leaves out.
+                let names = |sheet: &Sheet| sheet.customers.keys().cloned().collect::<Vec<_>>();
+                prop_assert_eq!(names(&outcome.unwrap()), names(&new));
+                if let Ok(wrong) = received.apply(&other) {
+                    prop_assert_eq!(wrong.digest(), new.digest());
+                }
+                Ok(())
+            },
+        )
+        .unwrap();
+}
+
+#[test]
+fn a_diff_reads_as_lines() {
+    let old = read_sheet("sheet.csv", small_sheet().as_bytes()).unwrap();
+    let text = small_sheet().replace("atelier,3", "atelier,5").replace(
+        "operation,book,desk,no,0,30\n",
+        "operation,stock,desk,yes,2,10\n",
+    );
+    let new = read_sheet("sheet.csv", text.as_bytes()).unwrap();
+    let diff = SheetDiff::between(&old, &new);
+    assert_eq!(
+        diff.report(&old).to_string(),
+        "~ customer atelier share=3->5\n\
+         - operation book\n\
+         + operation stock pool=desk idempotent=yes priority=2 expected_cost=10\n"
+    );
+    let none = SheetDiff::between(&old, &old);
+    assert_eq!(none.report(&old).to_string(), "no changes\n");
+}
+
+#[test]
+fn the_object_of_the_store_keeps_the_sheet_and_its_history() {
+    let sheet = read_sheet("sheet.csv", small_sheet().as_bytes()).unwrap();
+    let stamp = |number| SheetStamp {
+        number,
+        submitted_by: "planner".to_owned(),
+        attempt: Uuid::from_u128(u128::from(number)),
+        unix_ms: 5,
+    };
+    let mut object = SheetObject::following(None, stamp(1), &sheet);
+    for number in 2..=40 {
+        object = SheetObject::following(Some(&object), stamp(number), &sheet);
+    }
+    let text = object.to_text().unwrap();
+    let read = SheetObject::from_text(&text).unwrap();
+    assert_eq!(read, object);
+    assert_eq!(read.sheet.digest(), object.sheet.digest());
+    assert_eq!(read.sheet.number, 40);
+    assert_eq!(read.names_attempt(Uuid::from_u128(39)).unwrap().number, 39);
+    assert!(read.names_attempt(Uuid::from_u128(1)).is_none());
+    assert!(SheetObject::from_text(&text.replace("\"share\":3", "\"share\":0")).is_err());
+    assert!(SheetObject::from_text("{}").is_err());
+}
