--- /dev/null
+++ b/crates/curranttrestle/src/coordination/claims/key.rs
@@ -0,0 +1,69 @@
+//! Idempotency keys: their own time, their window of use and their claim object.
+
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::CustomerId;
+
+use super::ClaimOptions;
+
+/// The prefix of the names of all claim objects.
+pub const CLAIM_PREFIX: &str = "claims/";
+
+/// A customer's idempotency key. Keys of two customers never meet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ClaimKey {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The key.
+    pub key: Uuid,
+}
+
+/// The time inside a version 7 UUID in milliseconds since the Unix epoch; none for other UUIDs.
+///
+/// ```
+/// use curranttrestle::coordination::claims::key_unix_ms;
+/// let key = uuid::Builder::from_unix_timestamp_millis(1_700_000_000_123, &[7; 10]).into_uuid();
+/// assert_eq!(key_unix_ms(key), Some(1_700_000_000_123));
+/// assert_eq!(key_unix_ms(uuid::Uuid::nil()), None);
+/// ```
+#[must_use]
+pub fn key_unix_ms(key: Uuid) -> Option<u64> {
+    if key.get_version_num() != 7 {
+        return None;
+    }
+    let bits = key.as_u128() >> 80;
+    u64::try_from(bits).ok()
+}
+
+/// Whether a key of time `key_ms` can be used at `unix_ms`.
+#[must_use]
+pub fn is_in_window(key_ms: u64, unix_ms: u64, options: &ClaimOptions) -> bool {
+    key_ms <= unix_ms + options.max_future_ms && unix_ms < key_ms + options.retention_ms
+}
+
+/// The name of the object that holds the claim of a key of time `key_ms`.
+#[must_use]
+pub(super) fn object_name(key: &ClaimKey, key_ms: u64, options: &ClaimOptions) -> String {
+    let bucket = key_ms / options.bucket_ms;
+    let mut bytes = key.customer.as_str().as_bytes().to_vec();
+    bytes.extend_from_slice(key.key.as_bytes());
+    let shard = xxh3_64(&bytes) % options.shards;
+    format!("{CLAIM_PREFIX}{bucket:012}/{shard:03}")
+}
+
+/// Whether the object `name` belongs to a bucket that no router can use any more.
+#[must_use]
+pub(super) fn is_expired(name: &str, unix_ms: u64, options: &ClaimOptions) -> bool {
+    let Some(bucket) = bucket_of(name) else {
+        return false;
+    };
+    let bucket_end_ms = (bucket + 1) * options.bucket_ms;
+    unix_ms > bucket_end_ms + options.retention_ms + options.deletion_margin_ms
+}
+
+fn bucket_of(name: &str) -> Option<u64> {
+    let rest = name.strip_prefix(CLAIM_PREFIX)?;
+    let (bucket, _) = rest.split_once('/')?;
+    bucket.parse().ok()
+}
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/claims/sweep.rs
@@ -0,0 +1,101 @@
+//! Removing the claim objects whose keys are all out of use.
+
+use crate::coordination::rendezvous;
+use crate::protocol::platform::{CallId, StoreAnswer, StoreCall};
+use crate::state::{MemberView, Now};
+
+use super::key::{CLAIM_PREFIX, is_expired};
+use super::{ClaimBook, ClaimEffect};
+
+/// The removal of expired objects.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sweep {
+    /// When the objects are listed next, on the steady clock.
+    next_ms: Option<u64>,
+    listing: Option<CallId>,
+    expired: Vec<String>,
+    /// Each removal in progress and when it was sent, on the steady clock.
+    deleting: Vec<(CallId, u64)>,
+}
+
+impl ClaimBook {
+    /// Lists the objects when it is time, and removes the expired ones a few at a time.
+    pub(super) fn tick_sweep(&mut self, now: Now, members: &MemberView) -> Vec<ClaimEffect> {
+        let mut effects = Vec::new();
+        let next_ms = *self
+            .sweep
+            .next_ms
+            .get_or_insert(now.steady_ms + self.options.sweep_interval_ms);
+        if now.steady_ms >= next_ms {
+            self.sweep.next_ms = Some(now.steady_ms + self.options.sweep_interval_ms);
+            if self.is_sweeper(members) {
+                effects.push(self.list());
+            }
+        }
+        // A removal without an answer is left to the next listing.
+        let timeout_ms = self.options.call_timeout_ms;
+        self.sweep
+            .deleting
+            .retain(|(_, sent_ms)| now.since_ms(*sent_ms) < timeout_ms);
+        effects.extend(self.delete_expired(now));
+        effects
+    }
+
+    /// Takes the answer to a listing or a removal.
+    pub(super) fn sweep_answered(
+        &mut self,
+        call: CallId,
+        answer: StoreAnswer,
+        now: Now,
+        members: &MemberView,
+    ) -> Vec<ClaimEffect> {
+        self.sweep
+            .deleting
+            .retain(|(deleting, _)| *deleting != call);
+        if self
+            .sweep
+            .listing
+            .take_if(|listing| *listing == call)
+            .is_some()
+            && let StoreAnswer::Names(names) = answer
+            && self.is_sweeper(members)
+        {
+            self.sweep.expired = names
+                .into_iter()
+                .filter(|name| is_expired(name, now.unix_ms, &self.options))
+                .collect();
+        }
+        self.delete_expired(now)
+    }
+
+    /// Two routers that both believe to be the sweeper do no harm.
+    fn is_sweeper(&self, members: &MemberView) -> bool {
+        rendezvous::best(CLAIM_PREFIX, &members.live)
+            .is_some_and(|member| member.instance == self.me)
+    }
+
+    fn list(&mut self) -> ClaimEffect {
+        let call = self.calls.next_id();
+        self.sweep.listing = Some(call);
+        ClaimEffect::Store {
+            call,
+            request: StoreCall::List {
+                prefix: CLAIM_PREFIX.to_owned(),
+            },
+        }
+    }
+
+    fn delete_expired(&mut self, now: Now) -> Vec<ClaimEffect> {
+        let mut effects = Vec::new();
+        while self.sweep.deleting.len() < self.options.max_deletes_in_flight {
+            let Some(name) = self.sweep.expired.pop() else {
+                break;
+            };
+            let call = self.calls.next_id();
+            self.sweep.deleting.push((call, now.steady_ms));
+            let request = StoreCall::Delete { name };
+            effects.push(ClaimEffect::Store { call, request });
+        }
+        effects
+    }
+}
--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -1,3 +1,8 @@
 //! The decisions of a router. No I/O, no clock, no random number of its own.
 
+pub mod call_ids;
+pub mod claims;
+pub mod invariant;
 pub mod rendezvous;
+pub mod retry_budget;
+pub mod store_gate;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -12,7 +12,7 @@
 use crate::state::event::HybridTime;
 use crate::state::{Incarnation, InstanceId};
 
-pub use claims::{ClaimAnswer, ClaimRequest};
+pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
 
