--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 pub mod call_ids;
 pub mod claims;
 pub mod invariant;
+pub mod membership;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod store_gate;
