--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -1,4 +1,9 @@
 //! The decisions of a router. No I/O, no clock, no random number of its own.
 
+pub mod call_ids;
+pub mod claims;
+pub mod invariant;
 pub mod membership;
 pub mod rendezvous;
+pub mod retry_budget;
+pub mod store_gate;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -14,7 +14,7 @@
 use crate::state::event::HybridTime;
 use crate::state::{Incarnation, InstanceId};
 
-pub use claims::{ClaimAnswer, ClaimRequest};
+pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
