--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -62,12 +62,19 @@
     pub running: Vec<AttemptId>,
     /// Endpoints that should not be tried again.
     pub avoid: Vec<EndpointId>,
-    /// An attempt was handed to an endpoint and did not prove that it never began.
-    pub handed_over: bool,
+    /// An attempt was handed to an endpoint and lost, so that it may have run.
+    pub lost: bool,
     /// A second attempt was started beside the first.
     pub hedged: bool,
 }
 
+impl ActiveRequest {
+    /// Whether an attempt was handed to an endpoint and did not prove that it never began.
+    pub fn handed_over(&self) -> bool {
+        self.lost || !self.running.is_empty()
+    }
+}
+
 /// All requests that a router is working on, with their attempts.
 #[derive(Clone, Debug, Default)]
 pub struct ActiveRequests {
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/router/claims.rs
@@ -0,0 +1,148 @@
+//! Claims of requests that may not run twice.
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::coordination::call_ids::CallOwner;
+use crate::coordination::claims::{ClaimEffect, ClaimVerdict};
+use crate::coordination::store_gate::CallPriority;
+use crate::protocol::outcome::{Outcome, Refusal, RefusalReason};
+use crate::protocol::platform::{CallId, StoreAnswer, StoreCall};
+use crate::state::event::EventKind;
+use crate::state::{Now, RequestId};
+
+use super::{Decision, Router};
+
+impl Router {
+    /// Claims the idempotency key of a request that may not run twice.
+    pub(super) fn begin_claim(&mut self, request: RequestId, now: Now) {
+        let attempt = self.next_attempt_id();
+        let Some(active) = self.active.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(key) = active.new.key else {
+            let detail = "this operation may not run twice and needs an Idempotency-Key header";
+            self.end_refused(request, Refusal::not_run(RefusalReason::KeyMissing, detail), now);
+            return;
+        };
+        active.claim = Some(attempt.clone());
+        let effects = self.claims.begin(
+            request,
+            &active.new.customer,
+            key,
+            active.new.digest,
+            attempt,
+            active.new.deadline_ms,
+            now,
+            self.membership.view(),
+        );
+        self.run_claim_effects(effects, now);
+    }
+
+    /// Carries out what the claim book asks for.
+    pub(super) fn run_claim_effects(&mut self, effects: Vec<ClaimEffect>, now: Now) {
+        for effect in effects {
+            match effect {
+                ClaimEffect::Store { call, request } => {
+                    self.submit_call(call, request, CallPriority::Claims, now);
+                }
+                ClaimEffect::Send { to, message } => self.send(&to, message, now),
+                ClaimEffect::Resolved { request, verdict } => {
+                    self.claim_resolved(request, verdict, now);
+                }
+                ClaimEffect::Emit {
+                    kind,
+                    request,
+                    details,
+                } => {
+                    let details: Vec<(&str, &dyn std::fmt::Display)> = details
+                        .iter()
+                        .map(|(key, value)| (*key, value as &dyn std::fmt::Display))
+                        .collect();
+                    self.emit(now, kind, request, &details);
+                }
+            }
+        }
+    }
+
+    fn claim_resolved(&mut self, request: RequestId, verdict: ClaimVerdict, now: Now) {
+        let Some(active) = self.active.requests.get_mut(&request) else {
+            return;
+        };
+        match verdict {
+            ClaimVerdict::Dispatch => {
+                let attempt = active.claim.clone();
+                let attempt = attempt.map_or_else(String::new, |attempt| attempt.to_string());
+                self.emit(now, EventKind::Claimed, Some(request), &[("attempt", &attempt)]);
+                self.enqueue(request, now);
+            }
+            ClaimVerdict::Answered(answer) => {
+                self.active.requests.swap_remove(&request);
+                self.emit(now, EventKind::Answered, Some(request), &[("from", &"record")]);
+                self.counters.answered += 1;
+                self.decide(request, Decision::Replay(answer));
+            }
+            ClaimVerdict::Unknown(refusal) | ClaimVerdict::NotRun(refusal) => {
+                self.invariants.check(
+                    refusal.outcome != Outcome::NotRun || !active.handed_over(),
+                    "not-run-was-never-dispatched",
+                    request,
+                );
+                self.active.requests.swap_remove(&request);
+                self.decide_refusal(request, refusal, now);
+            }
+        }
+    }
+
+    /// Lets the claim book look at the time.
+    pub(super) fn tick_claims(&mut self, now: Now) {
+        let effects = self.claims.tick(now, self.membership.view());
+        self.run_claim_effects(effects, now);
+    }
+
+    /// Passes a store call to the gate; a call that finds it full counts as not made.
+    pub(super) fn submit_call(
+        &mut self,
+        call: CallId,
+        request: StoreCall,
+        priority: CallPriority,
+        now: Now,
+    ) {
+        if self.store.submit(call, request, priority, now).is_err() {
+            self.route_answer(call, StoreAnswer::Unavailable, now);
+        }
+    }
+
+    /// Takes the platform's answer to a call.
+    pub(super) fn store_answered(
+        &mut self,
+        call: CallId,
+        answer: StoreAnswer,
+        now: Now,
+        rng: &mut ChaCha8Rng,
+    ) {
+        let was_up = self.store.is_up();
+        self.store.answered(call, &answer, now, rng);
+        if was_up != self.store.is_up() {
+            let state = if was_up { "down" } else { "up" };
+            self.emit(now, EventKind::Store, None, &[("state", &state)]);
+        }
+        self.route_answer(call, answer, now);
+    }
+
+    /// Gives an answer to the module that made the call.
+    fn route_answer(&mut self, call: CallId, answer: StoreAnswer, now: Now) {
+        match CallOwner::of(call) {
+            Some(CallOwner::Claims) => {
+                let members = self.membership.view();
+                let effects = self.claims.store_answered(call, answer, now, members);
+                self.run_claim_effects(effects, now);
+            }
+            Some(CallOwner::Sheet) => {
+                let effects = self.config.store_answered(call, answer, now);
+                self.run_config_effects(effects, now);
+            }
+            Some(CallOwner::Instances) => self.instances_listed(answer, now),
+            Some(CallOwner::Drain) | None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -0,0 +1,156 @@
+//! Messages from other routers, membership and the spreading of the configuration.
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::coordination::config::ConfigEffect;
+use crate::coordination::membership::MembershipEffect;
+use crate::coordination::store_gate::CallPriority;
+use crate::protocol::peer::{Envelope, MemberStatus, PeerMessage};
+use crate::state::event::EventKind;
+use crate::state::{Incarnation, InstanceId, Now};
+
+use super::{Effect, Router};
+
+impl Router {
+    /// Takes an envelope from another router.
+    pub(super) fn receive(&mut self, envelope: Envelope, now: Now) {
+        self.clock.observe(envelope.time);
+        self.membership.heard_from(&envelope.from, now);
+        for message in envelope.messages {
+            self.receive_message(&envelope.from, envelope.incarnation, message, now);
+        }
+    }
+
+    /// Takes one message of another router, or of this one.
+    pub(super) fn receive_message(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+        now: Now,
+    ) {
+        match message {
+            PeerMessage::Ping(ping) => {
+                let effects = self.membership.receive_ping(from, &ping, now);
+                self.run_membership_effects(effects, now);
+            }
+            PeerMessage::Ack(ack) => {
+                let effects = self.membership.receive_ack(&ack, now);
+                self.run_membership_effects(effects, now);
+            }
+            PeerMessage::PingRequest(request) => {
+                let effects = self.membership.receive_ping_request(from, &request, now);
+                self.run_membership_effects(effects, now);
+            }
+            PeerMessage::Bid(bid) => self.owner.receive_bid(from, &bid, now),
+            PeerMessage::Return(slots) => self.owner.receive_return(from, &slots, now),
+            PeerMessage::Renewal(renewal) => {
+                let messages = self.owner.receive_renewal(from, &renewal, now);
+                self.send_all(messages, now);
+            }
+            PeerMessage::Renewed(renewed) => self.holder.receive_renewed(from, &renewed, now),
+            PeerMessage::Lend(lend) => self.slot_lent(from, lend, now),
+            PeerMessage::Recall(recall) => self.holder.receive_recall(from, &recall, now),
+            PeerMessage::ServiceReport(report) => {
+                self.fair.receive_report(from, incarnation, &report, now);
+            }
+            PeerMessage::ServiceTotals(totals) => {
+                let messages = self.fair.receive_totals(from, &totals, now);
+                self.send_all(messages, now);
+            }
+            PeerMessage::ClaimRequest(request) => {
+                let effects = self.claims.receive_request(from, request, now);
+                self.run_claim_effects(effects, now);
+            }
+            PeerMessage::ClaimAnswer(answer) => {
+                let effects = self.claims.receive_answer(from, &answer, now);
+                self.run_claim_effects(effects, now);
+            }
+            PeerMessage::ConfigNumbers(numbers) => {
+                let effects = self.config.observe_numbers(from, &numbers, now);
+                self.run_config_effects(effects, now);
+            }
+            PeerMessage::ConfigRequest(request) => {
+                let effects = self.config.receive_request(from, &request, now);
+                self.run_config_effects(effects, now);
+            }
+            PeerMessage::ConfigUpdate(update) => {
+                let effects = self.config.receive_update(from, update, now);
+                self.run_config_effects(effects, now);
+            }
+            PeerMessage::EndpointNotices(notices) => {
+                let effects = self.drain.receive_notices(from, &notices, now);
+                self.run_drain_effects(effects, now);
+            }
+            PeerMessage::Suspicions(suspicions) => {
+                self.quarantine.receive(&suspicions, now);
+            }
+        }
+    }
+
+    /// Probes members and tells those probed how far the configuration is.
+    pub(super) fn tick_membership(&mut self, now: Now, rng: &mut ChaCha8Rng) {
+        let effects = self.membership.tick(now, rng);
+        self.run_membership_effects(effects, now);
+    }
+
+    fn run_membership_effects(&mut self, effects: Vec<MembershipEffect>, now: Now) {
+        for effect in effects {
+            match effect {
+                MembershipEffect::Send { address, message } => {
+                    let time = self.clock.tick(now);
+                    let with_numbers = matches!(message, PeerMessage::Ping(_) | PeerMessage::Ack(_));
+                    self.effects.push(Effect::Send {
+                        address,
+                        time,
+                        message,
+                    });
+                    if with_numbers {
+                        self.effects.push(Effect::Send {
+                            address,
+                            time,
+                            message: PeerMessage::ConfigNumbers(self.config.numbers()),
+                        });
+                    }
+                }
+                MembershipEffect::Changed(news) => {
+                    let member = &news.member.instance;
+                    self.emit(
+                        now,
+                        EventKind::Membership,
+                        None,
+                        &[
+                            ("member", member),
+                            ("status", &format!("{:?}", news.status).to_lowercase()),
+                        ],
+                    );
+                    if news.status == MemberStatus::Dead {
+                        self.owner.forget_holder(member, now);
+                        self.holder.drop_owner(member);
+                    }
+                    self.endpoints.assign_again();
+                }
+            }
+        }
+    }
+
+    /// Watches the store and asks peers for what is missing.
+    pub(super) fn tick_config(&mut self, now: Now) {
+        let effects = self.config.tick(self.membership.view(), now);
+        self.run_config_effects(effects, now);
+    }
+
+    /// Carries out what the configuration asks for.
+    pub(super) fn run_config_effects(&mut self, effects: Vec<ConfigEffect>, now: Now) {
+        for effect in effects {
+            match effect {
+                ConfigEffect::Store { call, request } => {
+                    self.submit_call(call, request, CallPriority::Config, now);
+                }
+                ConfigEffect::Send { to, message } => self.send(&to, message, now),
+                ConfigEffect::SheetInForce(number) => self.sheet_in_force(number, now),
+                ConfigEffect::MarksInForce(version) => self.marks_in_force(version, now),
+            }
+        }
+    }
+}
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -83,7 +83,7 @@
             claim: None,
             running: Vec::new(),
             avoid: Vec::new(),
-            handed_over: false,
+            lost: false,
             hedged: false,
             new,
         })
@@ -106,11 +106,13 @@
             exclusive: self.quarantine.admission(&active.new.digest, now) == Admission::Alone,
         };
         let account = active.account.clone();
-        let limit = self
-            .sheet
-            .customers
-            .get(&account.customer)
-            .map_or(0, |customer| customer.queue_limit as usize);
+        // What was admitted once is not refused for the queue's length later.
+        let is_retry = !active.avoid.is_empty();
+        let limit = match self.sheet.customers.get(&account.customer) {
+            _ if is_retry => usize::MAX,
+            Some(customer) => customer.queue_limit as usize,
+            None => 0,
+        };
         if self.queues.push(waiting, limit).is_err() {
             let refusal = Refusal {
                 retry_after_ms: Some(QUEUE_FULL_RETRY_AFTER_MS),
@@ -154,13 +156,12 @@
             return false;
         }
         self.invariants.check(
-            active.idempotent || (active.claim.is_some() && !active.handed_over),
+            active.idempotent || (active.claim.is_some() && !active.handed_over()),
             "non-idempotent-runs-once",
             request,
         );
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
-        active.handed_over = true;
         let hedge = active.running.len() > 1;
         let charged_units = active.expected_units;
         let account = active.account.clone();
@@ -209,12 +210,12 @@
         &mut self,
         attempt: &AttemptId,
         units: f64,
-        elapsed_ms: u64,
         now: Now,
     ) {
         let Some(running) = self.active.attempts.get_mut(attempt) else {
             return;
         };
+        let elapsed_ms = now.since_ms(running.dispatched_ms);
         let endpoint = running.endpoint.clone();
         let beyond_units = units - running.charged_units;
         running.charged_units = running.charged_units.max(units);
@@ -237,9 +238,9 @@
         &mut self,
         attempt: &AttemptId,
         result: AttemptResult,
-        elapsed_ms: u64,
         now: Now,
     ) {
+        let elapsed_ms = self.active.age_ms(attempt, now);
         let digests = match &result {
             AttemptResult::Interrupted { broken: true, .. } => self
                 .active
@@ -363,10 +364,14 @@
         if !active.running.is_empty() {
             return;
         }
-        active.handed_over = false;
         active.avoid.push(running.endpoint.clone());
         let expired = now.steady_ms >= active.new.deadline_ms;
+        let lost = active.lost;
         if expired || !self.retries.try_take(now) {
+            if lost {
+                self.end_unknown(running.request, RefusalReason::AttemptLost, detail, now);
+                return;
+            }
             let refusal = Refusal::not_run(RefusalReason::EndpointRefused, detail);
             self.end_refused(running.request, refusal, now);
             return;
@@ -386,6 +391,7 @@
         let Some(active) = self.active.requests.get_mut(&running.request) else {
             return;
         };
+        active.lost = true;
         if !active.running.is_empty() {
             return;
         }
@@ -433,7 +439,7 @@
                 .active
                 .requests
                 .get(&waiting.request)
-                .is_some_and(|active| active.handed_over);
+                .is_some_and(ActiveRequest::handed_over);
             if handed_over {
                 self.end_unknown(waiting.request, RefusalReason::DeadlinePassed, detail, now);
             } else {
@@ -449,7 +455,7 @@
             return;
         };
         self.invariants.check(
-            refusal.outcome != Outcome::NotRun || !active.handed_over,
+            refusal.outcome != Outcome::NotRun || !active.handed_over(),
             "not-run-was-never-dispatched",
             request,
         );
