Add queues, fair share and slot leases

Working decision modules with the signatures that the daemon is wired to: queues per account with bounded overtaking, service figures spread over a tree per data centre, owners that lend slots and holders that use or return them. Slot messages carry the next best bid by customer, so that a holder follows that customer's level from the service figures without new messages. Units are signed, because charges are corrected when a request ends.

Not tested yet beyond the doc examples.

--- /dev/null
+++ b/crates/curranttrestle/src/coordination/fair_share/mod.rs
@@ -0,0 +1,332 @@
+//! Fleet-wide service per share.
+//!
+//! Each router charges the service that it gives to its own counters. The counters of a
+//! data centre flow up a tree of its routers; the root adds them to the totals of the data
+//! centre, which flow down the tree and to the roots of the other data centres.
+//!
+//! - A link carries cumulative counters, so that a lost, repeated or late report does no
+//!   harm. A router whose parent changes starts a new link with what the totals that it
+//!   heard do not include yet.
+//! - A new root continues from the last totals that it heard. A restarted one hears them
+//!   from its children first.
+//! - The totals sent to a child name the last of its reports that they include, so that a
+//!   router can tell which of its own charges to add to the totals.
+//!
+//! A customer that becomes backlogged is lifted to the level of the least-served
+//! backlogged customer of the pool (start-time fair queueing). A lift is a register that
+//! is merged by maximum: two routers that lift at once do not lift twice.
+
+mod account;
+mod bound;
+mod links;
+mod names;
+mod spread;
+mod tree;
+
+use std::collections::VecDeque;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::state::sheet::Sheet;
+use crate::state::{AccountId, Incarnation, InstanceId, Member, Now, PoolId};
+
+use account::Account;
+use links::{Inbound, Outbound};
+use names::Names;
+use spread::Spread;
+use tree::Topology;
+
+pub use bound::{GapTerms, gap_bound};
+
+/// How many sheets back messages may name their indexes.
+const KNOWN_SHEETS: usize = 2;
+
+/// Settings of [`FairShare`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct FairShareOptions {
+    /// The period of the exchange while the byte budget allows it.
+    pub service_round_ms: u64,
+    /// The longest period of the exchange.
+    pub longest_round_ms: u64,
+    /// How many children a router has in the tree of its data centre.
+    pub fan_in: usize,
+    /// The bytes that this exchange may send each second.
+    pub budget_bytes_per_s: u64,
+    /// Totals of a data centre that were not heard for this long say nothing about a backlog.
+    pub backlog_timeout_ms: u64,
+    /// How long a new root without totals waits for its members to send theirs.
+    pub recovery_ms: u64,
+    /// The time after which all figures were repeated once, to mend lost messages.
+    pub refresh_ms: u64,
+    /// A customer never lags the most-served one by more than this multiple of the bound on
+    /// the gap; what goes beyond is forgiven.
+    pub debt_cap_factor: f64,
+    /// The terms of the bound on the gap; slots and least share are taken from the sheet.
+    pub gap_terms: GapTerms,
+}
+
+impl Default for FairShareOptions {
+    fn default() -> Self {
+        Self {
+            service_round_ms: 250,
+            longest_round_ms: 2_000,
+            fan_in: 8,
+            budget_bytes_per_s: 4_000,
+            backlog_timeout_ms: 5_000,
+            recovery_ms: 2_000,
+            refresh_ms: 10_000,
+            debt_cap_factor: 1.0,
+            gap_terms: GapTerms {
+                slots: 0.0,
+                largest_cost: 4_000.0,
+                units_per_slot_s: 100.0,
+                exchange_period_ms: 250.0,
+                depth: 2.0,
+                message_ms: 5.0,
+                least_share: 1.0,
+                tolerance_requests: 1.0,
+            },
+        }
+    }
+}
+
+/// The service figures that one router knows.
+#[derive(Debug)]
+pub struct FairShare {
+    options: FairShareOptions,
+    me: Member,
+    /// Names of the current sheet first, then of earlier ones.
+    names: VecDeque<Names>,
+    accounts: IndexMap<AccountId, Account>,
+    pool_slots: IndexMap<PoolId, u32>,
+    /// The level that a customer starts at when no other one is backlogged.
+    pool_levels: IndexMap<PoolId, f64>,
+    topology: Topology,
+    inbound: IndexMap<InstanceId, Inbound>,
+    outbound: Outbound,
+    spread: Spread,
+}
+
+impl FairShare {
+    /// The figures of a router that knows nothing yet.
+    #[must_use]
+    pub fn new(options: FairShareOptions, me: Member) -> Self {
+        Self {
+            options,
+            me,
+            names: VecDeque::new(),
+            accounts: IndexMap::new(),
+            pool_slots: IndexMap::new(),
+            pool_levels: IndexMap::new(),
+            topology: Topology::default(),
+            inbound: IndexMap::new(),
+            outbound: Outbound::default(),
+            spread: Spread::default(),
+        }
+    }
+
+    /// Takes shares, slots and indexes from a sheet that came into force.
+    pub fn apply_sheet(&mut self, sheet: &Sheet) {
+        let names = Names::of(sheet);
+        for (id, _, _) in names.accounts() {
+            let share = sheet.customers[&id.customer].share;
+            let account = self.accounts.entry(id).or_default();
+            // The level stays as it is when the share changes.
+            let level = account.level();
+            let changed = account.share != 0 && account.share != share;
+            account.share = share;
+            if changed {
+                account.lift_milliunits = 0;
+                account.lift_to(level);
+            }
+        }
+        self.pool_slots.clear();
+        for endpoint in sheet.endpoints.values() {
+            *self.pool_slots.entry(endpoint.pool.clone()).or_default() += endpoint.slots;
+        }
+        self.spread.set_names(&names);
+        self.names.push_front(names);
+        self.names.truncate(KNOWN_SHEETS);
+        // Indexes changed, so everything is repeated.
+        self.spread.repeat_all();
+        self.outbound.repeat_all(&self.accounts);
+    }
+
+    /// Charges service; negative units correct an earlier charge.
+    pub fn charge(&mut self, account: &AccountId, units: f64, _now: Now) {
+        if !units.is_finite() {
+            return;
+        }
+        let entry = self.accounts.entry(account.clone()).or_default();
+        entry.own += units;
+        self.outbound.changed.insert(account.clone());
+    }
+
+    /// Says whether requests of an account wait at this router.
+    pub fn set_backlogged(&mut self, account: &AccountId, backlogged: bool, now: Now) {
+        let known = self.is_backlogged(account, now);
+        let entry = self.accounts.entry(account.clone()).or_default();
+        if entry.backlogged_here == backlogged {
+            return;
+        }
+        if backlogged && !known {
+            self.lift(account, now);
+        }
+        self.accounts[account].backlogged_here = backlogged;
+        self.outbound.changed.insert(account.clone());
+        if !backlogged && !self.is_backlogged(account, now) {
+            self.remember_level(account, now);
+        }
+    }
+
+    /// The service of an account per share, with its lift, in units per share.
+    #[must_use]
+    pub fn level(&self, account: &AccountId) -> f64 {
+        self.accounts.get(account).map_or(0.0, Account::level)
+    }
+
+    /// By how much a request of `cost` units raises the level of its account.
+    #[must_use]
+    pub fn level_step(&self, account: &AccountId, cost: f64) -> f64 {
+        let share = self.accounts.get(account).map_or(1, |entry| entry.share);
+        cost / f64::from(share.max(1))
+    }
+
+    /// The service of an account in units, as far as this router knows.
+    #[must_use]
+    pub fn units(&self, account: &AccountId) -> f64 {
+        self.accounts.get(account).map_or(0.0, Account::units)
+    }
+
+    /// Whether requests of an account wait anywhere, as far as this router knows.
+    #[must_use]
+    pub fn is_backlogged(&self, account: &AccountId, now: Now) -> bool {
+        let Some(entry) = self.accounts.get(account) else {
+            return false;
+        };
+        let elsewhere = entry.totals.iter().any(|(data_centre, total)| {
+            let heard_ms = self.spread.heard_ms(data_centre);
+            total.backlogged && now.since_ms(heard_ms) < self.options.backlog_timeout_ms
+        });
+        entry.backlogged_in_subtree() || elsewhere
+    }
+
+    /// The bound on the gap of service per share between backlogged customers of a pool,
+    /// for the exchange as it runs now. See [`gap_bound`].
+    #[must_use]
+    pub fn gap_bound(&self, pool: &PoolId, now: Now) -> f64 {
+        let least_share = self
+            .backlogged_of(pool, now)
+            .map(|(_, account)| account.share)
+            .min();
+        gap_bound(&GapTerms {
+            slots: f64::from(self.pool_slots.get(pool).copied().unwrap_or(0)),
+            least_share: f64::from(least_share.unwrap_or(1)),
+            exchange_period_ms: self.spread.period_ms(&self.options),
+            depth: self.depth(),
+            ..self.options.gap_terms
+        })
+    }
+
+    fn backlogged_of(
+        &self,
+        pool: &PoolId,
+        now: Now,
+    ) -> impl Iterator<Item = (&AccountId, &Account)> {
+        self.accounts
+            .iter()
+            .filter(move |(id, _)| id.pool == *pool && self.is_backlogged(id, now))
+    }
+
+    /// Lifts an account that becomes backlogged.
+    fn lift(&mut self, account: &AccountId, now: Now) {
+        let least = self
+            .backlogged_of(&account.pool, now)
+            .map(|(_, entry)| entry.level())
+            .reduce(f64::min);
+        let remembered = self.pool_levels.get(&account.pool).copied();
+        if let Some(level) = least.or(remembered) {
+            self.accounts[account].lift_to(level);
+        }
+    }
+
+    /// Keeps the level of the last backlogged account of a pool.
+    fn remember_level(&mut self, account: &AccountId, now: Now) {
+        if self.backlogged_of(&account.pool, now).next().is_none() {
+            let level = self.accounts[account].level();
+            let remembered = self
+                .pool_levels
+                .entry(account.pool.clone())
+                .or_insert(level);
+            *remembered = remembered.max(level);
+        }
+    }
+
+    /// Forgives debts above the cap, so that a customer that was cut off is not repaid at
+    /// the expense of all others.
+    fn forgive_debts(&mut self, now: Now) {
+        let pools: IndexSet<PoolId> = self.pool_slots.keys().cloned().collect();
+        for pool in &pools {
+            let backlogged: Vec<(AccountId, f64)> = self
+                .backlogged_of(pool, now)
+                .map(|(id, entry)| (id.clone(), entry.level()))
+                .collect();
+            let most = backlogged.iter().map(|(_, level)| *level).reduce(f64::max);
+            let cap = self.options.debt_cap_factor * self.gap_bound(pool, now);
+            let floor = most.unwrap_or(0.0) - cap;
+            for (id, level) in backlogged {
+                if level < floor && self.accounts[&id].lift_to(floor) {
+                    self.outbound.changed.insert(id);
+                }
+            }
+        }
+    }
+
+    /// The number of links from a leaf to the root of this data centre.
+    fn depth(&self) -> f64 {
+        let mut depth = 0.0;
+        let mut reached = 1;
+        let mut level = 1;
+        while reached < self.topology.size {
+            level *= self.options.fan_in.max(1);
+            reached += level;
+            depth += 1.0;
+        }
+        depth
+    }
+
+    fn names_of(&self, sheet_number: u64) -> Option<&Names> {
+        self.names
+            .iter()
+            .find(|names| names.sheet_number == sheet_number)
+    }
+
+    /// Drops what children reported in an earlier run or while they were children.
+    fn forget_absent_children(&mut self, live: &[Member]) {
+        let gone: Vec<InstanceId> = self
+            .inbound
+            .keys()
+            .filter(|instance| !live.iter().any(|member| member.instance == **instance))
+            .cloned()
+            .collect();
+        for instance in gone {
+            if let Some(link) = self.inbound.swap_remove(&instance) {
+                self.clear_backlog_of(&link);
+            }
+        }
+    }
+
+    fn clear_backlog_of(&mut self, link: &Inbound) {
+        for id in &link.backlogged {
+            if let Some(account) = self.accounts.get_mut(id) {
+                account.backlogged_below = account.backlogged_below.saturating_sub(1);
+                self.outbound.changed.insert(id.clone());
+            }
+        }
+    }
+
+    /// The incarnation of this router.
+    fn incarnation(&self) -> Incarnation {
+        self.me.incarnation
+    }
+}
--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -1,3 +1,6 @@
 //! The decisions of a router. No I/O, no clock, no random number of its own.
 
+pub mod fair_share;
+pub mod queue;
 pub mod rendezvous;
+pub mod slots;
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/queue/mod.rs
@@ -0,0 +1,358 @@
+//! The waiting requests of one router: a queue per account.
+//!
+//! # Order and starvation bound
+//!
+//! The requests of one account are ordered by a virtual arrival time: the arrival plus a
+//! penalty for its priority and a penalty that grows with its expected cost. Both have an
+//! upper limit, so a request is overtaken only by requests that arrived less than
+//! [`QueueOptions::overtake_bound_ms`] after it. The order of two requests never changes
+//! while they wait, which makes ageing free.
+
+mod order;
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+
+use crate::protocol::peer::Lease;
+use crate::state::{AccountId, CustomerId, EndpointId, Now, PoolId, RequestId};
+
+use order::{Order, Place};
+
+/// Settings of [`Queues`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueOptions {
+    /// The penalty of each step of priority.
+    pub priority_step_ms: u64,
+    /// The upper limit of the penalty for priority.
+    pub priority_limit_ms: u64,
+    /// The penalty of an expected cost equal to the mean of the pool.
+    pub mean_cost_penalty_ms: u64,
+    /// The upper limit of the penalty for expected cost.
+    pub cost_limit_ms: u64,
+    /// A request is short when its expected cost is at most this multiple of the mean.
+    pub short_factor: f64,
+    /// The weight of the newest request in the running mean of a pool.
+    pub mean_weight: f64,
+}
+
+impl Default for QueueOptions {
+    fn default() -> Self {
+        Self {
+            priority_step_ms: 5_000,
+            priority_limit_ms: 20_000,
+            mean_cost_penalty_ms: 1_000,
+            cost_limit_ms: 10_000,
+            short_factor: 2.0,
+            mean_weight: 0.01,
+        }
+    }
+}
+
+impl QueueOptions {
+    /// The longest time by which a later request of the same account may have arrived
+    /// and still go first.
+    ///
+    /// ```
+    /// use curranttrestle::coordination::queue::QueueOptions;
+    /// assert_eq!(QueueOptions::default().overtake_bound_ms(), 30_000);
+    /// ```
+    #[must_use]
+    pub fn overtake_bound_ms(&self) -> u64 {
+        self.priority_limit_ms + self.cost_limit_ms
+    }
+}
+
+/// A request that waits for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Waiting {
+    /// The request.
+    pub request: RequestId,
+    /// The account that it is charged to.
+    pub account: AccountId,
+    /// Lower goes first.
+    pub priority: u8,
+    /// The expected cost, in units of the pool.
+    pub expected_cost: f64,
+    /// When it arrived, on the steady clock.
+    pub arrived_ms: u64,
+    /// When it is refused if it still waits, on the steady clock.
+    pub deadline_ms: u64,
+    /// Endpoints that must not run it.
+    pub avoid: Vec<EndpointId>,
+    /// It must run alone on its endpoint.
+    pub exclusive: bool,
+}
+
+/// What one customer waits for in one pool.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// The customer.
+    pub customer: CustomerId,
+    /// How many requests wait that may share an endpoint.
+    pub waiting: u32,
+    /// How many of them are expected to be short.
+    pub waiting_short: u32,
+    /// How many requests wait that must run alone.
+    pub waiting_exclusive: u32,
+    /// The mean expected cost of all of them.
+    pub expected_cost: f64,
+    /// How long the oldest has waited.
+    pub oldest_wait_ms: u64,
+}
+
+impl Demand {
+    /// The number of all waiting requests.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.waiting + self.waiting_exclusive
+    }
+}
+
+/// The waiting requests of one account.
+#[derive(Debug, Default)]
+struct AccountQueue {
+    short: Order,
+    long: Order,
+    exclusive: Order,
+}
+
+impl AccountQueue {
+    fn len(&self) -> usize {
+        self.short.len() + self.long.len() + self.exclusive.len()
+    }
+
+    fn class_mut(&mut self, class: Class) -> &mut Order {
+        match class {
+            Class::Short => &mut self.short,
+            Class::Long => &mut self.long,
+            Class::Exclusive => &mut self.exclusive,
+        }
+    }
+
+    fn demand(&self, customer: &CustomerId, now: Now) -> Demand {
+        let classes = [&self.short, &self.long, &self.exclusive];
+        let cost: f64 = classes.iter().map(|class| class.total_cost()).sum();
+        let oldest_ms = classes.iter().filter_map(|class| class.oldest_ms()).min();
+        Demand {
+            customer: customer.clone(),
+            waiting: count(self.short.len() + self.long.len()),
+            waiting_short: count(self.short.len()),
+            waiting_exclusive: count(self.exclusive.len()),
+            expected_cost: cost / f64::from(count(self.len()).max(1)),
+            oldest_wait_ms: oldest_ms.map_or(0, |arrived_ms| now.since_ms(arrived_ms)),
+        }
+    }
+}
+
+/// The class of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Class {
+    Short,
+    Long,
+    Exclusive,
+}
+
+/// Where a request waits.
+#[derive(Clone, Debug)]
+struct Location {
+    account: AccountId,
+    class: Class,
+    place: Place,
+    deadline_ms: u64,
+}
+
+/// All waiting requests of one router.
+#[derive(Debug, Default)]
+pub struct Queues {
+    options: QueueOptions,
+    mean_costs: IndexMap<PoolId, f64>,
+    accounts: IndexMap<AccountId, AccountQueue>,
+    locations: IndexMap<RequestId, Location>,
+    deadlines: BTreeSet<(u64, RequestId)>,
+}
+
+impl Queues {
+    /// Empty queues.
+    #[must_use]
+    pub fn new(options: QueueOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// The number of all waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.locations.len()
+    }
+
+    /// Whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.locations.is_empty()
+    }
+
+    /// How many requests of one account wait.
+    #[must_use]
+    pub fn waiting_of(&self, account: &AccountId) -> usize {
+        self.accounts.get(account).map_or(0, AccountQueue::len)
+    }
+
+    /// The accounts that have waiting requests.
+    pub fn backlogged(&self) -> impl Iterator<Item = &AccountId> {
+        self.accounts.keys()
+    }
+
+    /// The running mean of the expected cost of a pool's requests.
+    #[must_use]
+    pub fn mean_cost(&self, pool: &PoolId) -> Option<f64> {
+        self.mean_costs.get(pool).copied()
+    }
+
+    /// Adds a request.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request back when `limit` requests of its account wait already, or when
+    /// the same request waits already.
+    pub fn push(&mut self, waiting: Waiting, limit: usize) -> Result<(), Waiting> {
+        let full = self.waiting_of(&waiting.account) >= limit;
+        if full || self.locations.contains_key(&waiting.request) {
+            return Err(waiting);
+        }
+        let mean_cost = self.learn_mean(&waiting.account.pool, waiting.expected_cost);
+        let location = self.locate(&waiting, mean_cost);
+        self.deadlines
+            .insert((waiting.deadline_ms, waiting.request));
+        self.locations.insert(waiting.request, location.clone());
+        self.accounts
+            .entry(location.account)
+            .or_default()
+            .class_mut(location.class)
+            .insert(location.place, waiting);
+        Ok(())
+    }
+
+    /// Removes a request, for example because its caller went away.
+    pub fn remove(&mut self, request: &RequestId) -> Option<Waiting> {
+        let location = self.locations.swap_remove(request)?;
+        self.deadlines.remove(&(location.deadline_ms, *request));
+        let queue = self.accounts.get_mut(&location.account)?;
+        let waiting = queue.class_mut(location.class).remove(&location.place);
+        if queue.len() == 0 {
+            self.accounts.swap_remove(&location.account);
+        }
+        waiting
+    }
+
+    /// Removes the requests whose deadline has passed.
+    pub fn expire(&mut self, now: Now) -> Vec<Waiting> {
+        let mut expired = Vec::new();
+        while let Some(&(deadline_ms, request)) = self.deadlines.first() {
+            if deadline_ms > now.steady_ms {
+                break;
+            }
+            self.deadlines.pop_first();
+            expired.extend(self.remove(&request));
+        }
+        expired
+    }
+
+    /// What waits for one pool, by customer.
+    #[must_use]
+    pub fn demand(&self, pool: &PoolId, now: Now) -> Vec<Demand> {
+        self.accounts
+            .iter()
+            .filter(|(account, _)| account.pool == *pool)
+            .map(|(account, queue)| queue.demand(&account.customer, now))
+            .collect()
+    }
+
+    /// The pools that requests wait for.
+    #[must_use]
+    pub fn pools(&self) -> Vec<PoolId> {
+        let mut pools: Vec<PoolId> = Vec::new();
+        for account in self.accounts.keys() {
+            if !pools.contains(&account.pool) {
+                pools.push(account.pool.clone());
+            }
+        }
+        pools
+    }
+
+    /// The request of `account` that goes first on the slot of `lease`, without taking it.
+    #[must_use]
+    pub fn peek(&self, account: &AccountId, lease: &Lease, now: Now) -> Option<&Waiting> {
+        let queue = self.accounts.get(account)?;
+        let first = |order: &'_ Order| order.first(&lease.endpoint, now).map(|(place, _)| place);
+        let place = if lease.exclusive {
+            first(&queue.exclusive).map(|place| (place, &queue.exclusive))
+        } else {
+            let short = first(&queue.short).map(|place| (place, &queue.short));
+            let long = first(&queue.long)
+                .filter(|_| !lease.short_only)
+                .map(|place| (place, &queue.long));
+            [short, long]
+                .into_iter()
+                .flatten()
+                .min_by_key(|(place, _)| *place)
+        };
+        place.and_then(|(place, order)| order.get(&place))
+    }
+
+    /// Takes the request of `account` that goes first on the slot of `lease`.
+    ///
+    /// Requests that avoid the endpoint and requests past their deadline are passed over.
+    /// An exclusive lease takes only exclusive requests, and no other lease takes them.
+    pub fn take(&mut self, account: &AccountId, lease: &Lease, now: Now) -> Option<Waiting> {
+        let request = self.peek(account, lease, now)?.request;
+        self.remove(&request)
+    }
+
+    fn learn_mean(&mut self, pool: &PoolId, cost: f64) -> f64 {
+        let weight = self.options.mean_weight;
+        let mean = self.mean_costs.entry(pool.clone()).or_insert(cost);
+        *mean += weight * (cost - *mean);
+        *mean
+    }
+
+    fn locate(&self, waiting: &Waiting, mean_cost: f64) -> Location {
+        let options = &self.options;
+        let relative_cost = waiting.expected_cost / mean_cost.max(f64::MIN_POSITIVE);
+        let class = match (waiting.exclusive, relative_cost <= options.short_factor) {
+            (true, _) => Class::Exclusive,
+            (false, true) => Class::Short,
+            (false, false) => Class::Long,
+        };
+        let priority_ms = options.priority_step_ms * u64::from(waiting.priority);
+        let cost_ms = scaled_ms(options.mean_cost_penalty_ms, relative_cost);
+        let penalty_ms =
+            priority_ms.min(options.priority_limit_ms) + cost_ms.min(options.cost_limit_ms);
+        Location {
+            account: waiting.account.clone(),
+            class,
+            place: Place {
+                virtual_arrival_ms: waiting.arrived_ms + penalty_ms,
+                request: waiting.request,
+            },
+            deadline_ms: waiting.deadline_ms,
+        }
+    }
+}
+
+/// `base_ms` times `factor`, which may be anything.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss
+)]
+fn scaled_ms(base_ms: u64, factor: f64) -> u64 {
+    // A float cast saturates, and a missing number becomes zero.
+    (base_ms as f64 * factor) as u64
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/slots/bidding.rs
@@ -0,0 +1,202 @@
+//! The bids of a holder.
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::coordination::fair_share::FairShare;
+use crate::coordination::queue::{Demand, Queues};
+use crate::protocol::peer::{Bid, BidEntry, PeerMessage};
+use crate::state::{AccountId, InstanceId, Now, PoolId};
+
+use super::holder::SlotHolder;
+use super::{PoolOwners, SlotOptions};
+
+/// The last bid that was sent to one owner for one pool.
+#[derive(Clone, Debug)]
+pub(super) struct SentBid {
+    entries: Vec<BidEntry>,
+    sent_ms: u64,
+    /// How many slots the owner lent since.
+    pub(super) lends: u32,
+}
+
+impl SentBid {
+    /// How many requests the owner believes to wait.
+    fn believed(&self) -> u32 {
+        total(&self.entries).saturating_sub(self.lends)
+    }
+
+    /// Whether the owner should hear the new entries now.
+    fn is_outdated(&self, entries: &[BidEntry], options: &SlotOptions, now: Now) -> bool {
+        let age_ms = now.since_ms(self.sent_ms);
+        if entries.is_empty() {
+            return !self.entries.is_empty();
+        }
+        if age_ms >= options.bid_refresh_ms || self.entries.is_empty() {
+            return true;
+        }
+        let is_different = self.believed() < total(entries).div_ceil(2)
+            || self.believed() > 2 * total(entries) + 2
+            || entries.iter().any(|entry| !self.names(entry));
+        is_different && age_ms >= options.bid_pause_ms
+    }
+
+    /// Whether the owner knows of all kinds of requests of an entry.
+    fn names(&self, entry: &BidEntry) -> bool {
+        self.entries.iter().any(|known| {
+            known.customer == entry.customer
+                && (known.waiting > 0 || entry.waiting == 0)
+                && (known.waiting_short > 0 || entry.waiting_short == 0)
+                && (known.waiting_exclusive > 0 || entry.waiting_exclusive == 0)
+        })
+    }
+}
+
+impl SlotHolder {
+    /// The bids to send: what waits, where it changed enough.
+    pub fn bids(
+        &mut self,
+        queues: &Queues,
+        fair_share: &FairShare,
+        owners: &IndexMap<PoolId, PoolOwners>,
+        now: Now,
+        rng: &mut impl Rng,
+    ) -> Vec<(InstanceId, PeerMessage)> {
+        let mut messages = Vec::new();
+        for (pool, pool_owners) in owners {
+            let demand = queues.demand(pool, now);
+            let entries = entries(pool, &demand, fair_share);
+            let chosen = self.choose_owners(pool, pool_owners, &demand, now, rng);
+            for owner in chosen {
+                messages.extend(self.bid(owner, pool, &entries, now));
+            }
+        }
+        messages
+    }
+
+    fn bid(
+        &mut self,
+        owner: InstanceId,
+        pool: &PoolId,
+        entries: &[BidEntry],
+        now: Now,
+    ) -> Option<(InstanceId, PeerMessage)> {
+        let key = (owner.clone(), pool.clone());
+        let is_due = match self.sent_bids.get(&key) {
+            Some(sent) => sent.is_outdated(entries, &self.options, now),
+            None => !entries.is_empty(),
+        };
+        if !is_due {
+            return None;
+        }
+        let sent = SentBid {
+            entries: entries.to_vec(),
+            sent_ms: now.steady_ms,
+            lends: 0,
+        };
+        self.sent_bids.insert(key, sent);
+        let bid = Bid {
+            pool: pool.clone(),
+            sent_ms: now.steady_ms,
+            last_lend: self.last_lends.get(&owner).copied().unwrap_or(0),
+            entries: entries.to_vec(),
+        };
+        Some((owner, PeerMessage::Bid(bid)))
+    }
+
+    /// The owners to bid at. Where a bid stands and nothing waits any more, the bid is
+    /// withdrawn.
+    fn choose_owners(
+        &self,
+        pool: &PoolId,
+        owners: &PoolOwners,
+        demand: &[Demand],
+        now: Now,
+        rng: &mut impl Rng,
+    ) -> Vec<InstanceId> {
+        let standing = self.standing_at(pool, now);
+        if demand.is_empty() {
+            return standing;
+        }
+        let longest_wait_ms = demand.iter().map(|entry| entry.oldest_wait_ms).max();
+        let overflows = longest_wait_ms >= Some(self.options.overflow_wait_ms);
+        let mut chosen = self.draw(&owners.local, &standing, rng);
+        if overflows || owners.local.is_empty() {
+            chosen.extend(self.draw(&owners.remote, &standing, rng));
+        }
+        chosen
+    }
+
+    /// Few owners: all. Many: this router itself, those with a bid that stands, and others
+    /// drawn at random.
+    fn draw(
+        &self,
+        owners: &[InstanceId],
+        standing: &[InstanceId],
+        rng: &mut impl Rng,
+    ) -> Vec<InstanceId> {
+        if owners.len() <= self.options.few_owners {
+            return owners.to_vec();
+        }
+        let wanted = self.options.drawn_owners;
+        let mut drawn: Vec<InstanceId> = owners
+            .iter()
+            .filter(|owner| **owner == self.me || standing.contains(owner))
+            .take(wanted)
+            .cloned()
+            .collect();
+        let others: Vec<&InstanceId> = owners
+            .iter()
+            .filter(|owner| !drawn.contains(owner))
+            .collect();
+        let missing = wanted.saturating_sub(drawn.len());
+        drawn.extend(
+            others
+                .choose_multiple(rng, missing)
+                .map(|owner| (*owner).clone()),
+        );
+        drawn
+    }
+
+    /// The owners where a bid of this router stands and is not due to be repeated.
+    fn standing_at(&self, pool: &PoolId, now: Now) -> Vec<InstanceId> {
+        self.sent_bids
+            .iter()
+            .filter(|((_, sent_pool), sent)| {
+                sent_pool == pool
+                    && !sent.entries.is_empty()
+                    && now.since_ms(sent.sent_ms) < self.options.bid_refresh_ms
+            })
+            .map(|((owner, _), _)| owner.clone())
+            .collect()
+    }
+}
+
+fn total(entries: &[BidEntry]) -> u32 {
+    entries
+        .iter()
+        .map(|entry| entry.waiting + entry.waiting_exclusive)
+        .sum()
+}
+
+#[allow(clippy::cast_possible_truncation)]
+fn entries(pool: &PoolId, demand: &[Demand], fair_share: &FairShare) -> Vec<BidEntry> {
+    demand
+        .iter()
+        .map(|entry| {
+            let account = AccountId {
+                pool: pool.clone(),
+                customer: entry.customer.clone(),
+            };
+            BidEntry {
+                customer: entry.customer.clone(),
+                waiting: entry.waiting,
+                waiting_short: entry.waiting_short,
+                waiting_exclusive: entry.waiting_exclusive,
+                expected_cost: entry.expected_cost as f32,
+                level: fair_share.level(&account),
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/slots/owner.rs
@@ -0,0 +1,303 @@
+//! The owner of the slots of some endpoints.
+
+use indexmap::IndexMap;
+
+use crate::protocol::peer::{Bid, Lease, LeaseId, PeerMessage, Recall, Renewal, Renewed, Return};
+use crate::state::{EndpointId, Incarnation, InstanceId, Now, PoolId};
+
+use super::standing::StandingBids;
+use super::{LoadReport, OwnedEndpoint, ReportMode, SlotOptions};
+
+/// How many low bits of a lease sequence count the leases of one incarnation.
+const COUNTER_BITS: u32 = 36;
+
+/// An endpoint and what its owner knows of it.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointState {
+    pub(super) pool: PoolId,
+    pub(super) slots: u32,
+    pub(super) usable: bool,
+    /// Nothing is lent before.
+    pub(super) lend_from_ms: u64,
+    /// The ends of leases that lapsed without a return; a request may still run there.
+    pub(super) orphans_ms: Vec<u64>,
+    /// Running requests by the last report, in [`ReportMode::Trust`].
+    pub(super) reported: Option<u32>,
+    /// No more is lent, because one request shall run alone.
+    pub(super) draining: bool,
+    pub(super) last_exclusive_ms: u64,
+}
+
+/// A lease that is out.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) lease: Lease,
+    pub(super) holder: InstanceId,
+    pub(super) expires_ms: u64,
+}
+
+/// When a holder was last told of the best bid for a pool.
+#[derive(Clone, Debug)]
+pub(super) struct SentRecall {
+    pub(super) sent_ms: u64,
+}
+
+/// Lends the slots of some endpoints to the routers that bid for them.
+#[derive(Debug)]
+pub struct SlotOwner {
+    pub(super) me: InstanceId,
+    pub(super) options: SlotOptions,
+    pub(super) next_sequence: u64,
+    pub(super) endpoints: IndexMap<EndpointId, EndpointState>,
+    pub(super) leases: IndexMap<LeaseId, Held>,
+    pub(super) bids: IndexMap<PoolId, StandingBids>,
+    pub(super) recalls: IndexMap<(InstanceId, PoolId), SentRecall>,
+}
+
+impl SlotOwner {
+    /// An owner of nothing.
+    #[must_use]
+    pub fn new(me: InstanceId, incarnation: Incarnation, options: SlotOptions) -> Self {
+        Self {
+            me,
+            options,
+            next_sequence: (incarnation.0 << COUNTER_BITS) + 1,
+            endpoints: IndexMap::new(),
+            leases: IndexMap::new(),
+            bids: IndexMap::new(),
+            recalls: IndexMap::new(),
+        }
+    }
+
+    /// Says which endpoints this router owns. Leases of endpoints that became unusable are
+    /// recalled; endpoints that are missing now belong to another owner.
+    pub fn set_endpoints(
+        &mut self,
+        owned: &[OwnedEndpoint],
+        now: Now,
+    ) -> Vec<(InstanceId, PeerMessage)> {
+        self.endpoints
+            .retain(|id, _| owned.iter().any(|endpoint| endpoint.endpoint == *id));
+        let endpoints = &self.endpoints;
+        self.leases
+            .retain(|_, held| endpoints.contains_key(&held.lease.endpoint));
+        let mut stopped = Vec::new();
+        for endpoint in owned {
+            let state = self
+                .endpoints
+                .entry(endpoint.endpoint.clone())
+                .or_insert_with(|| EndpointState {
+                    pool: endpoint.pool.clone(),
+                    slots: endpoint.slots,
+                    usable: endpoint.usable,
+                    lend_from_ms: now.steady_ms + self.options.caution_ms,
+                    orphans_ms: Vec::new(),
+                    reported: None,
+                    draining: false,
+                    last_exclusive_ms: 0,
+                });
+            if state.usable && !endpoint.usable {
+                stopped.push(endpoint.endpoint.clone());
+            }
+            state.pool = endpoint.pool.clone();
+            state.slots = endpoint.slots;
+            state.usable = endpoint.usable;
+        }
+        stopped
+            .iter()
+            .flat_map(|endpoint| self.recall_all(endpoint))
+            .collect()
+    }
+
+    /// Takes a bid, which replaces the sender's previous one.
+    pub fn receive_bid(&mut self, from: &InstanceId, bid: &Bid, now: Now) {
+        self.bids
+            .entry(bid.pool.clone())
+            .or_default()
+            .replace(from, bid, now);
+    }
+
+    /// Takes slots back.
+    pub fn receive_return(&mut self, from: &InstanceId, returned: &Return, _now: Now) {
+        for id in &returned.leases {
+            if self.leases.get(id).is_some_and(|held| held.holder == *from) {
+                self.leases.swap_remove(id);
+            }
+        }
+    }
+
+    /// Renews the leases that a holder names and answers it.
+    pub fn receive_renewal(
+        &mut self,
+        from: &InstanceId,
+        renewal: &Renewal,
+        now: Now,
+    ) -> Vec<(InstanceId, PeerMessage)> {
+        let expires_ms = now.steady_ms + self.options.lease_ms + self.options.lease_margin_ms;
+        let named = self.named(renewal);
+        // What the holder had received and does not name was returned.
+        let me = &self.me;
+        self.leases.retain(|id, held| {
+            let is_seen = id.owner == *me && id.sequence <= renewal.last_lend;
+            held.holder != *from || !is_seen || named.contains(id)
+        });
+        let mut lapsed = Vec::new();
+        for id in named {
+            match self.leases.get_mut(&id) {
+                Some(held) if held.holder == *from => held.expires_ms = expires_ms,
+                _ => lapsed.push(id),
+            }
+        }
+        for lease in &renewal.adopted {
+            if self.adopt(from, lease, expires_ms).is_none() {
+                lapsed.push(lease.id.clone());
+            }
+        }
+        let renewed = Renewed {
+            sent_ms: renewal.sent_ms,
+            lapsed,
+        };
+        vec![(from.clone(), PeerMessage::Renewed(renewed))]
+    }
+
+    /// Forgets the bids of a router that is gone. Its leases end by expiry, because it may
+    /// still be running behind a network partition.
+    pub fn forget_holder(&mut self, holder: &InstanceId, _now: Now) {
+        for bids in self.bids.values_mut() {
+            bids.forget(holder);
+        }
+        self.recalls.retain(|(instance, _), _| instance != holder);
+    }
+
+    /// Takes a load report. `expected_digest` is the digest of the attempts that should run,
+    /// where the caller knows it.
+    pub fn observe_report(
+        &mut self,
+        endpoint: &EndpointId,
+        report: LoadReport,
+        expected_digest: Option<u64>,
+        _now: Now,
+    ) {
+        let in_leases = self.lent(endpoint);
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        match self.options.report_mode {
+            ReportMode::Ignore => {}
+            ReportMode::Trust => state.reported = Some(report.running),
+            ReportMode::Reconcile => {
+                let matches = expected_digest == Some(report.digest);
+                if matches || report.running == 0 || report.running < in_leases {
+                    state
+                        .orphans_ms
+                        .retain(|ended_ms| *ended_ms > report.taken_ms);
+                }
+            }
+        }
+    }
+
+    /// How many leases of an endpoint are out.
+    #[must_use]
+    pub fn lent(&self, endpoint: &EndpointId) -> u32 {
+        let count = self
+            .leases
+            .values()
+            .filter(|held| held.lease.endpoint == *endpoint)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// All leases that are out, with their holders.
+    pub fn leases(&self) -> impl Iterator<Item = (&Lease, &InstanceId)> {
+        self.leases.values().map(|held| (&held.lease, &held.holder))
+    }
+
+    /// Recalls all leases of an endpoint, whatever waits at their holders.
+    pub(super) fn recall_all(&self, endpoint: &EndpointId) -> Vec<(InstanceId, PeerMessage)> {
+        let mut by_holder: IndexMap<InstanceId, Vec<LeaseId>> = IndexMap::new();
+        let mut pool = None;
+        for (id, held) in &self.leases {
+            if held.lease.endpoint == *endpoint {
+                pool = Some(held.lease.pool.clone());
+                by_holder
+                    .entry(held.holder.clone())
+                    .or_default()
+                    .push(id.clone());
+            }
+        }
+        let Some(pool) = pool else {
+            return Vec::new();
+        };
+        by_holder
+            .into_iter()
+            .map(|(holder, leases)| {
+                let recall = Recall {
+                    pool: pool.clone(),
+                    leases,
+                    next: None,
+                };
+                (holder, PeerMessage::Recall(recall))
+            })
+            .collect()
+    }
+
+    /// Ends leases that were not renewed, and forgets old bids.
+    pub(super) fn expire(&mut self, now: Now) {
+        let keeps_orphans = self.options.report_mode == ReportMode::Reconcile;
+        let endpoints = &mut self.endpoints;
+        self.leases.retain(|_, held| {
+            let is_live = held.expires_ms > now.steady_ms;
+            if !is_live
+                && keeps_orphans
+                && let Some(state) = endpoints.get_mut(&held.lease.endpoint)
+            {
+                state.orphans_ms.push(held.expires_ms);
+            }
+            is_live
+        });
+        let orphan_ms = self.options.orphan_timeout_ms;
+        for state in self.endpoints.values_mut() {
+            state
+                .orphans_ms
+                .retain(|ended_ms| now.since_ms(*ended_ms) < orphan_ms);
+        }
+        for bids in self.bids.values_mut() {
+            bids.expire(self.options.bid_timeout_ms, now);
+        }
+    }
+
+    fn named(&self, renewal: &Renewal) -> Vec<LeaseId> {
+        let mut sequence = 0_u64;
+        renewal
+            .held
+            .iter()
+            .map(|difference| {
+                sequence = sequence.saturating_add(*difference);
+                LeaseId {
+                    owner: self.me.clone(),
+                    sequence,
+                }
+            })
+            .collect()
+    }
+
+    /// Counts a lease of an earlier owner. None when its endpoint is not owned here, is not
+    /// usable or has no room for it.
+    fn adopt(&mut self, from: &InstanceId, lease: &Lease, expires_ms: u64) -> Option<()> {
+        let state = self.endpoints.get(&lease.endpoint)?;
+        if let Some(held) = self.leases.get_mut(&lease.id) {
+            held.expires_ms = expires_ms;
+            return Some(());
+        }
+        if !state.usable || self.lent(&lease.endpoint) >= state.slots {
+            return None;
+        }
+        let held = Held {
+            lease: lease.clone(),
+            holder: from.clone(),
+            expires_ms,
+        };
+        self.leases.insert(lease.id.clone(), held);
+        Some(())
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/slots/standing.rs
@@ -0,0 +1,251 @@
+//! The bids that stand at an owner.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::coordination::fair_share::FairShare;
+use crate::protocol::peer::{Bid, BidEntry, NextBid};
+use crate::state::{AccountId, CustomerId, InstanceId, Now, PoolId};
+
+/// What a slot can be used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Use {
+    Any,
+    Short,
+    Exclusive,
+}
+
+/// One entry of a bid, with what was lent for it since.
+#[derive(Clone, Debug)]
+struct Entry {
+    bid: BidEntry,
+    lent: u32,
+    lent_short: u32,
+    lent_exclusive: u32,
+}
+
+impl Entry {
+    fn open(&self, usage: Use) -> u32 {
+        let shared = self.bid.waiting.saturating_sub(self.lent);
+        match usage {
+            Use::Any => shared,
+            Use::Short => self
+                .bid
+                .waiting_short
+                .saturating_sub(self.lent_short)
+                .min(shared),
+            Use::Exclusive => self
+                .bid
+                .waiting_exclusive
+                .saturating_sub(self.lent_exclusive),
+        }
+    }
+
+    fn count(&mut self, usage: Use) {
+        match usage {
+            Use::Any => self.lent += 1,
+            Use::Short => {
+                self.lent += 1;
+                self.lent_short += 1;
+            }
+            Use::Exclusive => self.lent_exclusive += 1,
+        }
+    }
+
+    /// The level of the customer, with what was lent for it since the bid.
+    fn level(&self, account: &AccountId, fair_share: &FairShare) -> f64 {
+        let known = fair_share.level(account).max(self.bid.level);
+        let cost = f64::from(self.bid.expected_cost) * f64::from(self.lent + self.lent_exclusive);
+        known + fair_share.level_step(account, cost)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct StandingBid {
+    sent_ms: u64,
+    received_ms: u64,
+    entries: Vec<Entry>,
+}
+
+/// A lend that the bidder may not have seen when it sent its last bid.
+#[derive(Clone, Debug)]
+struct UnseenLend {
+    sequence: u64,
+    customer: CustomerId,
+    usage: Use,
+}
+
+/// The best open entry of all bids.
+#[derive(Clone, Debug)]
+pub(super) struct Best {
+    pub(super) bidder: InstanceId,
+    pub(super) customer: CustomerId,
+    pub(super) level: f64,
+    pub(super) open: u32,
+    pub(super) sent_ms: u64,
+}
+
+impl Best {
+    pub(super) fn to_next(&self, usage: Use) -> NextBid {
+        NextBid {
+            customer: self.customer.clone(),
+            level: self.level,
+            wanted: self.open,
+            short: usage == Use::Short,
+        }
+    }
+}
+
+/// All bids for one pool.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StandingBids {
+    bids: IndexMap<InstanceId, StandingBid>,
+    unseen: IndexMap<InstanceId, VecDeque<UnseenLend>>,
+}
+
+impl StandingBids {
+    /// Replaces the bid of one router.
+    pub(super) fn replace(&mut self, from: &InstanceId, bid: &Bid, now: Now) {
+        // Lends that the bidder has seen are part of its new figures.
+        let unseen = self.unseen.entry(from.clone()).or_default();
+        unseen.retain(|lend| lend.sequence > bid.last_lend);
+        if bid.entries.is_empty() {
+            self.bids.swap_remove(from);
+            return;
+        }
+        let mut entries: Vec<Entry> = bid.entries.iter().map(Entry::from).collect();
+        for lend in unseen.iter() {
+            let entry = entries
+                .iter_mut()
+                .find(|entry| entry.bid.customer == lend.customer);
+            if let Some(entry) = entry {
+                entry.count(lend.usage);
+            }
+        }
+        let standing = StandingBid {
+            sent_ms: bid.sent_ms,
+            received_ms: now.steady_ms,
+            entries,
+        };
+        self.bids.insert(from.clone(), standing);
+    }
+
+    pub(super) fn forget(&mut self, bidder: &InstanceId) {
+        self.bids.swap_remove(bidder);
+        self.unseen.swap_remove(bidder);
+    }
+
+    /// Forgets bids that were not repeated in time.
+    pub(super) fn expire(&mut self, timeout_ms: u64, now: Now) {
+        self.bids
+            .retain(|_, bid| now.since_ms(bid.received_ms) < timeout_ms);
+    }
+
+    /// Counts a lend against the bid that it answers.
+    pub(super) fn count_lend(&mut self, best: &Best, sequence: u64, usage: Use) {
+        let entry = self.bids.get_mut(&best.bidder).and_then(|bid| {
+            bid.entries
+                .iter_mut()
+                .find(|entry| entry.bid.customer == best.customer)
+        });
+        if let Some(entry) = entry {
+            entry.count(usage);
+        }
+        let unseen = self.unseen.entry(best.bidder.clone()).or_default();
+        unseen.push_back(UnseenLend {
+            sequence,
+            customer: best.customer.clone(),
+            usage,
+        });
+    }
+
+    /// The open entry with the lowest level, leaving out one router's.
+    pub(super) fn best(
+        &self,
+        pool: &PoolId,
+        usage: Use,
+        without: Option<&InstanceId>,
+        fair_share: &FairShare,
+    ) -> Option<Best> {
+        let others = self
+            .bids
+            .iter()
+            .filter(|(bidder, _)| Some(*bidder) != without);
+        let mut best: Option<Best> = None;
+        for (bidder, bid) in others {
+            for entry in bid.entries.iter().filter(|entry| entry.open(usage) > 0) {
+                let level = entry.level(&account(pool, entry), fair_share);
+                if best.as_ref().is_none_or(|known| level < known.level) {
+                    best = Some(Best {
+                        bidder: bidder.clone(),
+                        customer: entry.bid.customer.clone(),
+                        level,
+                        open: entry.open(usage),
+                        sent_ms: bid.sent_ms,
+                    });
+                }
+            }
+        }
+        best
+    }
+
+    /// The lowest level that a router bids with; none when it has no open bid.
+    pub(super) fn lowest_of(
+        &self,
+        pool: &PoolId,
+        bidder: &InstanceId,
+        fair_share: &FairShare,
+    ) -> Option<f64> {
+        let bid = self.bids.get(bidder)?;
+        bid.entries
+            .iter()
+            .filter(|entry| entry.bid.waiting > 0)
+            .map(|entry| fair_share.level(&account(pool, entry)).max(entry.bid.level))
+            .reduce(f64::min)
+    }
+
+    /// Whether short requests wait at any router.
+    pub(super) fn has_short(&self) -> bool {
+        self.bids
+            .values()
+            .flat_map(|bid| &bid.entries)
+            .any(|entry| entry.open(Use::Short) > 0)
+    }
+
+    /// By how much one request raises the level of the customer of `best`.
+    pub(super) fn step(&self, pool: &PoolId, best: &Best, fair_share: &FairShare) -> f64 {
+        let cost = self
+            .bids
+            .get(&best.bidder)
+            .and_then(|bid| {
+                bid.entries
+                    .iter()
+                    .find(|entry| entry.bid.customer == best.customer)
+            })
+            .map_or(0.0, |entry| f64::from(entry.bid.expected_cost));
+        let account = AccountId {
+            pool: pool.clone(),
+            customer: best.customer.clone(),
+        };
+        fair_share.level_step(&account, cost)
+    }
+}
+
+impl From<&BidEntry> for Entry {
+    fn from(bid: &BidEntry) -> Self {
+        Self {
+            bid: bid.clone(),
+            lent: 0,
+            lent_short: 0,
+            lent_exclusive: 0,
+        }
+    }
+}
+
+fn account(pool: &PoolId, entry: &Entry) -> AccountId {
+    AccountId {
+        pool: pool.clone(),
+        customer: entry.bid.customer.clone(),
+    }
+}
--- a/crates/curranttrestle/src/protocol/peer/fair_share.rs
+++ b/crates/curranttrestle/src/protocol/peer/fair_share.rs
@@ -12,9 +12,10 @@
     /// The index of the customer in the sheet.
     pub customer: u16,
     /// Service units, cumulative on the link or in the data centre that the message names.
-    pub units: u64,
-    /// The lift that the customer received, in units per share.
-    pub lift: u64,
+    /// Signed, because a charge is corrected when its request ends.
+    pub units: i64,
+    /// The lift that the customer received, in thousandths of a unit per share.
+    pub lift_milliunits: u64,
     /// Whether requests of the account wait somewhere in the subtree or data centre.
     pub backlogged: bool,
 }
@@ -26,6 +27,8 @@
     pub sheet_number: u64,
     /// The number of the link. A sender starts a new link when its parent changes.
     pub link: u64,
+    /// The number of the report on that link.
+    pub round: u64,
     /// The accounts that changed.
     pub entries: Vec<AccountEntry>,
 }
@@ -43,6 +46,8 @@
     pub incarnation: Incarnation,
     /// The number of the round.
     pub round: u64,
+    /// The receiver's link and the last of its reports that the totals include.
+    pub reflects: Option<(u64, u64)>,
     /// The accounts that changed.
     pub entries: Vec<AccountEntry>,
 }
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -14,7 +14,7 @@
 
 pub use claims::{ClaimAnswer, ClaimRequest};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
+pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -42,6 +42,8 @@
     Recall(Recall),
     /// Renews the leases held from the receiver.
     Renewal(Renewal),
+    /// Answers a renewal.
+    Renewed(Renewed),
     /// Service given in a subtree, towards the root.
     ServiceReport(ServiceReport),
     /// Service given in a data centre, from its root.
--- a/crates/curranttrestle/src/protocol/peer/slots.rs
+++ b/crates/curranttrestle/src/protocol/peer/slots.rs
@@ -20,8 +20,12 @@
     pub id: LeaseId,
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// The pool of the endpoint.
+    pub pool: PoolId,
     /// The slot is kept for requests that are expected to be short.
     pub short_only: bool,
+    /// The lease covers the whole endpoint, for one request that must run alone.
+    pub exclusive: bool,
 }
 
 /// What one customer waits for at one router.
@@ -33,6 +37,8 @@
     pub waiting: u32,
     /// How many of them are expected to be short.
     pub waiting_short: u32,
+    /// How many requests wait that must run alone on an endpoint.
+    pub waiting_exclusive: u32,
     /// The mean expected cost of one of them.
     pub expected_cost: f32,
     /// The customer's service per share, as the bidder knows it.
@@ -47,10 +53,25 @@
     pub pool: PoolId,
     /// When the bidder sent it, on the bidder's steady clock; echoed in [`Lend`].
     pub sent_ms: u64,
+    /// The greatest [`LeaseId::sequence`] that the bidder received from the owner.
+    pub last_lend: u64,
     /// What waits, by customer.
     pub entries: Vec<BidEntry>,
 }
 
+/// The best bid that an owner knows from routers other than the receiver.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NextBid {
+    /// The customer that bids.
+    pub customer: CustomerId,
+    /// The customer's service per share, as the owner knows it.
+    pub level: f64,
+    /// How many slots the receiver may give back for this bid.
+    pub wanted: u32,
+    /// Whether the bid is for requests that are expected to be short.
+    pub short: bool,
+}
+
 /// Lends a slot.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Lend {
@@ -58,8 +79,8 @@
     pub lease: Lease,
     /// [`Bid::sent_ms`] of the bid that is answered; the lease counts from then.
     pub bid_sent_ms: u64,
-    /// The level of the next best bid that the owner knows from any other router.
-    pub next_level: Option<f64>,
+    /// The next best bid that the owner knows from any other router.
+    pub next: Option<NextBid>,
 }
 
 /// Gives slots back.
@@ -72,17 +93,35 @@
 /// Asks for slots back once they are not in use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Recall {
-    /// The leases.
+    /// The pool.
+    pub pool: PoolId,
+    /// The leases to return whatever waits at the holder.
     pub leases: Vec<LeaseId>,
-    /// The level of the best bid that waits for them; none: whoever holds them returns them.
-    pub next_level: Option<f64>,
+    /// The best bid that waits for any slot of the pool; the holder returns slots while
+    /// its own customers were served better.
+    pub next: Option<NextBid>,
 }
 
-/// Renews all leases that the sender holds from the receiver. What is not named was returned.
+/// Renews all leases that the sender holds from the receiver. What is not named, up to
+/// the last lease that was received, was returned.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
     /// When the holder sent it, on the holder's steady clock.
     pub sent_ms: u64,
-    /// The leases held, with the endpoint and whether one is in use.
-    pub leases: Vec<(Lease, bool)>,
+    /// The greatest [`LeaseId::sequence`] that the holder received from the owner.
+    pub last_lend: u64,
+    /// The sequences of the leases that the receiver lent, ascending, each as the
+    /// difference from the one before.
+    pub held: Vec<u64>,
+    /// Leases lent by an earlier owner of an endpoint that the receiver now owns.
+    pub adopted: Vec<Lease>,
+}
+
+/// The answer to a [`Renewal`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewed {
+    /// [`Renewal::sent_ms`]; the leases count from then.
+    pub sent_ms: u64,
+    /// The leases that the owner does not know any more. All others are renewed.
+    pub lapsed: Vec<LeaseId>,
 }
