--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -7,3 +7,7 @@
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod store_gate;
+pub mod fair_share;
+pub mod queue;
+pub mod rendezvous;
+pub mod slots;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -19,6 +19,7 @@
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
+pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -52,6 +53,8 @@
     Recall(Recall),
     /// Renews the leases held from the receiver.
     Renewal(Renewal),
+    /// Answers a renewal.
+    Renewed(Renewed),
     /// Service given in a subtree, towards the root.
     ServiceReport(ServiceReport),
     /// Service given in a data centre, from its root.
