--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -1,7 +1,6 @@
 //! Endpoints and slots: which this router owns, which it holds, and what runs in them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 use rand_chacha::ChaCha8Rng;
@@ -87,7 +86,9 @@
 impl Router {
     /// Puts a sheet in force.
     pub(super) fn sheet_in_force(&mut self, number: u64, now: Now) {
-        let sheet = Arc::new(self.config.sheet().clone());
+        let Some(sheet) = self.config.sheet().cloned() else {
+            return;
+        };
         self.invariants.check(
             sheet.number == number && number > self.sheet.number,
             "sheet-never-reverts",
@@ -297,7 +298,7 @@
             .instances
             .last_ms
             .is_none_or(|last_ms| now.since_ms(last_ms) >= interval_ms);
-        if !due || !self.config.is_watcher() {
+        if !due || !self.config.is_watcher(self.membership.view()) {
             return;
         }
         self.instances.last_ms = Some(now.steady_ms);
--- a/crates/curranttrestle/src/coordination/router/claims.rs
+++ b/crates/curranttrestle/src/coordination/router/claims.rs
@@ -138,7 +138,10 @@
                 self.run_claim_effects(effects, now);
             }
             Some(CallOwner::Sheet) => {
-                let effects = self.config.store_answered(call, answer, now);
+                let Some(purpose) = self.config_calls.swap_remove(&call) else {
+                    return;
+                };
+                let effects = self.config.store_answer(purpose, &answer, now);
                 self.run_config_effects(effects, now);
             }
             Some(CallOwner::Instances) => self.instances_listed(answer, now),
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -20,7 +20,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::coordination::claims::ClaimBook;
-use crate::coordination::config::ConfigKeeper;
+use crate::coordination::call_ids::{CallIds, CallOwner};
+use crate::coordination::config::{ConfigKeeper, ConfigPurpose};
 use crate::coordination::cost::CostEstimator;
 use crate::coordination::drain::Drain;
 use crate::coordination::fair_share::FairShare;
@@ -33,6 +34,7 @@
 use crate::coordination::speed::SpeedTracker;
 use crate::coordination::store_gate::StoreGate;
 use crate::protocol::peer::PeerMessage;
+use crate::protocol::platform::CallId;
 use crate::state::event::{EventKind, HybridClock};
 use crate::state::sheet::Sheet;
 use crate::state::{AttemptId, Event, InstanceId, Member, Now, RequestId};
@@ -68,6 +70,8 @@
     sheet: Arc<Sheet>,
     membership: Membership,
     config: ConfigKeeper,
+    config_calls: IndexMap<CallId, ConfigPurpose>,
+    config_call_ids: CallIds,
     claims: ClaimBook,
     store: StoreGate,
     fair: FairShare,
@@ -101,7 +105,7 @@
         let incarnation = me.incarnation;
         let mut router = Self {
             membership: Membership::new(me.clone(), options.seeds.clone(), options.membership),
-            config: ConfigKeeper::new(&me, options.config),
+            config: ConfigKeeper::new(instance.clone(), options.config.clone(), now),
             claims: ClaimBook::new(instance, incarnation, options.claims),
             store: StoreGate::new(options.store_gate),
             fair: FairShare::new(options.fair_share.clone(), me.clone()),
@@ -125,6 +129,8 @@
             next_attempt: 1,
             effects: Vec::new(),
             to_self: VecDeque::new(),
+            config_calls: IndexMap::new(),
+            config_call_ids: CallIds::new(CallOwner::Sheet),
             clock: HybridClock::default(),
             sheet: Arc::new(Sheet::default()),
             me,
--- a/crates/curranttrestle/src/coordination/router/options.rs
+++ b/crates/curranttrestle/src/coordination/router/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::coordination::claims::ClaimOptions;
+use crate::coordination::config::ConfigSettings;
 use crate::coordination::drain::DrainOptions;
 use crate::coordination::fair_share::FairShareOptions;
 use crate::coordination::membership::MembershipOptions;
@@ -39,6 +40,10 @@
     pub load_report_interval_ms: u64,
     /// Time between two readings of the platform's list of instances.
     pub instances_interval_ms: u64,
+    /// How many requests of a customer may wait here when the sheet gives no limit.
+    pub queue_per_customer: u32,
+    /// The sheet and the marks.
+    pub config: ConfigSettings,
     /// Membership.
     pub membership: MembershipOptions,
     /// Queues.
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -67,15 +67,15 @@
                 self.run_claim_effects(effects, now);
             }
             PeerMessage::ConfigNumbers(numbers) => {
-                let effects = self.config.observe_numbers(from, &numbers, now);
+                let effects = self.config.observe_numbers(from, numbers, now);
                 self.run_config_effects(effects, now);
             }
             PeerMessage::ConfigRequest(request) => {
-                let effects = self.config.receive_request(from, &request, now);
+                let effects = self.config.handle_request(from, &request);
                 self.run_config_effects(effects, now);
             }
             PeerMessage::ConfigUpdate(update) => {
-                let effects = self.config.receive_update(from, update, now);
+                let effects = self.config.handle_update(from, update, now);
                 self.run_config_effects(effects, now);
             }
             PeerMessage::EndpointNotices(notices) => {
@@ -144,12 +144,23 @@
     pub(super) fn run_config_effects(&mut self, effects: Vec<ConfigEffect>, now: Now) {
         for effect in effects {
             match effect {
-                ConfigEffect::Store { call, request } => {
-                    self.submit_call(call, request, CallPriority::Config, now);
+                ConfigEffect::Store { purpose, call } => {
+                    let id = self.config_call_ids.next_id();
+                    self.config_calls.insert(id, purpose);
+                    self.submit_call(id, call, CallPriority::Config, now);
                 }
                 ConfigEffect::Send { to, message } => self.send(&to, message, now),
-                ConfigEffect::SheetInForce(number) => self.sheet_in_force(number, now),
-                ConfigEffect::MarksInForce(version) => self.marks_in_force(version, now),
+                ConfigEffect::SheetInForce { number } => self.sheet_in_force(number, now),
+                ConfigEffect::MarksInForce { version, .. } => self.marks_in_force(version, now),
+                ConfigEffect::Unreadable { object, reason } => {
+                    let name = object.name();
+                    let details: [(&str, &dyn std::fmt::Display); 2] =
+                        [("unreadable", &name), ("reason", &reason)];
+                    self.emit(now, EventKind::Store, None, &details);
+                }
+                ConfigEffect::Fault(fault) => {
+                    self.invariants.check(false, "config-is-consistent", fault);
+                }
             }
         }
     }
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -110,7 +110,7 @@
         let is_retry = !active.avoid.is_empty();
         let limit = match self.sheet.customers.get(&account.customer) {
             _ if is_retry => usize::MAX,
-            Some(customer) => customer.queue_limit as usize,
+            Some(customer) => customer.queue_limit_or(self.options.queue_per_customer) as usize,
             None => 0,
         };
         if self.queues.push(waiting, limit).is_err() {
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -64,3 +64,31 @@
     /// The answer to a claim request.
     ClaimAnswer(ClaimAnswer),
 }
+
+impl PeerMessage {
+    /// The name of the message's kind, for metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ping(_) => "ping",
+            Self::Ack(_) => "ack",
+            Self::PingRequest(_) => "ping-request",
+            Self::Bid(_) => "bid",
+            Self::Lend(_) => "lend",
+            Self::Return(_) => "return",
+            Self::Recall(_) => "recall",
+            Self::Renewal(_) => "renewal",
+            Self::Renewed(_) => "renewed",
+            Self::ServiceReport(_) => "service-report",
+            Self::ServiceTotals(_) => "service-totals",
+            Self::ClaimRequest(_) => "claim-request",
+            Self::ClaimAnswer(_) => "claim-answer",
+        }
+    }
+
+    /// Length of the encoded message in bytes.
+    #[must_use]
+    pub fn encoded_bytes(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/curranttrestled/src/operators/submit.rs
@@ -0,0 +1,161 @@
+//! Accepts sheets and marks from operators.
+
+use std::time::Duration;
+
+use curranttrestle::coordination::config::{
+    ChangeSettings, MarkOutcome, Marking, Step, Submission, SubmitOutcome,
+};
+use curranttrestle::protocol::platform::{StoreAnswer, StoreCall};
+use curranttrestle::state::EndpointId;
+use curranttrestle::state::marks::{Mark, MarkEntry};
+use curranttrestle::state::sheet::{SHEET_LIMIT_BYTES, SheetStamp, read_sheet};
+use serde::{Deserialize, Serialize};
+use trillium::Conn;
+use uuid::Uuid;
+
+use super::{reply_json, reply_text};
+use crate::shared::Shared;
+
+/// The request header that names the operator.
+const OPERATOR_HEADER: &str = "Operator";
+/// The file name that findings carry when the operator gives none.
+const DEFAULT_FILE_NAME: &str = "sheet";
+
+/// The answer to an accepted sheet.
+#[derive(Debug, Serialize)]
+struct Accepted {
+    number: u64,
+    replaced_by: Option<SheetStamp>,
+}
+
+/// The answer to a sheet that lost a race.
+#[derive(Debug, Serialize)]
+struct LostRace {
+    winner: SheetStamp,
+}
+
+/// What an operator asks for an endpoint.
+#[derive(Debug, Deserialize)]
+struct MarkRequest {
+    endpoint: String,
+    mark: Mark,
+    incarnation: Option<u64>,
+}
+
+/// The answer to an accepted mark.
+#[derive(Debug, Serialize)]
+struct MarkAccepted {
+    version: u64,
+}
+
+/// Submits the sheet in the body.
+pub async fn sheet(mut conn: Conn, shared: &Shared) -> Conn {
+    let operator = operator_name(&conn);
+    let limit = SHEET_LIMIT_BYTES as u64 + 1;
+    let body = conn.request_body().await.with_max_len(limit);
+    let Ok(bytes) = body.read_bytes().await else {
+        return reply_text(conn, 413, "the sheet is too large or did not arrive\n");
+    };
+    let mut sheet = match read_sheet(DEFAULT_FILE_NAME, &bytes) {
+        Ok(sheet) => sheet,
+        Err(findings) => return reply_json(conn, 422, &findings),
+    };
+    sheet.number = shared.sheet().number;
+    let mut submission = Submission::new(
+        sheet,
+        &operator,
+        Uuid::now_v7(),
+        ChangeSettings::default(),
+        shared.clock.now(),
+    );
+    let first = submission.start();
+    let outcome = run(shared, first, |answer| submission.answer(answer)).await;
+    log::info!("kind=sheet-submitted operator={operator:?} outcome={outcome:?}");
+    match outcome {
+        SubmitOutcome::Accepted {
+            number,
+            replaced_by,
+        } => reply_json(
+            conn,
+            200,
+            &Accepted {
+                number,
+                replaced_by,
+            },
+        ),
+        SubmitOutcome::LostRace { winner } => reply_json(conn, 409, &LostRace { winner }),
+        SubmitOutcome::Refused { reason } => reply_text(conn, 422, &format!("{reason}\n")),
+        SubmitOutcome::Unavailable => {
+            reply_text(conn, 503, "the store does not answer; nothing was changed\n")
+        }
+        SubmitOutcome::Unknown => {
+            let text = "the store does not answer; the sheet may have been accepted\n";
+            reply_text(conn, 504, text)
+        }
+    }
+}
+
+/// Adds the mark in the body.
+pub async fn mark(mut conn: Conn, shared: &Shared) -> Conn {
+    let by = operator_name(&conn);
+    let body = conn.request_body().await;
+    let request: Option<MarkRequest> = match body.read_bytes().await {
+        Ok(bytes) => serde_json::from_slice(&bytes).ok(),
+        Err(_) => None,
+    };
+    let Some(request) = request else {
+        return reply_text(conn, 400, "the body must name an endpoint and a mark\n");
+    };
+    let endpoint = EndpointId::new(&request.endpoint);
+    if !shared.sheet().endpoints.contains_key(&endpoint) {
+        return reply_text(conn, 404, "the sheet in force has no such endpoint\n");
+    }
+    let entry = MarkEntry {
+        endpoint,
+        incarnation: request.incarnation,
+        mark: request.mark,
+        unix_ms: shared.clock.now().unix_ms,
+        by,
+    };
+    log::info!("kind=mark-submitted entry={entry:?}");
+    let mut marking = Marking::new(entry, ChangeSettings::default());
+    let first = marking.start();
+    match run(shared, first, |answer| marking.answer(answer)).await {
+        MarkOutcome::Accepted { version } => {
+            reply_json(conn, 200, &MarkAccepted { version: version.0 })
+        }
+        other => reply_text(conn, 503, &format!("the mark was not stored: {other:?}\n")),
+    }
+}
+
+/// Makes the calls of a change until it is done.
+async fn run<T>(
+    shared: &Shared,
+    first: Step<T>,
+    mut next: impl FnMut(&StoreAnswer) -> Step<T>,
+) -> T {
+    let mut step = first;
+    loop {
+        match step {
+            Step::Done(outcome) => return outcome,
+            Step::Call { delay_ms, call } => {
+                let answer = call_later(shared, delay_ms, &call).await;
+                step = next(&answer);
+            }
+        }
+    }
+}
+
+async fn call_later(shared: &Shared, delay_ms: u64, call: &StoreCall) -> StoreAnswer {
+    if delay_ms > 0 {
+        smol::Timer::after(Duration::from_millis(delay_ms)).await;
+    }
+    shared.platform.call(call).await
+}
+
+fn operator_name(conn: &Conn) -> String {
+    conn.request_headers()
+        .get_str(OPERATOR_HEADER)
+        .unwrap_or("operator")
+        .to_owned()
+}
