--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -44,6 +44,8 @@
     Renewal(Renewal),
     /// Answers a renewal.
     Renewed(Renewed),
+    /// Tells the owner of an endpoint that it is slow.
+    Slowness(Slowness),
     /// Service given in a subtree, towards the root.
     ServiceReport(ServiceReport),
     /// Service given in a data centre, from its root.
