--- a/crates/curranttrestle/src/coordination/queue/mod.rs
+++ b/crates/curranttrestle/src/coordination/queue/mod.rs
@@ -122,6 +122,13 @@
         self.short.len() + self.long.len() + self.exclusive.len()
     }
 
+    fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.short
+            .iter()
+            .chain(self.long.iter())
+            .chain(self.exclusive.iter())
+    }
+
     fn class_mut(&mut self, class: Class) -> &mut Order {
         match class {
             Class::Short => &mut self.short,
@@ -211,6 +218,23 @@
         self.mean_costs.get(pool).copied()
     }
 
+    /// Whether a request of this expected cost counts as short in its pool.
+    #[must_use]
+    pub fn is_short(&self, pool: &PoolId, expected_cost: f64) -> bool {
+        self.mean_cost(pool)
+            .is_none_or(|mean_cost| expected_cost <= self.options.short_factor * mean_cost)
+    }
+
+    /// The request of a pool that arrived first.
+    #[must_use]
+    pub fn oldest(&self, pool: &PoolId) -> Option<&Waiting> {
+        self.accounts
+            .iter()
+            .filter(|(account, _)| account.pool == *pool)
+            .flat_map(|(_, queue)| queue.iter())
+            .min_by_key(|waiting| (waiting.arrived_ms, waiting.request))
+    }
+
     /// Adds a request.
     ///
     /// # Errors
--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::coordination::cost::{Charge, CostHints};
 use crate::coordination::router::NewRequest;
 use crate::protocol::peer::LeaseId;
 use crate::state::sheet::EndpointKind;
@@ -19,7 +20,9 @@
     /// The lease of its slot; none under the naive policy.
     pub lease: Option<LeaseId>,
     /// What was charged for it so far.
-    pub charged_units: f64,
+    pub charge: Charge,
+    /// The first part of its answer has come.
+    pub progressed: bool,
     /// When it was dispatched, in steady time.
     pub dispatched_ms: u64,
     /// It runs alone on its endpoint, because it is suspected of crashing endpoints.
@@ -50,6 +53,8 @@
     pub kind: EndpointKind,
     /// Its order among its customer's requests.
     pub priority: u8,
+    /// What was known of its cost before it ran.
+    pub hints: CostHints,
     /// Its expected cost.
     pub expected_units: f64,
     /// When it arrived, in steady time.
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -1,5 +1,6 @@
 //! Endpoints and slots: which this router owns, which it holds, and what runs in them.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
@@ -10,10 +11,11 @@
 use crate::coordination::rendezvous;
 use crate::coordination::slots::{LoadReport as SlotReport, OwnedEndpoint, PoolOwners};
 use crate::coordination::store_gate::CallPriority;
-use crate::protocol::endpoint::{LoadReport, OrderAnswer};
-use crate::protocol::peer::{Lend, PeerMessage};
+use crate::protocol::endpoint::{LoadReport, Order, OrderAnswer};
+use crate::protocol::peer::Lend;
 use crate::protocol::platform::{StoreAnswer, StoreCall, Version};
 use crate::state::event::EventKind;
+use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, EndpointId, InstanceId, Now, PoolId};
 
 use super::{Effect, Policy, Router};
@@ -96,7 +98,8 @@
         );
         self.sheet = sheet.clone();
         self.fair.apply_sheet(&sheet);
-        self.drain.apply_sheet(&sheet, now);
+        let effects = self.drain.apply_sheet(&sheet, now, self.membership.view());
+        self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
         self.effects.push(Effect::SheetInForce(sheet));
         let digest = format!("{:016x}", self.sheet.digest());
@@ -110,7 +113,10 @@
 
     /// Puts marks in force.
     pub(super) fn marks_in_force(&mut self, version: Version, now: Now) {
-        let effects = self.drain.apply_marks(self.config.marks(), version, now);
+        let members = self.membership.view();
+        let effects = self
+            .drain
+            .apply_marks(version, self.config.marks(), now, members);
         self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
         self.emit(now, EventKind::MarksInForce, None, &[("version", &version.0)]);
@@ -162,7 +168,7 @@
                 Some(OwnedEndpoint {
                     endpoint: id.clone(),
                     pool: row.pool.clone(),
-                    slots: self.speed.window(&row.pool, id, row.slots, now),
+                    slots: windowed(row.slots, self.speed.window(&row.pool, id, now)),
                     usable: self.drain.is_usable(id) && !self.endpoints.is_down(id),
                 })
             })
@@ -264,7 +270,7 @@
         self.send_all(messages, now);
         self.poll_loads(now);
         self.poll_instances(now);
-        let effects = self.drain.tick(&self.endpoints.owned, &self.owner, now);
+        let effects = self.drain.tick(now, self.membership.view());
         self.run_drain_effects(effects, now);
         self.update_owned(now);
         for (to, message) in self.quarantine.tick(self.membership.view(), now) {
@@ -311,13 +317,8 @@
         let StoreAnswer::Instances(instances) = answer else {
             return;
         };
-        let leaving: Vec<EndpointId> = instances
-            .iter()
-            .filter(|instance| instance.leaving)
-            .map(|instance| EndpointId::new(&instance.name))
-            .filter(|endpoint| self.sheet.endpoints.contains_key(endpoint))
-            .collect();
-        let effects = self.drain.platform_says_leaving(&leaving, now);
+        let members = self.membership.view();
+        let effects = self.drain.apply_instances(&instances, now, members);
         self.run_drain_effects(effects, now);
     }
 
@@ -353,7 +354,7 @@
             taken_ms: steady_of_unix(report.taken_unix_ms, now),
         };
         self.owner.observe_report(endpoint, slot_report, None, now);
-        let effects = self.drain.load_reported(endpoint, report, now);
+        let effects = self.drain.load_reported(report, now, self.membership.view());
         self.run_drain_effects(effects, now);
     }
 
@@ -364,7 +365,8 @@
         answer: Option<&OrderAnswer>,
         now: Now,
     ) {
-        let effects = self.drain.order_answered(endpoint, answer, now);
+        let members = self.membership.view();
+        let effects = self.drain.order_answered(endpoint, answer, now, members);
         self.run_drain_effects(effects, now);
     }
 
@@ -372,50 +374,47 @@
     pub(super) fn run_drain_effects(&mut self, effects: Vec<DrainEffect>, now: Now) {
         for effect in effects {
             match effect {
-                DrainEffect::Order { endpoint, order } => {
-                    let Some(address) = self.endpoint_address(&endpoint) else {
-                        continue;
-                    };
-                    let fencing = order.fencing;
-                    self.effects.push(Effect::SendOrder {
-                        endpoint: endpoint.clone(),
-                        address,
-                        order,
-                    });
-                    self.emit(
-                        now,
-                        EventKind::EndpointStopped,
-                        None,
-                        &[("endpoint", &endpoint), ("fencing", &fencing)],
-                    );
-                }
-                DrainEffect::Leaving { endpoint, source } => {
+                DrainEffect::Order {
+                    endpoint,
+                    order,
+                    valid_until_ms,
+                } => self.send_order(endpoint, order, valid_until_ms, now),
+                DrainEffect::Notify { to, message } => self.send(&to, message, now),
+                DrainEffect::Leaving { endpoint } => {
                     self.holder.drop_endpoint(&endpoint);
                     self.endpoints.assign_again();
-                    self.emit(
-                        now,
-                        EventKind::EndpointLeaving,
-                        None,
-                        &[("endpoint", &endpoint), ("source", &source)],
-                    );
+                    let details: [(&str, &dyn Display); 1] = [("endpoint", &endpoint)];
+                    self.emit(now, EventKind::EndpointLeaving, None, &details);
                 }
-                DrainEffect::Notify(notices) => {
-                    let others: Vec<InstanceId> = self
-                        .membership
-                        .view()
-                        .live
+                DrainEffect::Emit { kind, details } => {
+                    let details: Vec<(&str, &dyn Display)> = details
                         .iter()
-                        .map(|member| member.instance.clone())
-                        .filter(|instance| *instance != self.me.instance)
+                        .map(|(key, value)| (*key, value as &dyn Display))
                         .collect();
-                    for to in others {
-                        self.send(&to, PeerMessage::EndpointNotices(notices.clone()), now);
-                    }
+                    self.emit(now, kind, None, &details);
                 }
             }
         }
     }
 
+    fn send_order(&mut self, endpoint: EndpointId, order: Order, valid_until_ms: u64, now: Now) {
+        let Some(address) = self.endpoint_address(&endpoint) else {
+            return;
+        };
+        self.emit(
+            now,
+            EventKind::EndpointStopped,
+            None,
+            &[("endpoint", &endpoint), ("fencing", &order.fencing)],
+        );
+        self.effects.push(Effect::SendOrder {
+            endpoint,
+            address,
+            order,
+            valid_until_ms,
+        });
+    }
+
     /// Gives an endpoint that refused a connection no work for a while.
     pub(super) fn endpoint_unreachable(&mut self, endpoint: &EndpointId, now: Now) {
         let state = self.endpoints.state(endpoint);
@@ -435,13 +434,64 @@
         );
     }
 
+    /// Judges an endpoint by the time one of its units took.
+    pub(super) fn observe_speed(
+        &mut self,
+        pool: &PoolId,
+        endpoint: &EndpointId,
+        units: f64,
+        elapsed_ms: u64,
+        now: Now,
+    ) {
+        // A plain service is judged by its time against the expected one, which the unit
+        // already is; only streams tell endpoints of one pool apart.
+        let Some(row) = self.sheet.endpoints.get(endpoint) else {
+            return;
+        };
+        if row.kind != EndpointKind::Model {
+            return;
+        }
+        let changed = self
+            .speed
+            .observe(pool, endpoint, units, elapsed_f64(elapsed_ms), now);
+        if !changed {
+            return;
+        }
+        let slow = self.speed.is_slow(pool, endpoint);
+        self.endpoints.assign_again();
+        self.emit(
+            now,
+            EventKind::EndpointSlow,
+            None,
+            &[("endpoint", endpoint), ("slow", &slow)],
+        );
+    }
+
     fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         self.sheet.endpoints.get(endpoint).map(|row| row.address)
     }
 }
 
+/// The part of an endpoint's slots that it is given; at least one.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the product lies between zero and the number of slots"
+)]
+fn windowed(slots: u32, fraction: f64) -> u32 {
+    ((f64::from(slots) * fraction).round() as u32).max(1)
+}
+
 /// A wall clock time of another machine on the own steady clock, never in the future.
 fn steady_of_unix(unix_ms: u64, now: Now) -> u64 {
     let age_ms = now.unix_ms.saturating_sub(unix_ms);
     now.steady_ms.saturating_sub(age_ms)
 }
+
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "times of requests are far below the precision of f64"
+)]
+fn elapsed_f64(elapsed_ms: u64) -> f64 {
+    elapsed_ms as f64
+}
--- a/crates/curranttrestle/src/coordination/router/input.rs
+++ b/crates/curranttrestle/src/coordination/router/input.rs
@@ -187,6 +187,8 @@
         address: SocketAddr,
         /// The order.
         order: Order,
+        /// It must not be sent after this, in steady time.
+        valid_until_ms: u64,
     },
     /// A sheet came into force.
     SheetInForce(Arc<Sheet>),
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -6,6 +6,7 @@
 mod active;
 mod capacity;
 mod claims;
+mod hedges;
 mod input;
 mod naive;
 mod options;
@@ -31,7 +32,7 @@
 use crate::coordination::queue::Queues;
 use crate::coordination::retry_budget::RetryBudget;
 use crate::coordination::slots::{SlotHolder, SlotOwner};
-use crate::coordination::speed::SpeedTracker;
+use crate::coordination::speed::{HedgeBudget, Hedging, SpeedJudge};
 use crate::coordination::store_gate::StoreGate;
 use crate::protocol::peer::PeerMessage;
 use crate::protocol::platform::CallId;
@@ -80,11 +81,12 @@
     holder: SlotHolder,
     naive: NaiveDispatcher,
     costs: CostEstimator,
-    speed: SpeedTracker,
+    speed: SpeedJudge,
+    hedging: Hedging,
+    hedge_budget: HedgeBudget,
     drain: Drain,
     quarantine: Quarantine,
     retries: RetryBudget,
-    hedges: RetryBudget,
     active: ActiveRequests,
     endpoints: capacity::EndpointTable,
     instances: capacity::InstancePoll,
@@ -113,12 +115,13 @@
             owner: SlotOwner::new(instance.clone(), incarnation, options.slots.clone()),
             holder: SlotHolder::new(instance.clone(), options.slots.clone()),
             naive: NaiveDispatcher::default(),
-            costs: CostEstimator::default(),
-            speed: SpeedTracker::new(options.speed),
-            drain: Drain::new(&me, options.drain),
+            costs: CostEstimator::new(options.cost.clone()),
+            speed: SpeedJudge::new(options.speed.clone()),
+            hedging: Hedging::new(options.hedges.clone()),
+            hedge_budget: options.hedge_budget.clone(),
+            drain: Drain::new(instance, options.drain),
             quarantine: Quarantine::new(options.quarantine),
             retries: RetryBudget::new(options.retries),
-            hedges: RetryBudget::new(options.hedges),
             active: ActiveRequests::default(),
             endpoints: capacity::EndpointTable::default(),
             instances: capacity::InstancePoll::default(),
@@ -180,6 +183,7 @@
         self.invariants
             .violations()
             .chain(self.claims.invariants().violations())
+            .chain(self.drain.invariants().violations())
     }
 
     fn tick(&mut self, now: Now, rng: &mut ChaCha8Rng) {
--- a/crates/curranttrestle/src/coordination/router/options.rs
+++ b/crates/curranttrestle/src/coordination/router/options.rs
@@ -4,6 +4,7 @@
 
 use crate::coordination::claims::ClaimOptions;
 use crate::coordination::config::ConfigSettings;
+use crate::coordination::cost::CostOptions;
 use crate::coordination::drain::DrainOptions;
 use crate::coordination::fair_share::FairShareOptions;
 use crate::coordination::membership::MembershipOptions;
@@ -11,7 +12,7 @@
 use crate::coordination::queue::QueueOptions;
 use crate::coordination::retry_budget::RetryBudgetOptions;
 use crate::coordination::slots::SlotOptions;
-use crate::coordination::speed::SpeedOptions;
+use crate::coordination::speed::{HedgeBudget, HedgeOptions, SpeedOptions};
 use crate::coordination::store_gate::StoreGateOptions;
 
 /// How waiting requests are matched with endpoints.
@@ -63,7 +64,11 @@
     /// Retries.
     pub retries: RetryBudgetOptions,
     /// Second attempts beside slow first ones.
-    pub hedges: RetryBudgetOptions,
+    pub hedges: HedgeOptions,
+    /// How many of them may be made.
+    pub hedge_budget: HedgeBudget,
+    /// Expected costs.
+    pub cost: CostOptions,
     /// Slow endpoints.
     pub speed: SpeedOptions,
 }
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -79,7 +79,8 @@
                 self.run_config_effects(effects, now);
             }
             PeerMessage::EndpointNotices(notices) => {
-                let effects = self.drain.receive_notices(from, &notices, now);
+                let members = self.membership.view();
+                let effects = self.drain.receive_notices(from, &notices, now, members);
                 self.run_drain_effects(effects, now);
             }
             PeerMessage::Suspicions(suspicions) => {
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -1,5 +1,6 @@
 //! The life of a request: arrival, claim, queue, attempts, outcome.
 
+use crate::coordination::cost::{Charge, CostHints};
 use crate::coordination::queue::Waiting;
 use crate::coordination::quarantine::Admission;
 use crate::protocol::outcome::{Outcome, Refusal, RefusalReason};
@@ -67,8 +68,13 @@
         let Some(kind) = self.pool_kind(&operation.pool) else {
             return refused(new, RefusalReason::NoEndpoint, "the pool has no endpoint");
         };
-        let hint = new.hint_units.unwrap_or(operation.expected_cost);
-        let expected_units = self.costs.expect(&new.customer, &new.operation, hint);
+        let hints = CostHints {
+            prior: operation.expected_cost,
+            hint: new.hint_units,
+        };
+        let expected_units = self
+            .costs
+            .expected_cost(&new.customer, &new.operation, hints);
         Ok(ActiveRequest {
             account: AccountId {
                 pool: operation.pool.clone(),
@@ -77,6 +83,7 @@
             idempotent: operation.idempotent,
             kind,
             priority: operation.priority,
+            hints,
             expected_units,
             arrived_ms: now.steady_ms,
             stage: Stage::Claiming,
@@ -95,6 +102,7 @@
             return;
         };
         active.stage = Stage::Waiting;
+        self.queues.remove(&request);
         let waiting = Waiting {
             request,
             account: active.account.clone(),
@@ -163,11 +171,18 @@
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
         let hedge = active.running.len() > 1;
-        let charged_units = active.expected_units;
+        let mut charge = Charge::default();
+        let charged_units = charge.begin(active.expected_units);
         let account = active.account.clone();
         let kind = active.kind;
         let exclusive = lease.is_some_and(|lease| lease.exclusive);
         self.fair.charge(&account, charged_units, now);
+        if hedge {
+            self.counters.hedged += 1;
+        } else {
+            self.hedge_budget.earn();
+            self.retries.record_first(now);
+        }
         self.active.attempts.insert(
             attempt.clone(),
             RunningAttempt {
@@ -175,7 +190,8 @@
                 request,
                 endpoint: endpoint.clone(),
                 lease: lease.map(|lease| lease.id.clone()),
-                charged_units,
+                charge,
+                progressed: false,
                 dispatched_ms: now.steady_ms,
                 exclusive,
             },
@@ -215,21 +231,26 @@
         let Some(running) = self.active.attempts.get_mut(attempt) else {
             return;
         };
-        let elapsed_ms = now.since_ms(running.dispatched_ms);
         let endpoint = running.endpoint.clone();
-        let beyond_units = units - running.charged_units;
-        running.charged_units = running.charged_units.max(units);
+        let dispatched_ms = running.dispatched_ms;
+        let is_first = !std::mem::replace(&mut running.progressed, true);
+        let beyond_units = running.charge.progress(units);
         let account = self
             .active
             .requests
             .get(&running.request)
             .map(|active| active.account.clone());
-        if let Some(account) = account {
-            if beyond_units > 0.0 {
-                self.fair.charge(&account, beyond_units, now);
-            }
-            self.speed
-                .observe(&account.pool, &endpoint, units, elapsed_ms, now);
+        let Some(account) = account else {
+            return;
+        };
+        if beyond_units > 0.0 {
+            self.fair.charge(&account, beyond_units, now);
+        }
+        let elapsed_ms = now.since_ms(dispatched_ms);
+        if is_first {
+            self.hedging.observe(&account.pool, elapsed_ms);
+        } else {
+            self.observe_speed(&account.pool, &endpoint, units, elapsed_ms, now);
         }
     }
 
@@ -304,7 +325,8 @@
             return;
         };
         let account = active.account.clone();
-        self.fair.charge(&account, units - running.charged_units, now);
+        let difference = running.charge.clone().finish(units);
+        self.fair.charge(&account, difference, now);
     }
 
     fn attempt_answered(
@@ -318,11 +340,21 @@
         let Some(active) = self.active.requests.swap_remove(&running.request) else {
             return;
         };
-        self.costs
-            .observe(&active.new.customer, &active.new.operation, units);
-        self.speed
-            .observe_end(&active.account.pool, &running.endpoint, units, elapsed_ms, now);
-        self.quarantine.finished(&active.new.digest, running.exclusive, now);
+        self.queues.remove(&running.request);
+        self.costs.learn(
+            &active.new.customer,
+            &active.new.operation,
+            active.hints,
+            units,
+        );
+        let pool = &active.account.pool;
+        if active.kind == EndpointKind::Service {
+            self.hedging.observe(pool, elapsed_ms);
+        }
+        self.observe_speed(pool, &running.endpoint, units, elapsed_ms, now);
+        if running.exclusive {
+            self.quarantine.finished_alone(&active.new.digest, now);
+        }
         if let Some(claim) = &active.claim {
             let result = stored.map_or(ClaimResult::Unknown, ClaimResult::Answered);
             let effects = self.claims.finish(claim, result, now);
@@ -349,7 +381,7 @@
     fn cancel_others(&mut self, active: &ActiveRequest, now: Now) {
         for attempt in &active.running {
             if let Some(other) = self.active.attempts.swap_remove(attempt) {
-                self.fair.charge(&active.account, -other.charged_units, now);
+                self.fair.charge(&active.account, -other.charge.charged(), now);
                 self.release_slot(&other, now);
                 self.drain.attempt_ended(&other.endpoint, attempt);
             }
@@ -433,6 +465,15 @@
     /// Refuses the requests whose deadline passed while they waited.
     pub(super) fn expire_waiting(&mut self, now: Now) {
         for waiting in self.queues.expire(now) {
+            let still_runs = self
+                .active
+                .requests
+                .get(&waiting.request)
+                .is_some_and(|active| !active.running.is_empty());
+            // Only the second attempt beside a running first one is given up.
+            if still_runs {
+                continue;
+            }
             let detail = "no slot became free before the deadline";
             let refusal = Refusal::not_run(RefusalReason::DeadlinePassed, detail);
             let handed_over = self
--- a/crates/curranttrestle/src/coordination/router/status.rs
+++ b/crates/curranttrestle/src/coordination/router/status.rs
@@ -3,6 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::peer::MemberNews;
+use crate::state::{AccountId, Now};
+
+use super::Router;
 
 /// One pool and customer with waiting requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -90,3 +93,56 @@
     /// Violated invariants since the start.
     pub invariant_violations: u64,
 }
+
+impl Router {
+    /// The state of this router.
+    #[must_use]
+    pub fn status(&self, now: Now) -> RouterStatus {
+        let numbers = self.config.numbers();
+        let waiting = self.queues.pools().into_iter().flat_map(|pool| {
+            let demands = self.queues.demand(&pool, now);
+            demands.into_iter().map(move |demand| (pool.clone(), demand))
+        });
+        let queues = waiting
+            .map(|(pool, demand)| QueueStatus {
+                pool: pool.to_string(),
+                customer: demand.customer.to_string(),
+                waiting: demand.total(),
+                level: self.fair.level(&AccountId {
+                    pool: pool.clone(),
+                    customer: demand.customer.clone(),
+                }),
+            })
+            .collect();
+        RouterStatus {
+            instance: self.me.instance.to_string(),
+            data_centre: self.me.data_centre.to_string(),
+            incarnation: self.me.incarnation.0,
+            ready: !self.stopping && self.sheet.number > 0,
+            leaving: self.stopping,
+            sheet_number: numbers.sheet_number,
+            sheet_digest: format!("{:016x}", numbers.sheet_digest),
+            marks_version: numbers.marks_version.0,
+            members: self.membership.members().map(MemberLine::of).collect(),
+            endpoints: self.endpoint_statuses(),
+            queues,
+            active_requests: self.active.requests.len(),
+            running_attempts: self.active.attempts.len(),
+            invariant_violations: self.invariant_violations().map(|(_, count)| count).sum(),
+        }
+    }
+
+    fn endpoint_statuses(&self) -> Vec<EndpointStatus> {
+        self.sheet
+            .endpoints
+            .iter()
+            .map(|(id, row)| EndpointStatus {
+                endpoint: id.to_string(),
+                pool: row.pool.to_string(),
+                data_centre: row.data_centre.to_string(),
+                usable: self.drain.is_usable(id),
+                running_here: self.active.digests_on(id).len(),
+            })
+            .collect()
+    }
+}
--- a/crates/curranttrestle/src/coordination/slots/holder.rs
+++ b/crates/curranttrestle/src/coordination/slots/holder.rs
@@ -185,6 +185,14 @@
         self.slots.get(lease).is_some_and(|slot| slot.is_valid(now))
     }
 
+    /// Until when a request may be handed to the endpoint of a lease; none when it may not
+    /// be handed over now.
+    #[must_use]
+    pub fn valid_until_ms(&self, lease: &LeaseId, now: Now) -> Option<u64> {
+        let slot = self.slots.get(lease)?;
+        slot.is_valid(now).then_some(slot.valid_until_ms)
+    }
+
     /// How many slots of an endpoint this router holds.
     #[must_use]
     pub fn held(&self, endpoint: &EndpointId) -> usize {
--- a/crates/curranttrestled/src/control/effects.rs
+++ b/crates/curranttrestled/src/control/effects.rs
@@ -66,9 +66,14 @@
                 endpoint,
                 address,
                 order,
+                valid_until_ms,
             } => {
                 let shared = self.shared.clone();
                 smol::spawn(async move {
+                    // After a pause of the process the order may be out of date.
+                    if shared.clock.now().steady_ms > valid_until_ms {
+                        return;
+                    }
                     let answer = shared.endpoints.order(address, &order).await.ok();
                     shared.tell(Input::OrderAnswered { endpoint, answer }).await;
                 })
