--- a/crates/curranttrestle/src/coordination/slots/lending.rs
+++ b/crates/curranttrestle/src/coordination/slots/lending.rs
@@ -22,7 +22,7 @@
     pub fn decide(&mut self, fair_share: &FairShare, now: Now) -> Vec<(InstanceId, PeerMessage)> {
         self.expire(now);
         let pools: Vec<PoolId> = self.bids.keys().cloned().collect();
-        let mut messages = Vec::new();
+        let mut messages = self.recall_surplus(now);
         for pool in pools {
             messages.extend(self.serve_exclusive(&pool, fair_share, now));
             messages.extend(self.lend_free(&pool, fair_share, now));
@@ -116,7 +116,7 @@
             .filter(|(_, state)| state.pool == *pool && state.may_lend(now))
             .filter_map(|(endpoint, state)| {
                 let used = self.used(endpoint, state);
-                let free = state.slots.saturating_sub(used);
+                let free = state.window().saturating_sub(used);
                 let load = f64::from(used) / f64::from(state.slots.max(1));
                 (free > 0).then_some((load, endpoint, state))
             })
@@ -228,6 +228,24 @@
 }
 
 impl EndpointState {
+    /// How many slots may be used: all, or a part while routers find the endpoint slow.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(super) fn window(&self) -> u32 {
+        let least = self
+            .windows
+            .values()
+            .map(|(window, _)| f64::from(*window))
+            .reduce(f64::min);
+        match least {
+            // One slot is left as a probe.
+            Some(window) if window < 1.0 => {
+                let part = (f64::from(self.slots) * window).ceil() as u32;
+                part.clamp(1.min(self.slots), self.slots)
+            }
+            _ => self.slots,
+        }
+    }
+
     pub(super) fn may_lend(&self, now: Now) -> bool {
         self.usable && !self.draining && now.steady_ms >= self.lend_from_ms
     }
--- a/crates/curranttrestle/src/coordination/slots/mod.rs
+++ b/crates/curranttrestle/src/coordination/slots/mod.rs
@@ -82,6 +82,8 @@
     pub short_slot_ratio: u32,
     /// How long a slot of a lost holder stays counted without a report.
     pub orphan_timeout_ms: u64,
+    /// After this time without repetition an owner forgets that an endpoint is slow.
+    pub slowness_timeout_ms: u64,
     /// What an owner does with load reports.
     pub report_mode: ReportMode,
     /// How a holder decides whether a slot is its to use.
@@ -107,6 +109,7 @@
             overflow_wait_ms: 300,
             short_slot_ratio: 8,
             orphan_timeout_ms: 10_000,
+            slowness_timeout_ms: 3_000,
             report_mode: ReportMode::default(),
             level_check: LevelCheck::default(),
         }
--- a/crates/curranttrestle/src/coordination/slots/owner.rs
+++ b/crates/curranttrestle/src/coordination/slots/owner.rs
@@ -2,7 +2,9 @@
 
 use indexmap::IndexMap;
 
-use crate::protocol::peer::{Bid, Lease, LeaseId, PeerMessage, Recall, Renewal, Renewed, Return};
+use crate::protocol::peer::{
+    Bid, Lease, LeaseId, PeerMessage, Recall, Renewal, Renewed, Return, Slowness,
+};
 use crate::state::{EndpointId, Incarnation, InstanceId, Now, PoolId};
 
 use super::standing::StandingBids;
@@ -26,6 +28,10 @@
     /// No more is lent, because one request shall run alone.
     pub(super) draining: bool,
     pub(super) last_exclusive_ms: u64,
+    /// The windows that routers ask for, and when each did.
+    pub(super) windows: IndexMap<InstanceId, (f32, u64)>,
+    /// When surplus leases may be recalled again.
+    pub(super) surplus_recalled_ms: u64,
 }
 
 /// A lease that is out.
@@ -95,6 +101,8 @@
                     reported: None,
                     draining: false,
                     last_exclusive_ms: 0,
+                    windows: IndexMap::new(),
+                    surplus_recalled_ms: 0,
                 });
             if state.usable && !endpoint.usable {
                 stopped.push(endpoint.endpoint.clone());
@@ -196,6 +204,15 @@
         }
     }
 
+    /// Takes a judgement on the speed of an endpoint. A slow endpoint is lent in part.
+    pub fn receive_slowness(&mut self, from: &InstanceId, slowness: &Slowness, now: Now) {
+        if let Some(state) = self.endpoints.get_mut(&slowness.endpoint) {
+            state
+                .windows
+                .insert(from.clone(), (slowness.window, now.steady_ms));
+        }
+    }
+
     /// How many leases of an endpoint are out.
     #[must_use]
     pub fn lent(&self, endpoint: &EndpointId) -> u32 {
@@ -214,16 +231,25 @@
 
     /// Recalls all leases of an endpoint, whatever waits at their holders.
     pub(super) fn recall_all(&self, endpoint: &EndpointId) -> Vec<(InstanceId, PeerMessage)> {
+        self.recall_some(endpoint, u32::MAX)
+    }
+
+    /// Recalls the last leases of an endpoint.
+    fn recall_some(&self, endpoint: &EndpointId, most: u32) -> Vec<(InstanceId, PeerMessage)> {
         let mut by_holder: IndexMap<InstanceId, Vec<LeaseId>> = IndexMap::new();
         let mut pool = None;
-        for (id, held) in &self.leases {
-            if held.lease.endpoint == *endpoint {
-                pool = Some(held.lease.pool.clone());
-                by_holder
-                    .entry(held.holder.clone())
-                    .or_default()
-                    .push(id.clone());
-            }
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        let of_endpoint = self
+            .leases
+            .iter()
+            .rev()
+            .filter(|(_, held)| held.lease.endpoint == *endpoint);
+        for (id, held) in of_endpoint.take(most) {
+            pool = Some(held.lease.pool.clone());
+            by_holder
+                .entry(held.holder.clone())
+                .or_default()
+                .push(id.clone());
         }
         let Some(pool) = pool else {
             return Vec::new();
@@ -256,16 +282,36 @@
             is_live
         });
         let orphan_ms = self.options.orphan_timeout_ms;
+        let slowness_ms = self.options.slowness_timeout_ms;
         for state in self.endpoints.values_mut() {
             state
                 .orphans_ms
                 .retain(|ended_ms| now.since_ms(*ended_ms) < orphan_ms);
+            state
+                .windows
+                .retain(|_, (_, told_ms)| now.since_ms(*told_ms) < slowness_ms);
         }
         for bids in self.bids.values_mut() {
             bids.expire(self.options.bid_timeout_ms, now);
         }
     }
 
+    /// Recalls what is lent beyond the window of an endpoint.
+    pub(super) fn recall_surplus(&mut self, now: Now) -> Vec<(InstanceId, PeerMessage)> {
+        let mut messages = Vec::new();
+        let endpoints: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
+        for endpoint in endpoints {
+            let state = &self.endpoints[&endpoint];
+            let surplus = self.lent(&endpoint).saturating_sub(state.window());
+            if surplus == 0 || now.steady_ms < state.surplus_recalled_ms {
+                continue;
+            }
+            messages.extend(self.recall_some(&endpoint, surplus));
+            self.endpoints[&endpoint].surplus_recalled_ms = now.steady_ms + self.options.renewal_ms;
+        }
+        messages
+    }
+
     fn named(&self, renewal: &Renewal) -> Vec<LeaseId> {
         let mut sequence = 0_u64;
         renewal
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -14,7 +14,9 @@
 
 pub use claims::{ClaimAnswer, ClaimRequest};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
+pub use slots::{
+    Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
+};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -44,6 +46,8 @@
     Renewal(Renewal),
     /// Answers a renewal.
     Renewed(Renewed),
+    /// Tells the owner of an endpoint that it is slow.
+    Slowness(Slowness),
     /// Service given in a subtree, towards the root.
     ServiceReport(ServiceReport),
     /// Service given in a data centre, from its root.
--- a/crates/curranttrestle/src/protocol/peer/slots.rs
+++ b/crates/curranttrestle/src/protocol/peer/slots.rs
@@ -125,3 +125,12 @@
     /// The leases that the owner does not know any more. All others are renewed.
     pub lapsed: Vec<LeaseId>,
 }
+
+/// Tells the owner of an endpoint that its streams are slow, as the sender sees them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slowness {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The fraction of its slots that it should be given; one when it has recovered.
+    pub window: f32,
+}
