--- a/crates/curranttrestle/src/coordination/speed.rs
+++ b/crates/curranttrestle/src/coordination/speed.rs
@@ -214,7 +214,8 @@
     pub fraction: f64,
     /// The most second attempts that may be saved up.
     pub burst: f64,
-    saved: f64,
+    /// The second attempts that were earned and not used.
+    pub saved: f64,
 }
 
 impl Default for HedgeBudget {
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -20,6 +20,9 @@
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
+pub use slots::{
+    Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
+};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -81,6 +84,7 @@
             Self::Recall(_) => "recall",
             Self::Renewal(_) => "renewal",
             Self::Renewed(_) => "renewed",
+            Self::Slowness(_) => "slowness",
             Self::ServiceReport(_) => "service-report",
             Self::ServiceTotals(_) => "service-totals",
             Self::ClaimRequest(_) => "claim-request",
