--- a/crates/curranttrestle/src/coordination/queue/order.rs
+++ b/crates/curranttrestle/src/coordination/queue/order.rs
@@ -54,6 +54,11 @@
         Some(waiting)
     }
 
+    /// All requests, in order.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.places.values()
+    }
+
     pub(super) fn get(&self, place: &Place) -> Option<&Waiting> {
         self.places.get(place)
     }
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -12,7 +12,7 @@
 use crate::coordination::slots::{LoadReport as SlotReport, OwnedEndpoint, PoolOwners};
 use crate::coordination::store_gate::CallPriority;
 use crate::protocol::endpoint::{LoadReport, Order, OrderAnswer};
-use crate::protocol::peer::Lend;
+use crate::protocol::peer::{Lend, PeerMessage, Slowness};
 use crate::protocol::platform::{StoreAnswer, StoreCall, Version};
 use crate::state::event::EventKind;
 use crate::state::sheet::EndpointKind;
@@ -22,6 +22,8 @@
 
 /// How long an endpoint that refused a connection gets no work from this router.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
+/// Time between two messages that an endpoint is slow.
+const SLOWNESS_INTERVAL_MS: u64 = 1_000;
 /// Load reports that an endpoint may miss before its owner lends no slots of it.
 const MISSED_REPORTS: u32 = 2;
 
@@ -42,7 +44,9 @@
     states: IndexMap<EndpointId, EndpointState>,
     owned: Vec<EndpointId>,
     owners_by_pool: IndexMap<PoolId, PoolOwners>,
+    owners: IndexMap<EndpointId, InstanceId>,
     backlogged: IndexSet<AccountId>,
+    slowness_told_ms: u64,
     assigned: bool,
 }
 
@@ -154,6 +158,7 @@
         self.endpoints.owned = owned;
         self.endpoints.owners_by_pool = by_pool;
         self.holder.set_owners(&by_endpoint);
+        self.endpoints.owners = by_endpoint;
         self.update_owned(now);
     }
 
@@ -168,7 +173,7 @@
                 Some(OwnedEndpoint {
                     endpoint: id.clone(),
                     pool: row.pool.clone(),
-                    slots: windowed(row.slots, self.speed.window(&row.pool, id, now)),
+                    slots: row.slots,
                     usable: self.drain.is_usable(id) && !self.endpoints.is_down(id),
                 })
             })
@@ -270,6 +275,7 @@
         self.send_all(messages, now);
         self.poll_loads(now);
         self.poll_instances(now);
+        self.repeat_slowness(now);
         let effects = self.drain.tick(now, self.membership.view());
         self.run_drain_effects(effects, now);
         self.update_owned(now);
@@ -458,7 +464,8 @@
             return;
         }
         let slow = self.speed.is_slow(pool, endpoint);
-        self.endpoints.assign_again();
+        let window = self.speed.window(pool, endpoint, now);
+        self.tell_slowness(endpoint, window, now);
         self.emit(
             now,
             EventKind::EndpointSlow,
@@ -467,21 +474,37 @@
         );
     }
 
+    /// Repeats to their owners which endpoints are slow.
+    fn repeat_slowness(&mut self, now: Now) {
+        if now.since_ms(self.endpoints.slowness_told_ms) < SLOWNESS_INTERVAL_MS {
+            return;
+        }
+        self.endpoints.slowness_told_ms = now.steady_ms;
+        for (endpoint, window) in self.speed.slow_endpoints(now) {
+            self.tell_slowness(&endpoint, window, now);
+        }
+    }
+
+    #[allow(
+        clippy::cast_possible_truncation,
+        reason = "a fraction needs little precision"
+    )]
+    fn tell_slowness(&mut self, endpoint: &EndpointId, window: f64, now: Now) {
+        let Some(owner) = self.endpoints.owners.get(endpoint).cloned() else {
+            return;
+        };
+        let message = PeerMessage::Slowness(Slowness {
+            endpoint: endpoint.clone(),
+            window: window as f32,
+        });
+        self.send(&owner, message, now);
+    }
+
     fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         self.sheet.endpoints.get(endpoint).map(|row| row.address)
     }
 }
 
-/// The part of an endpoint's slots that it is given; at least one.
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the product lies between zero and the number of slots"
-)]
-fn windowed(slots: u32, fraction: f64) -> u32 {
-    ((f64::from(slots) * fraction).round() as u32).max(1)
-}
-
 /// A wall clock time of another machine on the own steady clock, never in the future.
 fn steady_of_unix(unix_ms: u64, now: Now) -> u64 {
     let age_ms = now.unix_ms.saturating_sub(unix_ms);
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -51,6 +51,7 @@
             PeerMessage::Renewed(renewed) => self.holder.receive_renewed(from, &renewed, now),
             PeerMessage::Lend(lend) => self.slot_lent(from, lend, now),
             PeerMessage::Recall(recall) => self.holder.receive_recall(from, &recall, now),
+            PeerMessage::Slowness(slowness) => self.owner.receive_slowness(from, &slowness, now),
             PeerMessage::ServiceReport(report) => {
                 self.fair.receive_report(from, incarnation, &report, now);
             }
--- /dev/null
+++ b/crates/curranttrestled/tests/support/mod.rs
@@ -0,0 +1,7 @@
+//! Support for tests that run the fleet as processes.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod client;
+pub mod fleet;
+pub mod process;
