--- /dev/null
+++ b/crates/curranttrestle-standins/src/bin/curranttrestle-standin.rs
@@ -0,0 +1,171 @@
+//! Runs one stand-in as a process of its own.
+//!
+//! It prints one line, `kind=... name=... address=... admin=...`, and serves until it is ended.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use curranttrestle_standins::engine::{self, EngineOptions};
+use curranttrestle_standins::platform::{self, PlatformOptions};
+use curranttrestle_standins::server::StandIn;
+use curranttrestle_standins::service::{self, ServiceOptions};
+use curranttrestle_standins::{Handle, Result};
+
+/// Runs one stand-in of the platform, of a model engine or of a plain service.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Example: curranttrestle-standin engine --listen 127.0.0.1:7101 --name engine-1"
+)]
+struct Arguments {
+    #[command(subcommand)]
+    kind: Kind,
+}
+
+#[derive(Debug, Subcommand)]
+enum Kind {
+    /// The platform's object API and list of instances.
+    Platform(PlatformArguments),
+    /// A model engine.
+    Engine(EngineArguments),
+    /// A plain service.
+    Service(ServiceArguments),
+}
+
+#[derive(Debug, Args)]
+struct Common {
+    /// Where to serve; port zero lets the system choose.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Where faults are injected (POST /faults) and the truth is read (GET /truth).
+    #[arg(long, default_value = "127.0.0.1:0")]
+    admin_listen: SocketAddr,
+    /// The name of the stand-in.
+    #[arg(long, default_value = "standin")]
+    name: String,
+    /// The data centre it stands in.
+    #[arg(long, default_value = "dc")]
+    data_centre: String,
+}
+
+#[derive(Debug, Args)]
+struct PlatformArguments {
+    #[command(flatten)]
+    common: Common,
+    /// How late a change of the list of instances is seen.
+    #[arg(long, default_value_t = PlatformOptions::default().instance_lag_ms)]
+    instance_lag_ms: u64,
+}
+
+#[derive(Debug, Args)]
+struct EngineArguments {
+    #[command(flatten)]
+    common: Common,
+    /// The model that is loaded.
+    #[arg(long, default_value = "model")]
+    model: String,
+    /// How many requests it is made to run at once.
+    #[arg(long, default_value_t = EngineOptions::default().slots)]
+    slots: u32,
+    /// The time of one token when one stream runs.
+    #[arg(long, default_value_t = EngineOptions::default().token_interval_ms)]
+    token_interval_ms: f64,
+    /// Takes orders whatever their fencing number.
+    #[arg(long)]
+    ignores_fencing: bool,
+}
+
+#[derive(Debug, Args)]
+struct ServiceArguments {
+    #[command(flatten)]
+    common: Common,
+    /// How many calls it is made to run at once.
+    #[arg(long, default_value_t = ServiceOptions::default().slots)]
+    slots: u32,
+    /// How long a call runs.
+    #[arg(long, default_value_t = ServiceOptions::default().work_ms)]
+    work_ms: u64,
+    /// Takes orders whatever their fencing number.
+    #[arg(long)]
+    ignores_fencing: bool,
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().kind) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(kind: Kind) -> Result<()> {
+    match kind {
+        Kind::Platform(arguments) => run_platform(&arguments),
+        Kind::Engine(arguments) => run_engine(&arguments),
+        Kind::Service(arguments) => run_service(&arguments),
+    }
+}
+
+fn run_platform(arguments: &PlatformArguments) -> Result<()> {
+    let common = &arguments.common;
+    let handle = platform::start(PlatformOptions {
+        address: common.listen,
+        admin_address: common.admin_listen,
+        instance_lag_ms: arguments.instance_lag_ms,
+        ..PlatformOptions::default()
+    })?;
+    serve("platform", common, &handle)
+}
+
+fn run_engine(arguments: &EngineArguments) -> Result<()> {
+    let common = &arguments.common;
+    let handle = engine::start(EngineOptions {
+        name: common.name.clone(),
+        data_centre: common.data_centre.clone(),
+        model: arguments.model.clone(),
+        address: common.listen,
+        admin_address: common.admin_listen,
+        slots: arguments.slots,
+        token_interval_ms: arguments.token_interval_ms,
+        checks_fencing: !arguments.ignores_fencing,
+        ..EngineOptions::default()
+    })?;
+    serve("engine", common, &handle)
+}
+
+fn run_service(arguments: &ServiceArguments) -> Result<()> {
+    let common = &arguments.common;
+    let handle = service::start(ServiceOptions {
+        name: common.name.clone(),
+        data_centre: common.data_centre.clone(),
+        address: common.listen,
+        admin_address: common.admin_listen,
+        slots: arguments.slots,
+        work_ms: arguments.work_ms,
+        checks_fencing: !arguments.ignores_fencing,
+        ..ServiceOptions::default()
+    })?;
+    serve("service", common, &handle)
+}
+
+/// Prints where the stand-in listens and keeps it running.
+fn serve<S: StandIn>(kind: &str, common: &Common, handle: &Handle<S>) -> Result<()> {
+    let mut output = std::io::stdout();
+    let line = format!(
+        "kind={kind} name={} address={} admin={}",
+        common.name,
+        handle.address(),
+        handle.admin_address()
+    );
+    let written = writeln!(output, "{line}").and_then(|()| output.flush());
+    if let Err(error) = written {
+        eprintln!("{error}");
+    }
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/engine/answer.rs
@@ -0,0 +1,64 @@
+//! The answers of the engine stand-in, which depend on the prompt alone.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A prompt that contains this crashes the engine.
+pub const CRASH_MARKER: &str = "[crash]";
+
+const TOKENS_MARKER: &str = "[tokens=";
+
+/// The parts that tokens are made of. Some are longer in bytes than in characters.
+const PARTS: [&str; 16] = [
+    "ra", "pport ", "thé", "rm", "ique ", "rul", "le ", "å", "papper ", "ö", "sta", "n ", "ver",
+    "t. ", "lo", "ck ",
+];
+
+/// The marker that makes the answer to a prompt `tokens` long, whatever the caller allows beyond.
+///
+/// ```
+/// use curranttrestle_standins::engine::{answer_tokens, tokens_marker};
+/// let prompt = format!("Draft a report. {}", tokens_marker(7));
+/// assert_eq!(answer_tokens(&prompt, 100), 7);
+/// assert_eq!(answer_tokens(&prompt, 5), 5);
+/// ```
+#[must_use]
+pub fn tokens_marker(tokens: u32) -> String {
+    format!("{TOKENS_MARKER}{tokens}]")
+}
+
+/// The length of the answer in tokens: what the prompt's marker says, but at most `max_tokens`.
+#[must_use]
+pub fn answer_tokens(prompt: &str, max_tokens: u32) -> u32 {
+    let marked = prompt.split_once(TOKENS_MARKER).and_then(|(_, rest)| {
+        let (number, _) = rest.split_once(']')?;
+        number.parse::<u32>().ok()
+    });
+    marked.unwrap_or(max_tokens).min(max_tokens)
+}
+
+/// The whole answer to a prompt.
+///
+/// ```
+/// use curranttrestle_standins::engine::expected_answer;
+/// assert_eq!(expected_answer("a", 9), expected_answer("a", 9));
+/// assert_ne!(expected_answer("a", 9), expected_answer("b", 9));
+/// ```
+#[must_use]
+pub fn expected_answer(prompt: &str, max_tokens: u32) -> String {
+    let seed = prompt_seed(prompt);
+    (0..answer_tokens(prompt, max_tokens))
+        .map(|index| token_text(seed, index))
+        .collect()
+}
+
+/// What the tokens of an answer are made from.
+pub(super) fn prompt_seed(prompt: &str) -> u64 {
+    xxh3_64(prompt.as_bytes())
+}
+
+/// The text of one token.
+pub(super) fn token_text(seed: u64, index: u32) -> String {
+    let hash = xxh3_64_with_seed(&index.to_le_bytes(), seed);
+    let nibble = |shift: u32| PARTS[usize::try_from((hash >> shift) & 15).unwrap_or(0)];
+    format!("{}{}", nibble(0), nibble(4))
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/engine/handlers.rs
@@ -0,0 +1,144 @@
+//! Answers the requests to an engine stand-in.
+
+use std::sync::Arc;
+
+use curranttrestle::protocol::endpoint::{
+    LoadReport, Order, OrderAnswer, OrderKind, StreamRequest, running_digest,
+};
+use curranttrestle::state::EndpointId;
+use futures_util::TryStreamExt;
+use trillium_http::{Body, Method, Status};
+
+use super::reader::Lines;
+use super::{Engine, State};
+use crate::endpoint::{not_run_reply, order_reply};
+use crate::server::{Reply, Request};
+
+/// Answers one request.
+pub(super) fn answer(engine: &Arc<Engine>, request: &Request) -> Reply {
+    let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
+    let reply = match (request.method, segments.as_slice()) {
+        (Method::Post, ["v1", "streams"]) => start(engine, request),
+        (Method::Get, ["v1", "streams", id]) => Ok(resume(engine, request, id)),
+        (Method::Delete, ["v1", "streams", id]) => Ok(cancel(engine, id)),
+        (Method::Get, ["v1", "load"]) => Ok(load(engine)),
+        (Method::Post, ["v1", "orders"]) => order(engine, request),
+        (Method::Get, ["v1", "events"]) => Ok(events(engine, request)),
+        _ => Ok(Reply::empty(Status::NotFound)),
+    };
+    reply.unwrap_or_else(|refusal| refusal)
+}
+
+fn start(engine: &Engine, request: &Request) -> Result<Reply, Reply> {
+    let request: StreamRequest = request.json()?;
+    let now = engine.now();
+    let mut state = engine.state();
+    let state = &mut *state;
+    if state.orders.is_stopped() || state.faults.take_refusal() {
+        state.truth.refused += 1;
+        return Err(not_run_reply());
+    }
+    let uncached = state.cache.use_prompt(now.steady_ms, &request.prompt);
+    let prefill_ms = engine.options.prefill_ms_per_token * f64::from(uncached);
+    let ready_ms = now.steady_ms + whole_ms(prefill_ms * state.faults.slow_factor);
+    let lines = state.batch.admit(&request, ready_ms, state.incarnation);
+    state.load.begin(now.unix_ms, &request.attempt);
+    state.leaving.admitted(now.unix_ms);
+    state
+        .truth
+        .note_admission(&request.request, &request.attempt);
+    let running = state.batch.running() as u64;
+    state.truth.note_batch(running, engine.options.slots);
+    let _ = engine.wake.try_send(());
+    Ok(stream_reply(lines))
+}
+
+fn resume(engine: &Engine, request: &Request, id: &str) -> Reply {
+    let Some(attempt) = request.query.get("attempt") else {
+        return Reply::text(Status::BadRequest, "the attempt is missing");
+    };
+    let now = engine.now();
+    let mut state = engine.state();
+    let incarnation = state.incarnation;
+    let offset = request.number("offset");
+    let Some((lines, before)) = state.batch.resume(id, attempt, offset, incarnation) else {
+        return Reply::empty(Status::NotFound);
+    };
+    state.truth.resumed += 1;
+    state.load.rename(now.unix_ms, &before, attempt);
+    stream_reply(lines)
+}
+
+fn cancel(engine: &Engine, id: &str) -> Reply {
+    let now = engine.now();
+    let mut state = engine.state();
+    if let Some(attempt) = state.batch.cancel(id) {
+        state.truth.cancelled += 1;
+        state.load.end(now.unix_ms, &attempt);
+    }
+    Reply::empty(Status::NoContent)
+}
+
+fn load(engine: &Engine) -> Reply {
+    let now = engine.now();
+    let state = engine.state();
+    let seen_unix_ms = now.unix_ms.saturating_sub(state.faults.load_lag_ms);
+    let taken_unix_ms = if state.faults.lying_load {
+        now.unix_ms
+    } else {
+        seen_unix_ms
+    };
+    let running = state.load.running_at(seen_unix_ms);
+    let report = LoadReport {
+        endpoint: EndpointId::new(&engine.options.name),
+        incarnation: state.incarnation,
+        taken_unix_ms,
+        running_digest: running_digest(running.iter().map(String::as_str)),
+        running,
+        slots: engine.options.slots,
+        draining: state.orders.is_stopped(),
+        model: state.orders.model.clone(),
+        role: state.orders.role.clone(),
+    };
+    Reply::json(Status::Ok, &report)
+}
+
+fn order(engine: &Arc<Engine>, request: &Request) -> Result<Reply, Reply> {
+    let order: Order = request.json()?;
+    let mut state = engine.state();
+    Ok(order_reply(take_order(engine, &mut state, &order)))
+}
+
+fn take_order(engine: &Arc<Engine>, state: &mut State, order: &Order) -> OrderAnswer {
+    let answer = state.orders.take(order, state.incarnation);
+    let stops = order.kind == OrderKind::Stop && answer == OrderAnswer::Applied;
+    if stops && !state.orders.is_stopped() {
+        engine.stop(state, engine.now());
+    }
+    answer
+}
+
+fn events(engine: &Engine, request: &Request) -> Reply {
+    let now = engine.now();
+    let state = engine.state();
+    let lag_ms = engine.options.cache_event_lag_ms;
+    let events = state
+        .cache
+        .events(now.steady_ms, lag_ms, request.number("after"));
+    Reply::json(Status::Ok, &events)
+}
+
+fn stream_reply(lines: Lines) -> Reply {
+    let body = Box::pin(lines).into_async_read();
+    Reply {
+        content_type: "application/x-ndjson",
+        body: Body::new_streaming(body, None),
+        ..Reply::empty(Status::Ok)
+    }
+}
+
+/// A duration in whole milliseconds, rounded up.
+fn whole_ms(duration_ms: f64) -> u64 {
+    let seconds = duration_ms.ceil() / 1_000.0;
+    crate::server::milliseconds(std::time::Duration::from_secs_f64(seconds))
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/engine/mod.rs
@@ -0,0 +1,253 @@
+//! Stands in for a model engine: it admits every request, batches continuously, slows with the
+//! batch size, caches prompt prefixes and streams its answers.
+
+mod answer;
+mod batch;
+mod cache;
+mod fault;
+mod handlers;
+mod options;
+mod reader;
+mod truth;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use curranttrestle::state::Now;
+use smol::Timer;
+
+use crate::endpoint::{Leaving, LoadLog, OrderLog, STOP_LINGER_MS};
+use crate::server::{
+    Handle, Listen, Reopen, Reply, Request, Result, ServerControl, StandIn, milliseconds, unix_ms,
+};
+pub use answer::{CRASH_MARKER, answer_tokens, expected_answer, tokens_marker};
+use batch::Batch;
+use cache::PrefixCache;
+use fault::Faults;
+pub use fault::{EngineFault, FrameFaults};
+pub use options::EngineOptions;
+pub use truth::{BusySample, EngineTruth};
+
+/// A running engine stand-in.
+pub type EngineHandle = Handle<Engine>;
+
+/// The engine's state and behaviour.
+#[derive(Debug)]
+pub struct Engine {
+    options: EngineOptions,
+    control: Arc<ServerControl>,
+    reopen: Reopen,
+    started: Instant,
+    wake: Sender<()>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    incarnation: u64,
+    batch: Batch,
+    cache: PrefixCache,
+    load: LoadLog,
+    orders: OrderLog,
+    leaving: Leaving,
+    faults: Faults,
+    truth: EngineTruth,
+}
+
+/// Starts an engine stand-in.
+///
+/// ```
+/// use curranttrestle_standins::engine::{EngineOptions, start};
+/// let engine = start(EngineOptions::default()).unwrap();
+/// assert_eq!(engine.truth().admitted, 0);
+/// engine.stop();
+/// ```
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub fn start(options: EngineOptions) -> Result<EngineHandle> {
+    let name = options.name.clone();
+    let listen = Listen {
+        name: &name,
+        address: options.address,
+        admin_address: options.admin_address,
+    };
+    let (wake, woken) = async_channel::bounded(1);
+    let handle = Handle::start(&listen, |control, reopen| {
+        Engine::new(options, control, reopen, wake)
+    })?;
+    let engine = Arc::clone(handle.stand_in());
+    let control = Arc::clone(&engine.control);
+    control.spawn_detached(run_batch(engine, woken));
+    Ok(handle)
+}
+
+/// Runs the batch step by step as long as there is work, and waits otherwise.
+async fn run_batch(engine: Arc<Engine>, woken: Receiver<()>) {
+    loop {
+        if engine.state().batch.is_idle() && woken.recv().await.is_err() {
+            return;
+        }
+        let interval = engine.step_interval();
+        Timer::after(interval).await;
+        engine.control.thawed().await;
+        engine.step(interval);
+    }
+}
+
+impl Engine {
+    fn new(
+        options: EngineOptions,
+        control: Arc<ServerControl>,
+        reopen: Reopen,
+        wake: Sender<()>,
+    ) -> Self {
+        let incarnation = unix_ms();
+        let state = State {
+            incarnation,
+            batch: Batch::new(options.grace_ms),
+            cache: PrefixCache::new(options.cache_blocks, options.cache_event_gap_every),
+            load: LoadLog::default(),
+            orders: OrderLog::new(
+                options.checks_fencing,
+                options.checks_incarnation,
+                &options.model,
+            ),
+            leaving: Leaving::default(),
+            faults: Faults::new(&options),
+            truth: EngineTruth::default(),
+        };
+        Self {
+            options,
+            control,
+            reopen,
+            started: Instant::now(),
+            wake,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            steady_ms: milliseconds(self.started.elapsed()),
+            unix_ms: unix_ms(),
+        }
+    }
+
+    /// How long the next step takes.
+    fn step_interval(&self) -> Duration {
+        let state = self.state();
+        let beside = u32::try_from(state.batch.running().saturating_sub(1)).unwrap_or(u32::MAX);
+        let stretch = 1.0 + self.options.batch_slowdown * f64::from(beside);
+        let interval_ms = self.options.token_interval_ms * stretch * state.faults.slow_factor;
+        Duration::from_secs_f64(interval_ms.max(0.1) / 1_000.0)
+    }
+
+    /// Makes one token of each stream that has read its prompt.
+    fn step(self: &Arc<Self>, interval: Duration) {
+        let now = self.now();
+        let mut state = self.state();
+        let state = &mut *state;
+        state.truth.note_busy(
+            now.unix_ms,
+            state.batch.running(),
+            self.options.slots,
+            interval,
+        );
+        let step = state.batch.step(now.steady_ms, &state.faults.frames);
+        state.truth.note_step(&step);
+        for attempt in &step.ended_attempts {
+            state.load.end(now.unix_ms, attempt);
+        }
+        if step.crashed {
+            self.crash(state, now);
+        }
+    }
+
+    /// Ends the run: all streams die, and the next run begins after the restart time.
+    fn crash(self: &Arc<Self>, state: &mut State, now: Now) {
+        log::info!(
+            "event=engine-crash endpoint={} incarnation={}",
+            self.options.name,
+            state.incarnation
+        );
+        state.truth.crashes += 1;
+        state.truth.lost_in_crashes += state.batch.abort_all() as u64;
+        state.load.clear(now.unix_ms);
+        state.cache.clear();
+        state.orders.forget();
+        state.incarnation = (state.incarnation + 1).max(now.unix_ms);
+        self.control.stop_listening();
+        self.control.close_connections();
+        let engine = Arc::clone(self);
+        let restart_ms = state.faults.restart_ms;
+        self.control.spawn_detached(async move {
+            Timer::after(Duration::from_millis(restart_ms)).await;
+            engine.reopen.open(Arc::clone(&engine)).await;
+        });
+    }
+
+    /// Carries out a stop order: cuts what runs and refuses connections from then on.
+    fn stop(self: &Arc<Self>, state: &mut State, now: Now) {
+        let cut = state.batch.abort_all() as u64;
+        state.load.clear(now.unix_ms);
+        state.orders.stop(now.unix_ms, cut);
+        log::info!(
+            "event=engine-stop endpoint={} cut_streams={cut}",
+            self.options.name
+        );
+        let control = Arc::clone(&self.control);
+        self.control.spawn_detached(async move {
+            Timer::after(Duration::from_millis(STOP_LINGER_MS)).await;
+            control.stop_listening();
+            control.close_connections();
+        });
+    }
+}
+
+impl StandIn for Engine {
+    type Fault = EngineFault;
+    type Truth = EngineTruth;
+
+    async fn answer(self: &Arc<Self>, request: Request) -> Reply {
+        handlers::answer(self, &request)
+    }
+
+    fn inject(self: &Arc<Self>, fault: EngineFault) {
+        log::info!(
+            "event=engine-fault endpoint={} fault={fault:?}",
+            self.options.name
+        );
+        let now = self.now();
+        let mut state = self.state();
+        match fault {
+            EngineFault::Freeze => self.control.set_frozen(true),
+            EngineFault::SilenceConnections => self.control.silence_connections(),
+            EngineFault::CloseConnections => self.control.close_connections(),
+            EngineFault::Crash => self.crash(&mut state, now),
+            EngineFault::Leaving => state.leaving.mark(now.unix_ms),
+            EngineFault::Heal => {
+                state.faults = Faults::new(&self.options);
+                self.control.set_frozen(false);
+            }
+            setting => state.faults.set(&setting),
+        }
+    }
+
+    fn truth(&self) -> EngineTruth {
+        let state = self.state();
+        EngineTruth {
+            incarnation: state.incarnation,
+            running: state.batch.running() as u64,
+            orders: state.orders.truth.clone(),
+            leaving: state.leaving.truth.clone(),
+            ..state.truth.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/engine/reader.rs
@@ -0,0 +1,152 @@
+//! One reader of a stream: the lines it is sent, and the faults on their way.
+
+use std::collections::VecDeque;
+use std::io;
+
+use async_channel::{Receiver, Sender};
+use curranttrestle::protocol::endpoint::{Frame, StreamId, StreamLine};
+
+use super::FrameFaults;
+
+/// The length of the comment that opens a stream. The HTTP library holds a small first chunk
+/// back until the second one.
+const OPENING_COMMENT_BYTES: usize = 600;
+
+/// How many frames later a late copy is sent.
+const LATE_FRAMES: usize = 5;
+
+/// The lines of a stream on their way to a connection.
+pub(super) type Lines = Receiver<io::Result<Vec<u8>>>;
+
+/// One reader of a stream.
+#[derive(Debug)]
+pub(super) struct Reader {
+    attempt: String,
+    sender: Sender<io::Result<Vec<u8>>>,
+    frames: u64,
+    held: Option<Frame>,
+    late: VecDeque<Frame>,
+}
+
+impl Reader {
+    /// Opens a reader that is sent the stream under an attempt.
+    pub(super) fn open(attempt: &str, stream: &str, incarnation: u64) -> (Self, Lines) {
+        let (sender, lines) = async_channel::unbounded();
+        let reader = Self {
+            attempt: attempt.to_owned(),
+            sender,
+            frames: 0,
+            held: None,
+            late: VecDeque::new(),
+        };
+        reader.send_opening(stream, incarnation);
+        (reader, lines)
+    }
+
+    /// Whether the connection still takes lines.
+    pub(super) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a part of the answer.
+    pub(super) fn send_text(
+        &mut self,
+        offset: u64,
+        text: &str,
+        tokens_total: u64,
+        faults: &FrameFaults,
+    ) {
+        let frame = Frame {
+            attempt: self.attempt.clone(),
+            offset,
+            text: text.to_owned(),
+            tokens_total,
+        };
+        self.frames += 1;
+        self.send_with_faults(frame, faults);
+    }
+
+    fn send_with_faults(&mut self, frame: Frame, faults: &FrameFaults) {
+        let count = self.frames;
+        let due = |every: u64| every > 0 && count.is_multiple_of(every);
+        if due(faults.drop_every) {
+            return;
+        }
+        if due(faults.foreign_every) {
+            self.send_foreign(&frame);
+        }
+        if due(faults.late_every) {
+            self.late.push_back(frame.clone());
+        }
+        if due(faults.reorder_every) && self.held.is_none() {
+            self.held = Some(frame);
+            return;
+        }
+        if due(faults.duplicate_every) {
+            self.send_line(&StreamLine::Frame(frame.clone()));
+        }
+        self.send_line(&StreamLine::Frame(frame));
+        if let Some(held) = self.held.take() {
+            self.send_line(&StreamLine::Frame(held));
+        }
+        if self.late.len() > LATE_FRAMES {
+            self.send_late();
+        }
+    }
+
+    fn send_late(&mut self) {
+        if let Some(frame) = self.late.pop_front() {
+            self.send_line(&StreamLine::Frame(frame));
+        }
+    }
+
+    /// Sends a frame that belongs to another attempt, at the same offset.
+    fn send_foreign(&self, frame: &Frame) {
+        let foreign = Frame {
+            attempt: String::from("other"),
+            text: String::from("not yours"),
+            ..frame.clone()
+        };
+        self.send_line(&StreamLine::Frame(foreign));
+    }
+
+    /// Sends the line that ends the answer, and ends.
+    pub(super) fn send_done(mut self, length: u64, tokens_total: u64) {
+        if let Some(held) = self.held.take() {
+            self.send_line(&StreamLine::Frame(held));
+        }
+        self.send_line(&StreamLine::Done {
+            attempt: self.attempt.clone(),
+            length,
+            tokens_total,
+        });
+    }
+
+    /// Breaks the connection.
+    pub(super) fn abort(self) {
+        let _ = self
+            .sender
+            .try_send(Err(io::ErrorKind::ConnectionAborted.into()));
+    }
+
+    fn send_opening(&self, stream: &str, incarnation: u64) {
+        let mut bytes = vec![b' '; OPENING_COMMENT_BYTES];
+        bytes[0] = b':';
+        bytes.push(b'\n');
+        bytes.extend(line_bytes(&StreamLine::Opened {
+            stream: StreamId(stream.to_owned()),
+            incarnation,
+        }));
+        let _ = self.sender.try_send(Ok(bytes));
+    }
+
+    fn send_line(&self, line: &StreamLine) {
+        let _ = self.sender.try_send(Ok(line_bytes(line)));
+    }
+}
+
+fn line_bytes(line: &StreamLine) -> Vec<u8> {
+    let mut bytes = serde_json::to_vec(line).unwrap_or_default();
+    bytes.push(b'\n');
+    bytes
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/platform/handlers.rs
@@ -0,0 +1,226 @@
+//! Answers the calls to the object API.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use curranttrestle::protocol::platform::{Expected, InstanceStatus, Object, Version};
+use serde::Serialize;
+use smol::Timer;
+use trillium_http::{KnownHeaderName, Method, Status};
+
+use super::rates::CallKind;
+use super::{Outage, Platform};
+use crate::server::{Reply, Request};
+
+/// The largest value of an object.
+const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
+/// The answer to an update or a removal.
+#[derive(Serialize)]
+struct Written {
+    version: Version,
+}
+
+/// One call, as read from a request.
+enum Call<'a> {
+    Read(&'a str),
+    Watch(&'a str, Version),
+    List(&'a str),
+    Update(&'a str, Expected, String),
+    Remove(&'a str),
+    Instances,
+    PutInstance(InstanceStatus),
+    RemoveInstance(&'a str),
+}
+
+impl Call<'_> {
+    fn kind(&self) -> CallKind {
+        match self {
+            Self::Read(_) | Self::List(_) | Self::Instances => CallKind::Read,
+            Self::Watch(..) => CallKind::Watch,
+            Self::Update(..) | Self::Remove(_) | Self::PutInstance(_) | Self::RemoveInstance(_) => {
+                CallKind::Write
+            }
+        }
+    }
+}
+
+/// Answers one request.
+pub(super) async fn answer(platform: &Arc<Platform>, request: Request) -> Reply {
+    let call = match read_call(&request) {
+        Ok(call) => call,
+        Err(reply) => return reply,
+    };
+    if let Err(reply) = admit(platform, &request, call.kind()) {
+        return reply;
+    }
+    delay(platform).await;
+    let writes = matches!(call, Call::Update(..) | Call::Remove(_));
+    let reply = match call {
+        Call::Watch(name, after) => watch(platform, name, after).await,
+        call => execute(platform, call),
+    };
+    if writes && reply.status == Status::Ok {
+        count_effect(platform, &request);
+    }
+    reply
+}
+
+fn read_call(request: &Request) -> Result<Call<'_>, Reply> {
+    let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
+    let after = request.query.contains_key("after");
+    match (request.method, segments.as_slice()) {
+        (Method::Get, ["objects"]) => Ok(Call::List(
+            request.query.get("prefix").map_or("", String::as_str),
+        )),
+        (Method::Get, ["objects", name]) if after => {
+            Ok(Call::Watch(name, Version(request.number("after"))))
+        }
+        (Method::Get, ["objects", name]) => Ok(Call::Read(name)),
+        (Method::Put, ["objects", name]) => read_update(request, name),
+        (Method::Delete, ["objects", name]) => Ok(Call::Remove(name)),
+        (Method::Get, ["instances"]) => Ok(Call::Instances),
+        (Method::Put, ["instances", _]) => request.json().map(Call::PutInstance),
+        (Method::Delete, ["instances", name]) => Ok(Call::RemoveInstance(name)),
+        _ => Err(Reply::empty(Status::NotFound)),
+    }
+}
+
+fn read_update<'a>(request: &Request, name: &'a str) -> Result<Call<'a>, Reply> {
+    let refused = |text: &str| Err(Reply::text(Status::BadRequest, text));
+    if request.body.len() > MAX_VALUE_BYTES {
+        return Err(Reply::text(
+            Status::PayloadTooLarge,
+            "the value is too large",
+        ));
+    }
+    let Ok(value) = String::from_utf8(request.body.clone()) else {
+        return refused("the value is not text");
+    };
+    let matched = request.headers.get_str(KnownHeaderName::IfMatch);
+    let none_matched = request.headers.get_str(KnownHeaderName::IfNoneMatch);
+    let expected = match (matched.map(str::parse), none_matched) {
+        (Some(Ok(version)), None) => Expected::Version(Version(version)),
+        (None, Some("*")) => Expected::Absent,
+        _ => return refused("the condition is missing or malformed"),
+    };
+    Ok(Call::Update(name, expected, value))
+}
+
+/// Counts the call and refuses it where the rate or an outage demands it.
+fn admit(platform: &Platform, request: &Request, kind: CallKind) -> Result<(), Reply> {
+    let now_ms = platform.now_ms();
+    let mut state = platform.state();
+    let outage = state.faults.outage;
+    let allowed = state.rates.admit(now_ms, kind, outage.is_some());
+    match outage {
+        Some(Outage::Unavailable) => Err(Reply::empty(Status::ServiceUnavailable)),
+        Some(Outage::Closed) => {
+            request.link.close();
+            Err(Reply::empty(Status::ServiceUnavailable))
+        }
+        None if !allowed => Err(Reply::empty(Status::TooManyRequests)),
+        None => Ok(()),
+    }
+}
+
+async fn delay(platform: &Platform) {
+    let delay_ms = platform.options.delay_ms + platform.state().faults.delay_ms;
+    if delay_ms > 0 {
+        Timer::after(Duration::from_millis(delay_ms)).await;
+    }
+}
+
+fn execute(platform: &Platform, call: Call<'_>) -> Reply {
+    let now_ms = platform.now_ms();
+    let mut state = platform.state();
+    match call {
+        Call::Read(name) | Call::Watch(name, _) => object_reply(state.store.read(name)),
+        Call::List(prefix) => Reply::json(Status::Ok, &state.store.names(prefix)),
+        Call::Update(name, expected, value) => {
+            let version = state.store.update(name, expected, value);
+            written_reply(version, Status::PreconditionFailed)
+        }
+        Call::Remove(name) => written_reply(state.store.remove(name), Status::NotFound),
+        Call::Instances => {
+            let lag_ms = state.faults.instance_lag_ms;
+            Reply::json(Status::Ok, &state.instances.seen(now_ms, lag_ms))
+        }
+        Call::PutInstance(status) => {
+            let name = status.name.clone();
+            state.instances.put(now_ms, name, Some(status));
+            Reply::empty(Status::NoContent)
+        }
+        Call::RemoveInstance(name) => {
+            state.instances.put(now_ms, name.to_owned(), None);
+            Reply::empty(Status::NoContent)
+        }
+    }
+}
+
+fn object_reply(object: Option<&Object>) -> Reply {
+    object.map_or_else(
+        || Reply::empty(Status::NotFound),
+        |object| Reply::json(Status::Ok, object),
+    )
+}
+
+fn written_reply(version: Option<Version>, otherwise: Status) -> Reply {
+    version.map_or_else(
+        || Reply::empty(otherwise),
+        |version| Reply::json(Status::Ok, &Written { version }),
+    )
+}
+
+/// Waits until the version of an object exceeds `after`, for as long as a watch may wait.
+async fn watch(platform: &Platform, name: &str, after: Version) -> Reply {
+    let waiting = WaitingWatch::new(platform);
+    let news = async {
+        loop {
+            let changed = {
+                let mut state = platform.state();
+                match state.store.read(name) {
+                    Some(object) if object.version > after => {
+                        return Reply::json(Status::Ok, object);
+                    }
+                    _ => state.store.watch(name),
+                }
+            };
+            let _ = changed.recv().await;
+        }
+    };
+    let ended = async {
+        Timer::after(Duration::from_millis(platform.options.watch_wait_ms)).await;
+        Reply::empty(Status::NotFound)
+    };
+    let reply = smol::future::or(news, ended).await;
+    drop(waiting);
+    reply
+}
+
+/// Counts a watch as waiting as long as it lives.
+struct WaitingWatch<'a>(&'a Platform);
+
+impl<'a> WaitingWatch<'a> {
+    fn new(platform: &'a Platform) -> Self {
+        platform.state().waiting_watches += 1;
+        Self(platform)
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.0.state().waiting_watches -= 1;
+    }
+}
+
+/// Counts a change that took effect, and loses its answer if that was asked for.
+fn count_effect(platform: &Platform, request: &Request) {
+    let mut state = platform.state();
+    state.effects += 1;
+    if state.faults.answers_to_lose > 0 {
+        state.faults.answers_to_lose -= 1;
+        state.answers_lost += 1;
+        request.link.close();
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/platform/mod.rs
@@ -0,0 +1,282 @@
+//! Stands in for the platform: objects with versions, conditional updates, watches, a lagging
+//! list of instances, rate limits and outages.
+
+mod handlers;
+mod instances;
+mod rates;
+mod store;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use crate::server::{Handle, Reply, Request, Result, ServerControl, StandIn};
+use crate::server::{Listen, milliseconds};
+use curranttrestle::protocol::platform::{InstanceStatus, Object};
+use instances::Instances;
+use rates::Rates;
+pub use rates::{CallCounts, SecondCounts};
+use store::Store;
+
+/// Settings of a platform stand-in.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformOptions {
+    /// Where it serves; port zero lets the system choose.
+    pub address: SocketAddr,
+    /// Where faults are injected and the truth is read.
+    pub admin_address: SocketAddr,
+    /// How late a change of the list of instances is seen.
+    pub instance_lag_ms: u64,
+    /// How many writes are taken a second.
+    pub writes_per_s: u32,
+    /// How many reads are taken a second; a watch is one read.
+    pub reads_per_s: u32,
+    /// How long a watch waits for news.
+    pub watch_wait_ms: u64,
+    /// How long each call takes.
+    pub delay_ms: u64,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            address: any_port,
+            admin_address: any_port,
+            instance_lag_ms: 1_000,
+            writes_per_s: 500,
+            reads_per_s: 2_000,
+            watch_wait_ms: 10_000,
+            delay_ms: 2,
+        }
+    }
+}
+
+/// What callers see during an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outage {
+    /// Each call is answered with 503.
+    Unavailable,
+    /// Each connection is closed without an answer; nothing takes effect.
+    Closed,
+}
+
+/// What can be injected into a platform stand-in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "kebab-case")]
+pub enum PlatformFault {
+    /// Ends outage, slowness and freeze, and loses no more answers.
+    Heal,
+    /// No call is served.
+    Outage {
+        /// What callers see.
+        outage: Outage,
+    },
+    /// Each call takes longer.
+    Slow {
+        /// By how much.
+        delay_ms: u64,
+    },
+    /// The next updates and removals take effect, but their connections close without an answer.
+    LoseAnswers {
+        /// How many.
+        count: u32,
+    },
+    /// Nothing moves, as in a paused process.
+    Freeze,
+    /// The present connections go silent for good; new ones work.
+    SilenceConnections,
+    /// Changes of the list of instances are seen later.
+    InstanceLag {
+        /// How much later.
+        lag_ms: u64,
+    },
+}
+
+/// What really happened at a platform stand-in.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlatformTruth {
+    /// All calls.
+    pub total: CallCounts,
+    /// The calls of each second in which there was one.
+    pub by_second: Vec<SecondCounts>,
+    /// How many updates and removals took effect.
+    pub effects: u64,
+    /// How many answers were lost after the effect.
+    pub answers_lost: u64,
+    /// How many objects there are.
+    pub objects: u64,
+    /// How many watches wait now.
+    pub waiting_watches: u64,
+}
+
+/// A running platform stand-in.
+pub type PlatformHandle = Handle<Platform>;
+
+/// The platform's state and behaviour.
+#[derive(Debug)]
+pub struct Platform {
+    options: PlatformOptions,
+    control: Arc<ServerControl>,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    store: Store,
+    instances: Instances,
+    rates: Rates,
+    faults: Faults,
+    effects: u64,
+    answers_lost: u64,
+    waiting_watches: u64,
+}
+
+/// The faults in force.
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    outage: Option<Outage>,
+    delay_ms: u64,
+    answers_to_lose: u32,
+    instance_lag_ms: u64,
+}
+
+/// Starts a platform stand-in.
+///
+/// ```
+/// use curranttrestle_standins::platform::{PlatformOptions, start};
+/// let platform = start(PlatformOptions::default()).unwrap();
+/// assert_ne!(platform.address().port(), 0);
+/// platform.stop();
+/// ```
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub fn start(options: PlatformOptions) -> Result<PlatformHandle> {
+    let listen = Listen {
+        name: "platform",
+        address: options.address,
+        admin_address: options.admin_address,
+    };
+    Handle::start(&listen, |control, _reopen| Platform::new(options, control))
+}
+
+impl Platform {
+    fn new(options: PlatformOptions, control: Arc<ServerControl>) -> Self {
+        let faults = Faults {
+            outage: None,
+            delay_ms: 0,
+            answers_to_lose: 0,
+            instance_lag_ms: options.instance_lag_ms,
+        };
+        let state = State {
+            store: Store::default(),
+            instances: Instances::default(),
+            rates: Rates::new(options.reads_per_s, options.writes_per_s),
+            faults,
+            effects: 0,
+            answers_lost: 0,
+            waiting_watches: 0,
+        };
+        Self {
+            options,
+            control,
+            started: Instant::now(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Reads an object, without counting it as a call.
+    #[must_use]
+    pub fn object(&self, name: &str) -> Option<Object> {
+        self.state().store.read(name).cloned()
+    }
+
+    /// The names of all objects, without counting it as a call.
+    #[must_use]
+    pub fn object_names(&self) -> Vec<String> {
+        self.state().store.names("")
+    }
+
+    /// Puts an instance on the list. It is seen there after the lag.
+    pub fn put_instance(&self, status: InstanceStatus) {
+        let now_ms = self.now_ms();
+        self.state()
+            .instances
+            .put(now_ms, status.name.clone(), Some(status));
+    }
+
+    /// Takes an instance off the list. It is seen there until the lag has passed.
+    pub fn remove_instance(&self, name: &str) {
+        let now_ms = self.now_ms();
+        self.state().instances.put(now_ms, name.to_owned(), None);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Milliseconds since the stand-in started.
+    fn now_ms(&self) -> u64 {
+        milliseconds(self.started.elapsed())
+    }
+}
+
+impl StandIn for Platform {
+    type Fault = PlatformFault;
+    type Truth = PlatformTruth;
+
+    async fn answer(self: &Arc<Self>, request: Request) -> Reply {
+        handlers::answer(self, request).await
+    }
+
+    fn inject(self: &Arc<Self>, fault: PlatformFault) {
+        log::info!("event=platform-fault fault={fault:?}");
+        match fault {
+            PlatformFault::Heal => self.heal(),
+            PlatformFault::Outage { outage } => self.begin_outage(outage),
+            PlatformFault::Slow { delay_ms } => self.state().faults.delay_ms = delay_ms,
+            PlatformFault::LoseAnswers { count } => self.state().faults.answers_to_lose = count,
+            PlatformFault::Freeze => self.control.set_frozen(true),
+            PlatformFault::SilenceConnections => self.control.silence_connections(),
+            PlatformFault::InstanceLag { lag_ms } => {
+                self.state().faults.instance_lag_ms = lag_ms;
+            }
+        }
+    }
+
+    fn truth(&self) -> PlatformTruth {
+        let state = self.state();
+        PlatformTruth {
+            total: state.rates.total(),
+            by_second: state.rates.by_second(),
+            effects: state.effects,
+            answers_lost: state.answers_lost,
+            objects: state.store.len() as u64,
+            waiting_watches: state.waiting_watches,
+        }
+    }
+}
+
+impl Platform {
+    fn begin_outage(&self, outage: Outage) {
+        self.state().faults.outage = Some(outage);
+        if outage == Outage::Closed {
+            self.control.close_connections();
+        }
+    }
+
+    fn heal(&self) {
+        let mut state = self.state();
+        state.faults.outage = None;
+        state.faults.delay_ms = 0;
+        state.faults.answers_to_lose = 0;
+        drop(state);
+        self.control.set_frozen(false);
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/platform/rates.rs
@@ -0,0 +1,139 @@
+//! Rate limits and the history of calls.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+const MS_PER_S: u64 = 1_000;
+
+/// How many seconds of history are kept.
+const HISTORY_S: usize = 3_600;
+
+/// What a call counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallKind {
+    Read,
+    Watch,
+    Write,
+}
+
+/// Counts of calls. Each call is counted once, as it arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Reads and lists.
+    pub reads: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Updates and removals.
+    pub writes: u64,
+    /// Calls of any kind that were refused since the rate was exceeded; also counted above.
+    pub over_rate: u64,
+    /// Calls of any kind that met an outage; also counted above.
+    pub in_outage: u64,
+}
+
+impl CallCounts {
+    /// All calls.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.reads + self.watches + self.writes
+    }
+
+    fn count(&mut self, kind: CallKind) {
+        match kind {
+            CallKind::Read => self.reads += 1,
+            CallKind::Watch => self.watches += 1,
+            CallKind::Write => self.writes += 1,
+        }
+    }
+}
+
+/// The calls of one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SecondCounts {
+    /// The second, counted from the start of the stand-in.
+    pub second: u64,
+    /// The calls.
+    pub counts: CallCounts,
+}
+
+/// A token bucket that holds the tokens of one second.
+#[derive(Debug)]
+struct Bucket {
+    rate_per_s: u32,
+    tokens: f64,
+    filled_ms: u64,
+}
+
+impl Bucket {
+    fn new(rate_per_s: u32) -> Self {
+        Self {
+            rate_per_s,
+            tokens: f64::from(rate_per_s),
+            filled_ms: 0,
+        }
+    }
+
+    fn take(&mut self, now_ms: u64) -> bool {
+        let elapsed_ms = u32::try_from(now_ms.saturating_sub(self.filled_ms)).unwrap_or(u32::MAX);
+        let gained = f64::from(elapsed_ms) * f64::from(self.rate_per_s) / 1_000.0;
+        self.tokens = (self.tokens + gained).min(f64::from(self.rate_per_s));
+        self.filled_ms = now_ms;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// The rate limits and the history of calls.
+#[derive(Debug)]
+pub(super) struct Rates {
+    reads: Bucket,
+    writes: Bucket,
+    total: CallCounts,
+    by_second: IndexMap<u64, CallCounts>,
+}
+
+impl Rates {
+    pub(super) fn new(reads_per_s: u32, writes_per_s: u32) -> Self {
+        Self {
+            reads: Bucket::new(reads_per_s),
+            writes: Bucket::new(writes_per_s),
+            total: CallCounts::default(),
+            by_second: IndexMap::new(),
+        }
+    }
+
+    /// Counts a call; returns whether the rate allows it.
+    pub(super) fn admit(&mut self, now_ms: u64, kind: CallKind, in_outage: bool) -> bool {
+        let allowed = match kind {
+            CallKind::Read | CallKind::Watch => self.reads.take(now_ms),
+            CallKind::Write => self.writes.take(now_ms),
+        };
+        if self.by_second.len() > HISTORY_S {
+            self.by_second.shift_remove_index(0);
+        }
+        let second = self.by_second.entry(now_ms / MS_PER_S).or_default();
+        for counts in [second, &mut self.total] {
+            counts.count(kind);
+            counts.over_rate += u64::from(!allowed);
+            counts.in_outage += u64::from(in_outage);
+        }
+        allowed
+    }
+
+    pub(super) fn total(&self) -> CallCounts {
+        self.total
+    }
+
+    pub(super) fn by_second(&self) -> Vec<SecondCounts> {
+        let seconds = self.by_second.iter();
+        seconds
+            .map(|(second, counts)| SecondCounts {
+                second: *second,
+                counts: *counts,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/relay/mod.rs
@@ -0,0 +1,258 @@
+//! A TCP relay between two parties that cuts, silences or delays what passes.
+
+mod pump;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol::Task;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::server::{Gate, Result, Runtime, Spawner, bind, bind_again};
+use pump::{Flow, pump};
+
+/// Settings of a relay.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayOptions {
+    /// Where it listens; port zero lets the system choose.
+    pub address: SocketAddr,
+    /// Where it connects to.
+    pub target: SocketAddr,
+    /// How late each byte arrives, in each direction.
+    pub delay_ms: u64,
+}
+
+impl Default for RelayOptions {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            address: any_port,
+            target: any_port,
+            delay_ms: 0,
+        }
+    }
+}
+
+/// The directions of a relay, as seen by the party that connects to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Direction {
+    /// From the party that connects to the target.
+    Forward,
+    /// From the target to the party that connects.
+    Backward,
+    /// Both.
+    Both,
+}
+
+/// What can be injected into a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "kebab-case")]
+pub enum RelayFault {
+    /// Ends a cut, a refusal and a delay. Silenced connections stay silent.
+    Heal,
+    /// Passes nothing in a direction, on present and new connections, and closes none.
+    Cut {
+        /// The direction.
+        direction: Direction,
+    },
+    /// Closes the present connections and refuses new ones.
+    Refuse,
+    /// Closes the present connections.
+    CloseConnections,
+    /// The present connections go silent for good; new ones work.
+    SilenceConnections,
+    /// Bytes arrive late, in each direction.
+    Delay {
+        /// How late.
+        delay_ms: u64,
+    },
+}
+
+/// A running relay. It stops when the handle is dropped.
+#[derive(Debug)]
+pub struct RelayHandle {
+    address: SocketAddr,
+    relay: Arc<Relay>,
+    runtime: Runtime,
+}
+
+/// The open connections, each with the gate that silences it.
+type Connections = IndexMap<u64, (Arc<Gate>, Task<()>)>;
+
+#[derive(Debug)]
+struct Relay {
+    options: RelayOptions,
+    address: SocketAddr,
+    spawner: Spawner,
+    forward: Arc<Flow>,
+    backward: Arc<Flow>,
+    next_connection: AtomicU64,
+    connections: Mutex<Connections>,
+    listening: Mutex<Option<Task<()>>>,
+}
+
+/// Starts a relay.
+///
+/// ```
+/// use curranttrestle_standins::relay::{RelayFault, RelayOptions, start};
+/// let relay = start(RelayOptions::default()).unwrap();
+/// relay.inject(RelayFault::Refuse);
+/// relay.stop();
+/// ```
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub fn start(options: RelayOptions) -> Result<RelayHandle> {
+    let runtime = Runtime::start("relay")?;
+    let listener = bind(options.address)?;
+    let address = listener.local_addr().unwrap_or(options.address);
+    let relay = Arc::new(Relay {
+        options,
+        address,
+        spawner: runtime.spawner(),
+        forward: Arc::new(Flow::new(options.delay_ms)),
+        backward: Arc::new(Flow::new(options.delay_ms)),
+        next_connection: AtomicU64::new(0),
+        connections: Mutex::default(),
+        listening: Mutex::default(),
+    });
+    relay.listen(listener);
+    Ok(RelayHandle {
+        address,
+        relay,
+        runtime,
+    })
+}
+
+impl RelayHandle {
+    /// Where the relay listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Injects a fault, or ends one.
+    pub fn inject(&self, fault: RelayFault) {
+        self.relay.inject(fault);
+    }
+
+    /// How many connections are open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.relay.connections().len()
+    }
+
+    /// Stops the relay and closes its connections.
+    pub fn stop(mut self) {
+        self.runtime.stop();
+    }
+}
+
+impl Relay {
+    fn inject(self: &Arc<Self>, fault: RelayFault) {
+        match fault {
+            RelayFault::Heal => self.heal(),
+            RelayFault::Cut { direction } => self.cut(direction),
+            RelayFault::Refuse => {
+                let listening = self.listening().take();
+                drop(listening);
+                self.close_connections();
+            }
+            RelayFault::CloseConnections => self.close_connections(),
+            RelayFault::SilenceConnections => {
+                for (gate, _) in self.connections().values() {
+                    gate.set_frozen(true);
+                }
+            }
+            RelayFault::Delay { delay_ms } => {
+                self.forward.set_delay(delay_ms);
+                self.backward.set_delay(delay_ms);
+            }
+        }
+    }
+
+    fn cut(&self, direction: Direction) {
+        let forward = matches!(direction, Direction::Forward | Direction::Both);
+        let backward = matches!(direction, Direction::Backward | Direction::Both);
+        self.forward.gate.set_frozen(forward);
+        self.backward.gate.set_frozen(backward);
+    }
+
+    fn heal(self: &Arc<Self>) {
+        for flow in [&self.forward, &self.backward] {
+            flow.gate.set_frozen(false);
+            flow.set_delay(self.options.delay_ms);
+        }
+        if self.listening().is_some() {
+            return;
+        }
+        let relay = Arc::clone(self);
+        self.spawner.spawn_detached(async move {
+            let listener = bind_again(relay.address).await;
+            relay.listen(listener);
+        });
+    }
+
+    fn listen(self: &Arc<Self>, listener: TcpListener) {
+        let relay = Arc::clone(self);
+        let task = self.spawner.spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                relay.accept(stream);
+            }
+        });
+        *self.listening() = task;
+    }
+
+    fn accept(self: &Arc<Self>, stream: TcpStream) {
+        let id = self.next_connection.fetch_add(1, Ordering::SeqCst);
+        let gate = Arc::new(Gate::default());
+        let relay = Arc::clone(self);
+        let own_gate = Arc::clone(&gate);
+        let mut connections = self.connections();
+        let task = self.spawner.spawn(async move {
+            relay.carry(stream, own_gate).await;
+            let ended = relay.connections().swap_remove(&id);
+            drop(ended);
+        });
+        if let Some(task) = task {
+            connections.insert(id, (gate, task));
+        }
+    }
+
+    /// Carries one connection until either party ends it.
+    async fn carry(&self, caller: TcpStream, gate: Arc<Gate>) {
+        self.forward.gate.thawed().await;
+        let Ok(target) = TcpStream::connect(self.options.target).await else {
+            return;
+        };
+        let nodelay = caller.set_nodelay(true).and(target.set_nodelay(true));
+        if nodelay.is_err() {
+            return;
+        }
+        let forward = pump(caller.clone(), target.clone(), &self.forward, &gate);
+        let backward = pump(target, caller, &self.backward, &gate);
+        smol::future::zip(forward, backward).await;
+    }
+
+    fn close_connections(&self) {
+        let connections = std::mem::take(&mut *self.connections());
+        drop(connections);
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn listening(&self) -> MutexGuard<'_, Option<Task<()>>> {
+        self.listening
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/relay/pump.rs
@@ -0,0 +1,89 @@
+//! Carries the bytes of one direction of a connection.
+
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::Timer;
+use smol::net::TcpStream;
+
+use crate::server::Gate;
+
+/// How many bytes are read at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// How many pieces may be under way in one direction of a connection.
+const PIECES_UNDER_WAY: usize = 256;
+
+/// One direction of a relay.
+#[derive(Debug)]
+pub(super) struct Flow {
+    pub(super) gate: Gate,
+    delay_ms: AtomicU64,
+}
+
+impl Flow {
+    pub(super) fn new(delay_ms: u64) -> Self {
+        Self {
+            gate: Gate::default(),
+            delay_ms: AtomicU64::new(delay_ms),
+        }
+    }
+
+    pub(super) fn set_delay(&self, delay_ms: u64) {
+        self.delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
+    fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms.load(Ordering::SeqCst))
+    }
+}
+
+/// Bytes under way and when they arrive.
+struct Piece {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+/// Carries bytes from one stream to the other until either ends.
+pub(super) async fn pump(from: TcpStream, to: TcpStream, flow: &Flow, connection: &Gate) {
+    let (sender, receiver) = async_channel::bounded(PIECES_UNDER_WAY);
+    let reading = read_pieces(from.clone(), sender, flow, connection);
+    let writing = write_pieces(to.clone(), receiver, flow, connection);
+    smol::future::zip(reading, writing).await;
+    let _ = to.shutdown(Shutdown::Write);
+    let _ = from.shutdown(Shutdown::Read);
+}
+
+async fn read_pieces(mut from: TcpStream, pieces: Sender<Piece>, flow: &Flow, connection: &Gate) {
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        connection.thawed().await;
+        flow.gate.thawed().await;
+        let Ok(length @ 1..) = from.read(&mut buffer).await else {
+            return;
+        };
+        let piece = Piece {
+            due: Instant::now() + flow.delay(),
+            bytes: buffer[..length].to_vec(),
+        };
+        if pieces.send(piece).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_pieces(mut to: TcpStream, pieces: Receiver<Piece>, flow: &Flow, connection: &Gate) {
+    while let Ok(piece) = pieces.recv().await {
+        if piece.due > Instant::now() {
+            Timer::at(piece.due).await;
+        }
+        connection.thawed().await;
+        flow.gate.thawed().await;
+        if to.write_all(&piece.bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/server/control.rs
@@ -0,0 +1,164 @@
+//! The listener and the connections of a stand-in, and their faults.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use smol::net::{TcpListener, TcpStream};
+use smol::{Task, Timer};
+
+use super::connection::{Connection, Gate, Link};
+use super::http::{Reply, Request, serve};
+use super::{Error, Result, Spawner};
+
+/// How long to wait before an address that is still in use is tried again.
+const REBIND_INTERVAL_MS: u64 = 20;
+
+/// The open connections, each with its switch.
+type Connections = IndexMap<u64, (Arc<Link>, Task<()>)>;
+
+/// Controls the connections of one stand-in.
+#[derive(Debug)]
+pub struct ServerControl {
+    spawner: Spawner,
+    gate: Arc<Gate>,
+    connections: Mutex<Connections>,
+    next_connection: AtomicU64,
+    close_on_accept: AtomicU32,
+    listening: Mutex<Option<Task<()>>>,
+}
+
+impl ServerControl {
+    pub(super) fn new(spawner: Spawner) -> Self {
+        Self {
+            spawner,
+            gate: Arc::default(),
+            connections: Mutex::default(),
+            next_connection: AtomicU64::new(0),
+            close_on_accept: AtomicU32::new(0),
+            listening: Mutex::default(),
+        }
+    }
+
+    /// Freezes or thaws all connections, present and future ones.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.gate.set_frozen(frozen);
+    }
+
+    /// Whether the connections are frozen.
+    #[must_use]
+    pub fn is_frozen(&self) -> bool {
+        self.gate.is_frozen()
+    }
+
+    /// Waits while the connections are frozen.
+    pub async fn thawed(&self) {
+        self.gate.thawed().await;
+    }
+
+    /// Makes the present connections silent for good. New ones work.
+    pub fn silence_connections(&self) {
+        for (link, _) in self.connections().values() {
+            link.silence();
+        }
+    }
+
+    /// Closes the present connections.
+    pub fn close_connections(&self) {
+        let connections = std::mem::take(&mut *self.connections());
+        drop(connections);
+    }
+
+    /// Closes the next `count` connections as soon as they are accepted.
+    pub fn close_next_connections(&self, count: u32) {
+        self.close_on_accept.store(count, Ordering::SeqCst);
+    }
+
+    /// Refuses new connections.
+    pub fn stop_listening(&self) {
+        let task = self.listening().take();
+        drop(task);
+    }
+
+    /// Runs a task on the stand-in's thread.
+    pub(crate) fn spawn_detached(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.spawner.spawn_detached(future);
+    }
+
+    /// Accepts connections at `address` and answers their requests.
+    pub(super) fn listen<F, Fut>(self: &Arc<Self>, listener: TcpListener, answer: F)
+    where
+        F: Fn(Request) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Reply> + Send + 'static,
+    {
+        let control = Arc::clone(self);
+        let task = self.spawner.spawn(async move {
+            while let Ok((stream, source)) = listener.accept().await {
+                control.accept(stream, source, answer.clone());
+            }
+        });
+        *self.listening() = task;
+    }
+
+    fn accept<F, Fut>(self: &Arc<Self>, stream: TcpStream, source: SocketAddr, answer: F)
+    where
+        F: Fn(Request) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = Reply> + Send + 'static,
+    {
+        if self.is_closed_on_accept() || stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let id = self.next_connection.fetch_add(1, Ordering::SeqCst);
+        let link = Arc::new(Link::default());
+        let connection = Connection::new(stream, Arc::clone(&link), Arc::clone(&self.gate));
+        let serving = serve(connection, Some(source), Arc::clone(&link), answer);
+        let control = Arc::clone(self);
+        let mut connections = self.connections();
+        let task = self.spawner.spawn(async move {
+            serving.await;
+            let ended = control.connections().swap_remove(&id);
+            drop(ended);
+        });
+        if let Some(task) = task {
+            connections.insert(id, (link, task));
+        }
+    }
+
+    fn is_closed_on_accept(&self) -> bool {
+        let decrement = |count: u32| count.checked_sub(1);
+        self.close_on_accept
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, decrement)
+            .is_ok()
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn listening(&self) -> MutexGuard<'_, Option<Task<()>>> {
+        self.listening
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Binds an address; port zero lets the system choose.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let bound = std::net::TcpListener::bind(address).and_then(TcpListener::try_from);
+    bound.map_err(|source| Error::Bind { address, source })
+}
+
+/// Binds an address again, waiting until it is free.
+pub(crate) async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = bind(address) {
+            return listener;
+        }
+        Timer::after(Duration::from_millis(REBIND_INTERVAL_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/server/handle.rs
@@ -0,0 +1,141 @@
+//! The handle of a running stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use trillium_http::{Method, Status};
+
+use super::control::{bind, bind_again};
+use super::{Reply, Request, Result, Runtime, ServerControl, StandIn};
+
+/// A running stand-in. It stops when the handle is dropped.
+#[derive(Debug)]
+pub struct Handle<S: StandIn> {
+    address: SocketAddr,
+    admin_address: SocketAddr,
+    stand_in: Arc<S>,
+    runtime: Runtime,
+}
+
+/// Where a stand-in listens.
+#[derive(Clone, Debug)]
+pub(crate) struct Listen<'a> {
+    /// The name of its thread.
+    pub(crate) name: &'a str,
+    /// Where it serves.
+    pub(crate) address: SocketAddr,
+    /// Where faults are injected and the truth is read.
+    pub(crate) admin_address: SocketAddr,
+}
+
+/// Lets a stand-in open its listener again.
+#[derive(Debug)]
+pub(crate) struct Reopen {
+    control: Arc<ServerControl>,
+    address: SocketAddr,
+}
+
+impl Reopen {
+    /// Accepts connections again at the stand-in's address.
+    pub(crate) async fn open<S: StandIn>(&self, stand_in: Arc<S>) {
+        let listener = bind_again(self.address).await;
+        listen(&self.control, listener, stand_in);
+    }
+}
+
+impl<S: StandIn> Handle<S> {
+    /// Starts a stand-in that `build` makes from the control of its connections.
+    pub(crate) fn start(
+        listen_at: &Listen<'_>,
+        build: impl FnOnce(Arc<ServerControl>, Reopen) -> S,
+    ) -> Result<Self> {
+        let runtime = Runtime::start(listen_at.name)?;
+        let listener = bind(listen_at.address)?;
+        let admin_listener = bind(listen_at.admin_address)?;
+        let address = local_address(&listener, listen_at.address);
+        let admin_address = local_address(&admin_listener, listen_at.admin_address);
+        let control = Arc::new(ServerControl::new(runtime.spawner()));
+        let reopen = Reopen {
+            control: Arc::clone(&control),
+            address,
+        };
+        let stand_in = Arc::new(build(Arc::clone(&control), reopen));
+        listen(&control, listener, Arc::clone(&stand_in));
+        let administered = Arc::clone(&stand_in);
+        let admin_control = Arc::new(ServerControl::new(runtime.spawner()));
+        admin_control.listen(admin_listener, move |request| {
+            let reply = administer(&administered, &request);
+            async move { reply }
+        });
+        Ok(Self {
+            address,
+            admin_address,
+            stand_in,
+            runtime,
+        })
+    }
+
+    /// Where the stand-in serves.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where faults are injected by `POST /faults` and the truth is read by `GET /truth`.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Injects a fault, or ends one.
+    pub fn inject(&self, fault: S::Fault) {
+        self.stand_in.inject(fault);
+    }
+
+    /// What really happened so far.
+    #[must_use]
+    pub fn truth(&self) -> S::Truth {
+        self.stand_in.truth()
+    }
+
+    /// The stand-in itself.
+    #[must_use]
+    pub fn stand_in(&self) -> &Arc<S> {
+        &self.stand_in
+    }
+
+    /// Stops the stand-in and closes its connections.
+    pub fn stop(mut self) {
+        self.runtime.stop();
+    }
+}
+
+fn listen<S: StandIn>(
+    control: &Arc<ServerControl>,
+    listener: smol::net::TcpListener,
+    stand_in: Arc<S>,
+) {
+    control.listen(listener, move |request| {
+        let stand_in = Arc::clone(&stand_in);
+        async move { stand_in.answer(request).await }
+    });
+}
+
+fn administer<S: StandIn>(stand_in: &Arc<S>, request: &Request) -> Reply {
+    let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
+    match (request.method, segments.as_slice()) {
+        (Method::Get, ["truth"]) => Reply::json(Status::Ok, &stand_in.truth()),
+        (Method::Post, ["faults"]) => match request.json() {
+            Ok(fault) => {
+                stand_in.inject(fault);
+                Reply::empty(Status::NoContent)
+            }
+            Err(reply) => reply,
+        },
+        _ => Reply::empty(Status::NotFound),
+    }
+}
+
+fn local_address(listener: &smol::net::TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/server/http.rs
@@ -0,0 +1,180 @@
+//! Requests and replies as values, and their way over a connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use trillium_http::{Body, Conn, Headers, HttpConfig, KnownHeaderName, Method, Status, Stopper};
+
+use super::connection::{Connection, Link};
+
+/// The largest request body that is read.
+const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
+
+/// One request.
+#[derive(Debug)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The segments of the path, decoded.
+    pub segments: Vec<String>,
+    /// The parameters of the query, decoded.
+    pub query: IndexMap<String, String>,
+    /// The headers.
+    pub headers: Headers,
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// The address of the sender.
+    pub source: Option<SocketAddr>,
+    /// The switch of the connection that the request came over.
+    pub link: Arc<Link>,
+}
+
+impl Request {
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns a reply with status 400 when the body is malformed.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| Reply::text(Status::BadRequest, error.to_string()))
+    }
+
+    /// A numeric parameter of the query; zero when it is absent or malformed.
+    #[must_use]
+    pub fn number(&self, name: &str) -> u64 {
+        let value = self.query.get(name).and_then(|value| value.parse().ok());
+        value.unwrap_or(0)
+    }
+}
+
+/// The reply to a request.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: Status,
+    /// The media type of the body.
+    pub content_type: &'static str,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Body,
+}
+
+impl Reply {
+    /// A reply with a text.
+    pub fn text(status: Status, text: impl Into<String>) -> Self {
+        Self {
+            status,
+            content_type: "text/plain",
+            headers: Vec::new(),
+            body: Body::from(text.into()),
+        }
+    }
+
+    /// A reply with a JSON body.
+    pub fn json(status: Status, value: &impl Serialize) -> Self {
+        match serde_json::to_string(value) {
+            Ok(text) => Self {
+                content_type: "application/json",
+                ..Self::text(status, text)
+            },
+            Err(error) => Self::text(Status::InternalServerError, error.to_string()),
+        }
+    }
+
+    /// A reply without a body.
+    #[must_use]
+    pub fn empty(status: Status) -> Self {
+        Self::text(status, "")
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// Settings that let each chunk of a streamed reply out at once.
+pub(super) fn http_config() -> HttpConfig {
+    HttpConfig::default()
+        .with_response_buffer_len(0)
+        .with_received_body_max_len(MAX_BODY_BYTES)
+}
+
+/// Serves the requests of one connection until it ends.
+pub(super) async fn serve<F, Fut>(
+    connection: Connection,
+    source: Option<SocketAddr>,
+    link: Arc<Link>,
+    answer: F,
+) where
+    F: Fn(Request) -> Fut + Send + Sync,
+    Fut: Future<Output = Reply> + Send,
+{
+    let exchange = |conn: Conn<Connection>| {
+        let link = Arc::clone(&link);
+        let answer = &answer;
+        async move {
+            let mut conn = conn;
+            match read_request(&mut conn, source, Arc::clone(&link)).await {
+                Some(request) => write_reply(&mut conn, answer(request).await),
+                None => link.close(),
+            }
+            conn
+        }
+    };
+    let served = Conn::map_with_config(http_config(), connection, Stopper::new(), exchange).await;
+    if let Err(error) = served {
+        log::debug!("event=connection-ended error=\"{error}\"");
+    }
+}
+
+async fn read_request(
+    conn: &mut Conn<Connection>,
+    source: Option<SocketAddr>,
+    link: Arc<Link>,
+) -> Option<Request> {
+    let body = conn.request_body().await.read_bytes().await.ok()?;
+    Some(Request {
+        method: conn.method(),
+        segments: segments(conn.path()),
+        query: query(conn.querystring()),
+        headers: conn.request_headers().clone(),
+        body,
+        source,
+        link,
+    })
+}
+
+fn write_reply(conn: &mut Conn<Connection>, reply: Reply) {
+    conn.set_status(reply.status);
+    let headers = conn.response_headers_mut();
+    headers.insert(KnownHeaderName::ContentType, reply.content_type);
+    for (name, value) in reply.headers {
+        headers.insert(name, value);
+    }
+    conn.set_response_body(reply.body);
+}
+
+fn segments(path: &str) -> Vec<String> {
+    let parts = path.split('/').filter(|part| !part.is_empty());
+    parts.map(decode).collect()
+}
+
+fn query(text: &str) -> IndexMap<String, String> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (decode(name), decode(&value.replace('+', " "))))
+        .collect()
+}
+
+fn decode(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/service/handlers.rs
@@ -0,0 +1,179 @@
+//! Answers the requests to a service stand-in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use curranttrestle::protocol::endpoint::{
+    ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, LoadReport, Order, OrderAnswer, OrderKind,
+    running_digest,
+};
+use curranttrestle::state::EndpointId;
+use smol::Timer;
+use trillium_http::{Method, Status};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Service;
+use super::fault::take_one;
+use crate::endpoint::{not_run_reply, order_reply};
+use crate::server::{Reply, Request, unix_ms};
+
+/// The answer to a call, which depends on the operation and the body alone.
+///
+/// ```
+/// use curranttrestle_standins::service::expected_answer;
+/// assert_eq!(expected_answer("stock", b"7"), expected_answer("stock", b"7"));
+/// assert_ne!(expected_answer("stock", b"7"), expected_answer("stock", b"8"));
+/// ```
+#[must_use]
+pub fn expected_answer(operation: &str, body: &[u8]) -> String {
+    format!(
+        "{{\"operation\":\"{operation}\",\"bytes\":{},\"digest\":\"{:016x}\"}}",
+        body.len(),
+        xxh3_64(body)
+    )
+}
+
+/// Answers one request.
+pub(super) async fn answer(service: &Arc<Service>, request: Request) -> Reply {
+    let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
+    match (request.method, segments.as_slice()) {
+        (Method::Post, ["operations", operation]) => run(service, &request, operation).await,
+        (Method::Get, ["v1", "load"]) => load(service),
+        (Method::Post, ["v1", "orders"]) => order(service, &request),
+        _ => Reply::empty(Status::NotFound),
+    }
+}
+
+/// What happens to a call that arrived.
+enum Admission {
+    Run,
+    Refuse,
+    CloseWithoutRunning,
+}
+
+async fn run(service: &Service, request: &Request, operation: &str) -> Reply {
+    let header = |name: &str| request.headers.get_str(name).map(str::to_owned);
+    let Some(attempt) = header(ATTEMPT_HEADER) else {
+        return Reply::text(Status::BadRequest, "the attempt is missing");
+    };
+    service.control.thawed().await;
+    match admit(service) {
+        Admission::Run => {}
+        Admission::Refuse => return not_run_reply(),
+        Admission::CloseWithoutRunning => {
+            request.link.close();
+            return Reply::empty(Status::BadGateway);
+        }
+    }
+    let call = RunningCall::begin(service, &attempt);
+    count_run(service, operation, &attempt, header(IDEMPOTENCY_KEY_HEADER));
+    work(service).await;
+    drop(call);
+    if finish(service) {
+        request.link.close();
+    }
+    Reply {
+        content_type: "application/json",
+        ..Reply::text(Status::Ok, expected_answer(operation, &request.body))
+    }
+}
+
+fn admit(service: &Service) -> Admission {
+    let mut state = service.state();
+    state.truth.arrived += 1;
+    if state.orders.is_stopped() || take_one(&mut state.faults.refuse_next) {
+        state.truth.refused += 1;
+        return Admission::Refuse;
+    }
+    if take_one(&mut state.faults.close_without_running) {
+        return Admission::CloseWithoutRunning;
+    }
+    Admission::Run
+}
+
+fn count_run(service: &Service, operation: &str, attempt: &str, key: Option<String>) {
+    let mut state = service.state();
+    state.leaving.admitted(unix_ms());
+    let running = state.load.len() as u64;
+    let truth = &mut state.truth;
+    truth.started += 1;
+    truth.over_admitted += u64::from(running > u64::from(service.options.slots));
+    *truth.runs_by_attempt.entry(attempt.to_owned()).or_default() += 1;
+    *truth
+        .runs_by_operation
+        .entry(operation.to_owned())
+        .or_default() += 1;
+    if let Some(key) = key {
+        *truth.runs_by_key.entry(key).or_default() += 1;
+    }
+}
+
+async fn work(service: &Service) {
+    let factor = u64::from(service.state().faults.slow_factor);
+    Timer::after(Duration::from_millis(service.options.work_ms * factor)).await;
+    service.control.thawed().await;
+}
+
+/// Counts a call that ran to its end; returns whether its answer is withheld.
+fn finish(service: &Service) -> bool {
+    let mut state = service.state();
+    state.truth.finished += 1;
+    take_one(&mut state.faults.close_after_running)
+}
+
+/// Shows a call in the load reports as long as it lives.
+struct RunningCall<'a> {
+    service: &'a Service,
+    attempt: &'a str,
+}
+
+impl<'a> RunningCall<'a> {
+    fn begin(service: &'a Service, attempt: &'a str) -> Self {
+        service.state().load.begin(unix_ms(), attempt);
+        Self { service, attempt }
+    }
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        self.service.state().load.end(unix_ms(), self.attempt);
+    }
+}
+
+fn load(service: &Service) -> Reply {
+    let now_unix_ms = unix_ms();
+    let state = service.state();
+    let seen_unix_ms = now_unix_ms.saturating_sub(state.faults.load_lag_ms);
+    let taken_unix_ms = if state.faults.lying_load {
+        now_unix_ms
+    } else {
+        seen_unix_ms
+    };
+    let running = state.load.running_at(seen_unix_ms);
+    let report = LoadReport {
+        endpoint: EndpointId::new(&service.options.name),
+        incarnation: service.incarnation,
+        taken_unix_ms,
+        running_digest: running_digest(running.iter().map(String::as_str)),
+        running,
+        slots: service.options.slots,
+        draining: state.orders.is_stopped(),
+        model: state.orders.model.clone(),
+        role: state.orders.role.clone(),
+    };
+    Reply::json(Status::Ok, &report)
+}
+
+fn order(service: &Service, request: &Request) -> Reply {
+    let order: Order = match request.json() {
+        Ok(order) => order,
+        Err(reply) => return reply,
+    };
+    let mut state = service.state();
+    let answer = state.orders.take(&order, service.incarnation);
+    let stops = order.kind == OrderKind::Stop && answer == OrderAnswer::Applied;
+    if stops && !state.orders.is_stopped() {
+        service.stop(&mut state);
+    }
+    order_reply(answer)
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/src/service/mod.rs
@@ -0,0 +1,216 @@
+//! Stands in for a plain service: it answers whole and counts how often each booking ran.
+
+mod fault;
+mod handlers;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use crate::endpoint::{Leaving, LeavingTruth, LoadLog, OrderLog, OrderTruth, STOP_LINGER_MS};
+use crate::server::{Handle, Listen, Reply, Request, Result, ServerControl, StandIn, unix_ms};
+use fault::Faults;
+pub use fault::ServiceFault;
+pub use handlers::expected_answer;
+
+/// Settings of a service stand-in.
+#[derive(Clone, Debug)]
+pub struct ServiceOptions {
+    /// The name of the endpoint.
+    pub name: String,
+    /// The data centre it stands in.
+    pub data_centre: String,
+    /// Where it serves; port zero lets the system choose.
+    pub address: SocketAddr,
+    /// Where faults are injected and the truth is read.
+    pub admin_address: SocketAddr,
+    /// How many calls it is made to run at once.
+    pub slots: u32,
+    /// How long a call runs.
+    pub work_ms: u64,
+    /// How old the state is that a load report shows.
+    pub load_lag_ms: u64,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// Whether an order that names another run is refused.
+    pub checks_incarnation: bool,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: String::from("service"),
+            data_centre: String::from("dc"),
+            address: any_port,
+            admin_address: any_port,
+            slots: 8,
+            work_ms: 20,
+            load_lag_ms: 300,
+            checks_fencing: true,
+            checks_incarnation: true,
+        }
+    }
+}
+
+/// What really happened at a service stand-in.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTruth {
+    /// The present run.
+    pub incarnation: u64,
+    /// How many calls run now.
+    pub running: u64,
+    /// Calls that arrived whole.
+    pub arrived: u64,
+    /// Calls refused before they began.
+    pub refused: u64,
+    /// Calls that began to run.
+    pub started: u64,
+    /// Calls that ran to their end.
+    pub finished: u64,
+    /// Calls that began while all slots were busy.
+    pub over_admitted: u64,
+    /// How often each booking began to run, by idempotency key.
+    pub runs_by_key: IndexMap<String, u64>,
+    /// How often each attempt began to run.
+    pub runs_by_attempt: IndexMap<String, u64>,
+    /// How often each operation began to run.
+    pub runs_by_operation: IndexMap<String, u64>,
+    /// What became of the orders.
+    pub orders: OrderTruth,
+    /// What arrived after the leaving mark.
+    pub leaving: LeavingTruth,
+}
+
+/// A running service stand-in.
+pub type ServiceHandle = Handle<Service>;
+
+/// The service's state and behaviour.
+#[derive(Debug)]
+pub struct Service {
+    options: ServiceOptions,
+    control: Arc<ServerControl>,
+    incarnation: u64,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    load: LoadLog,
+    orders: OrderLog,
+    leaving: Leaving,
+    faults: Faults,
+    truth: ServiceTruth,
+}
+
+/// Starts a service stand-in.
+///
+/// ```
+/// use curranttrestle_standins::service::{ServiceOptions, start};
+/// let service = start(ServiceOptions::default()).unwrap();
+/// assert_eq!(service.truth().started, 0);
+/// service.stop();
+/// ```
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub fn start(options: ServiceOptions) -> Result<ServiceHandle> {
+    let name = options.name.clone();
+    let listen = Listen {
+        name: &name,
+        address: options.address,
+        admin_address: options.admin_address,
+    };
+    Handle::start(&listen, |control, _reopen| Service::new(options, control))
+}
+
+impl Service {
+    fn new(options: ServiceOptions, control: Arc<ServerControl>) -> Self {
+        let orders = OrderLog::new(
+            options.checks_fencing,
+            options.checks_incarnation,
+            &options.name,
+        );
+        let state = State {
+            load: LoadLog::default(),
+            orders,
+            leaving: Leaving::default(),
+            faults: Faults::new(options.load_lag_ms),
+            truth: ServiceTruth::default(),
+        };
+        Self {
+            options,
+            control,
+            incarnation: unix_ms(),
+            state: Mutex::new(state),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Carries out a stop order: cuts what runs and refuses connections from then on.
+    fn stop(&self, state: &mut State) {
+        let unix_ms = unix_ms();
+        let cut = state.load.len() as u64;
+        state.orders.stop(unix_ms, cut);
+        log::info!(
+            "event=service-stop endpoint={} cut_calls={cut}",
+            self.options.name
+        );
+        let control = Arc::clone(&self.control);
+        self.control.spawn_detached(async move {
+            Timer::after(Duration::from_millis(STOP_LINGER_MS)).await;
+            control.stop_listening();
+            control.close_connections();
+        });
+    }
+}
+
+impl StandIn for Service {
+    type Fault = ServiceFault;
+    type Truth = ServiceTruth;
+
+    async fn answer(self: &Arc<Self>, request: Request) -> Reply {
+        handlers::answer(self, request).await
+    }
+
+    fn inject(self: &Arc<Self>, fault: ServiceFault) {
+        log::info!(
+            "event=service-fault endpoint={} fault={fault:?}",
+            self.options.name
+        );
+        let mut state = self.state();
+        match fault {
+            ServiceFault::Freeze => self.control.set_frozen(true),
+            ServiceFault::SilenceConnections => self.control.silence_connections(),
+            ServiceFault::CloseBeforeReading { count } => {
+                self.control.close_next_connections(count);
+            }
+            ServiceFault::Leaving => state.leaving.mark(unix_ms()),
+            ServiceFault::Heal => {
+                state.faults = Faults::new(self.options.load_lag_ms);
+                self.control.close_next_connections(0);
+                self.control.set_frozen(false);
+            }
+            setting => state.faults.set(&setting),
+        }
+    }
+
+    fn truth(&self) -> ServiceTruth {
+        let state = self.state();
+        ServiceTruth {
+            incarnation: self.incarnation,
+            running: state.load.len() as u64,
+            orders: state.orders.truth.clone(),
+            leaving: state.leaving.truth.clone(),
+            ..state.truth.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-standins/tests/standins/common.rs
@@ -0,0 +1,52 @@
+//! What the tests of the stand-ins share.
+
+use std::net::SocketAddr;
+
+use curranttrestle::protocol::endpoint::StreamRequest;
+use curranttrestle::state::{AttemptId, CustomerId, Incarnation, InstanceId, PoolId};
+use curranttrestle::transport::endpoint::{EndpointClient, EndpointClientOptions, Result};
+use curranttrestle::transport::frames::FrameStream;
+
+/// The attempt with a number.
+pub fn attempt(sequence: u64) -> AttemptId {
+    AttemptId {
+        instance: InstanceId::new("router-1"),
+        incarnation: Incarnation(1),
+        sequence,
+    }
+}
+
+/// A request for an answer to `prompt`.
+pub fn request(sequence: u64, prompt: &str, max_tokens: u32) -> StreamRequest {
+    StreamRequest {
+        attempt: attempt(sequence).to_string(),
+        request: format!("request-{sequence}"),
+        customer: CustomerId::new("roofers"),
+        operation: String::from("draft"),
+        pool: PoolId::new("model"),
+        prompt: prompt.to_owned(),
+        max_tokens,
+        expected_cost: None,
+    }
+}
+
+/// A client with the default settings.
+pub fn client() -> EndpointClient {
+    EndpointClient::new(EndpointClientOptions::default())
+}
+
+/// Reads a stream to its end.
+pub async fn read_all(stream: &mut FrameStream) -> Result<String> {
+    let mut text = String::new();
+    while let Some(chunk) = stream.next().await? {
+        assert_eq!(chunk.offset, text.len() as u64);
+        text.push_str(&chunk.text);
+    }
+    Ok(text)
+}
+
+/// Starts a stream and reads it to its end.
+pub async fn run(address: SocketAddr, request: &StreamRequest) -> Result<String> {
+    let mut stream = client().start_stream(address, request).await?;
+    read_all(&mut stream).await
+}
--- a/crates/curranttrestle/src/protocol/endpoint.rs
+++ b/crates/curranttrestle/src/protocol/endpoint.rs
@@ -19,7 +19,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::state::{CustomerId, EndpointId, PoolId};
 
@@ -206,3 +206,24 @@
     /// The length of the prefix in tokens.
     pub tokens: u32,
 }
+
+/// How many bytes of a prompt make one block of an engine's prefix cache.
+pub const PREFIX_BLOCK_BYTES: usize = 64;
+
+/// The digests of the prefixes of a prompt that an engine can cache, the shortest first.
+///
+/// ```
+/// use curranttrestle::protocol::endpoint::prefix_digests;
+/// let common = "x".repeat(128);
+/// let first: Vec<u64> = prefix_digests(&format!("{common} first")).collect();
+/// let second: Vec<u64> = prefix_digests(&format!("{common} second")).collect();
+/// assert_eq!(first, second);
+/// assert_eq!(first.len(), 2);
+/// ```
+pub fn prefix_digests(prompt: &str) -> impl Iterator<Item = u64> + '_ {
+    let blocks = prompt.as_bytes().chunks_exact(PREFIX_BLOCK_BYTES);
+    blocks.scan(0, |digest, block| {
+        *digest = xxh3_64_with_seed(block, *digest);
+        Some(*digest)
+    })
+}
