--- a/crates/curranttrestle/src/coordination/claims/resolve.rs
+++ b/crates/curranttrestle/src/coordination/claims/resolve.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::peer::ClaimResult;
 use crate::protocol::{Refusal, RefusalReason};
-use crate::state::{AttemptId, EventKind, InstanceId, Now, RequestId};
+use crate::state::{AttemptId, InstanceId, Now, RequestId};
 
 use super::entry::{EntryState, Intent};
 use super::page::{Change, PendingChange, Settlement};
@@ -168,17 +168,10 @@
         let request = entry.intent.request;
         let intent = entry.intent.clone();
         self.withdraw_claim(&intent);
-        vec![
-            ClaimEffect::Emit {
-                kind: EventKind::Claimed,
-                request: Some(request),
-                details: vec![("attempt", attempt.to_string())],
-            },
-            ClaimEffect::Resolved {
-                request,
-                verdict: ClaimVerdict::Dispatch,
-            },
-        ]
+        vec![ClaimEffect::Resolved {
+            request,
+            verdict: ClaimVerdict::Dispatch,
+        }]
     }
 
     /// The key of an attempt belongs to another one.
--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod call_ids;
 pub mod claims;
+pub mod drain;
 pub mod invariant;
 pub mod membership;
 pub mod rendezvous;
--- a/crates/curranttrestle/src/coordination/store_gate.rs
+++ b/crates/curranttrestle/src/coordination/store_gate.rs
@@ -19,11 +19,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum CallPriority {
     /// A caller waits for it.
-    Claim,
+    Claims,
     /// It keeps the configuration in force.
-    Configuration,
+    Config,
     /// It can wait.
-    Upkeep,
+    Background,
 }
 
 impl CallPriority {
@@ -31,9 +31,9 @@
 
     fn index(self) -> usize {
         match self {
-            Self::Claim => 0,
-            Self::Configuration => 1,
-            Self::Upkeep => 2,
+            Self::Claims => 0,
+            Self::Config => 1,
+            Self::Background => 2,
         }
     }
 }
@@ -94,7 +94,7 @@
 /// use rand::SeedableRng;
 /// let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
 /// let mut gate = StoreGate::new(StoreGateOptions::default());
-/// gate.submit(CallId(1), StoreCall::Instances, CallPriority::Upkeep, Now::default()).unwrap();
+/// gate.submit(CallId(1), StoreCall::Instances, CallPriority::Background, Now::default()).unwrap();
 /// assert_eq!(gate.poll(Now::default(), &mut rng).len(), 1);
 /// ```
 #[derive(Clone, Debug)]
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -4,8 +4,10 @@
 //! the coordination layer and is defined in the file named after it.
 
 mod claims;
+mod drain;
 mod fair_share;
 mod membership;
+mod quarantine;
 mod seal;
 mod slots;
 
@@ -15,8 +17,10 @@
 use crate::state::{Incarnation, InstanceId};
 
 pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
+pub use drain::{EndpointNotice, EndpointNotices, Listed};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
+pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
 
@@ -60,4 +64,8 @@
     ClaimRequest(ClaimRequest),
     /// The answer to a claim request.
     ClaimAnswer(ClaimAnswer),
+    /// Spreads which endpoints are leaving.
+    EndpointNotices(EndpointNotices),
+    /// Spreads which requests are suspected of crashing endpoints.
+    Suspicions(Suspicions),
 }
