--- a/crates/curranttrestle/src/coordination/router/options.rs
+++ b/crates/curranttrestle/src/coordination/router/options.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::coordination::claims::ClaimOptions;
+use crate::coordination::config::ConfigSettings;
+use crate::coordination::cost::CostOptions;
 use crate::coordination::drain::DrainOptions;
 use crate::coordination::fair_share::FairShareOptions;
 use crate::coordination::membership::MembershipOptions;
@@ -10,7 +12,7 @@
 use crate::coordination::queue::QueueOptions;
 use crate::coordination::retry_budget::RetryBudgetOptions;
 use crate::coordination::slots::SlotOptions;
-use crate::coordination::speed::SpeedOptions;
+use crate::coordination::speed::{HedgeBudget, HedgeOptions, SpeedOptions};
 use crate::coordination::store_gate::StoreGateOptions;
 
 /// How waiting requests are matched with endpoints.
@@ -39,6 +41,10 @@
     pub load_report_interval_ms: u64,
     /// Time between two readings of the platform's list of instances.
     pub instances_interval_ms: u64,
+    /// How many requests of a customer may wait here when the sheet gives no limit.
+    pub queue_per_customer: u32,
+    /// The sheet and the marks.
+    pub config: ConfigSettings,
     /// Membership.
     pub membership: MembershipOptions,
     /// Queues.
@@ -58,7 +64,11 @@
     /// Retries.
     pub retries: RetryBudgetOptions,
     /// Second attempts beside slow first ones.
-    pub hedges: RetryBudgetOptions,
+    pub hedges: HedgeOptions,
+    /// How many of them may be made.
+    pub hedge_budget: HedgeBudget,
+    /// Expected costs.
+    pub cost: CostOptions,
     /// Slow endpoints.
     pub speed: SpeedOptions,
 }
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -1,5 +1,6 @@
 //! The life of a request: arrival, claim, queue, attempts, outcome.
 
+use crate::coordination::cost::{Charge, CostHints};
 use crate::coordination::queue::Waiting;
 use crate::coordination::quarantine::Admission;
 use crate::protocol::outcome::{Outcome, Refusal, RefusalReason};
@@ -67,8 +68,13 @@
         let Some(kind) = self.pool_kind(&operation.pool) else {
             return refused(new, RefusalReason::NoEndpoint, "the pool has no endpoint");
         };
-        let hint = new.hint_units.unwrap_or(operation.expected_cost);
-        let expected_units = self.costs.expect(&new.customer, &new.operation, hint);
+        let hints = CostHints {
+            prior: operation.expected_cost,
+            hint: new.hint_units,
+        };
+        let expected_units = self
+            .costs
+            .expected_cost(&new.customer, &new.operation, hints);
         Ok(ActiveRequest {
             account: AccountId {
                 pool: operation.pool.clone(),
@@ -77,13 +83,14 @@
             idempotent: operation.idempotent,
             kind,
             priority: operation.priority,
+            hints,
             expected_units,
             arrived_ms: now.steady_ms,
             stage: Stage::Claiming,
             claim: None,
             running: Vec::new(),
             avoid: Vec::new(),
-            handed_over: false,
+            lost: false,
             hedged: false,
             new,
         })
@@ -95,6 +102,7 @@
             return;
         };
         active.stage = Stage::Waiting;
+        self.queues.remove(&request);
         let waiting = Waiting {
             request,
             account: active.account.clone(),
@@ -106,11 +114,13 @@
             exclusive: self.quarantine.admission(&active.new.digest, now) == Admission::Alone,
         };
         let account = active.account.clone();
-        let limit = self
-            .sheet
-            .customers
-            .get(&account.customer)
-            .map_or(0, |customer| customer.queue_limit as usize);
+        // What was admitted once is not refused for the queue's length later.
+        let is_retry = !active.avoid.is_empty();
+        let limit = match self.sheet.customers.get(&account.customer) {
+            _ if is_retry => usize::MAX,
+            Some(customer) => customer.queue_limit_or(self.options.queue_per_customer) as usize,
+            None => 0,
+        };
         if self.queues.push(waiting, limit).is_err() {
             let refusal = Refusal {
                 retry_after_ms: Some(QUEUE_FULL_RETRY_AFTER_MS),
@@ -154,19 +164,25 @@
             return false;
         }
         self.invariants.check(
-            active.idempotent || (active.claim.is_some() && !active.handed_over),
+            active.idempotent || (active.claim.is_some() && !active.handed_over()),
             "non-idempotent-runs-once",
             request,
         );
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
-        active.handed_over = true;
         let hedge = active.running.len() > 1;
-        let charged_units = active.expected_units;
+        let mut charge = Charge::default();
+        let charged_units = charge.begin(active.expected_units);
         let account = active.account.clone();
         let kind = active.kind;
         let exclusive = lease.is_some_and(|lease| lease.exclusive);
         self.fair.charge(&account, charged_units, now);
+        if hedge {
+            self.counters.hedged += 1;
+        } else {
+            self.hedge_budget.earn();
+            self.retries.record_first(now);
+        }
         self.active.attempts.insert(
             attempt.clone(),
             RunningAttempt {
@@ -174,7 +190,8 @@
                 request,
                 endpoint: endpoint.clone(),
                 lease: lease.map(|lease| lease.id.clone()),
-                charged_units,
+                charge,
+                progressed: false,
                 dispatched_ms: now.steady_ms,
                 exclusive,
             },
@@ -209,26 +226,31 @@
         &mut self,
         attempt: &AttemptId,
         units: f64,
-        elapsed_ms: u64,
         now: Now,
     ) {
         let Some(running) = self.active.attempts.get_mut(attempt) else {
             return;
         };
         let endpoint = running.endpoint.clone();
-        let beyond_units = units - running.charged_units;
-        running.charged_units = running.charged_units.max(units);
+        let dispatched_ms = running.dispatched_ms;
+        let is_first = !std::mem::replace(&mut running.progressed, true);
+        let beyond_units = running.charge.progress(units);
         let account = self
             .active
             .requests
             .get(&running.request)
             .map(|active| active.account.clone());
-        if let Some(account) = account {
-            if beyond_units > 0.0 {
-                self.fair.charge(&account, beyond_units, now);
-            }
-            self.speed
-                .observe(&account.pool, &endpoint, units, elapsed_ms, now);
+        let Some(account) = account else {
+            return;
+        };
+        if beyond_units > 0.0 {
+            self.fair.charge(&account, beyond_units, now);
+        }
+        let elapsed_ms = now.since_ms(dispatched_ms);
+        if is_first {
+            self.hedging.observe(&account.pool, elapsed_ms);
+        } else {
+            self.observe_speed(&account.pool, &endpoint, units, elapsed_ms, now);
         }
     }
 
@@ -237,9 +259,9 @@
         &mut self,
         attempt: &AttemptId,
         result: AttemptResult,
-        elapsed_ms: u64,
         now: Now,
     ) {
+        let elapsed_ms = self.active.age_ms(attempt, now);
         let digests = match &result {
             AttemptResult::Interrupted { broken: true, .. } => self
                 .active
@@ -303,7 +325,8 @@
             return;
         };
         let account = active.account.clone();
-        self.fair.charge(&account, units - running.charged_units, now);
+        let difference = running.charge.clone().finish(units);
+        self.fair.charge(&account, difference, now);
     }
 
     fn attempt_answered(
@@ -317,11 +340,21 @@
         let Some(active) = self.active.requests.swap_remove(&running.request) else {
             return;
         };
-        self.costs
-            .observe(&active.new.customer, &active.new.operation, units);
-        self.speed
-            .observe_end(&active.account.pool, &running.endpoint, units, elapsed_ms, now);
-        self.quarantine.finished(&active.new.digest, running.exclusive, now);
+        self.queues.remove(&running.request);
+        self.costs.learn(
+            &active.new.customer,
+            &active.new.operation,
+            active.hints,
+            units,
+        );
+        let pool = &active.account.pool;
+        if active.kind == EndpointKind::Service {
+            self.hedging.observe(pool, elapsed_ms);
+        }
+        self.observe_speed(pool, &running.endpoint, units, elapsed_ms, now);
+        if running.exclusive {
+            self.quarantine.finished_alone(&active.new.digest, now);
+        }
         if let Some(claim) = &active.claim {
             let result = stored.map_or(ClaimResult::Unknown, ClaimResult::Answered);
             let effects = self.claims.finish(claim, result, now);
@@ -348,7 +381,7 @@
     fn cancel_others(&mut self, active: &ActiveRequest, now: Now) {
         for attempt in &active.running {
             if let Some(other) = self.active.attempts.swap_remove(attempt) {
-                self.fair.charge(&active.account, -other.charged_units, now);
+                self.fair.charge(&active.account, -other.charge.charged(), now);
                 self.release_slot(&other, now);
                 self.drain.attempt_ended(&other.endpoint, attempt);
             }
@@ -363,10 +396,14 @@
         if !active.running.is_empty() {
             return;
         }
-        active.handed_over = false;
         active.avoid.push(running.endpoint.clone());
         let expired = now.steady_ms >= active.new.deadline_ms;
+        let lost = active.lost;
         if expired || !self.retries.try_take(now) {
+            if lost {
+                self.end_unknown(running.request, RefusalReason::AttemptLost, detail, now);
+                return;
+            }
             let refusal = Refusal::not_run(RefusalReason::EndpointRefused, detail);
             self.end_refused(running.request, refusal, now);
             return;
@@ -386,6 +423,7 @@
         let Some(active) = self.active.requests.get_mut(&running.request) else {
             return;
         };
+        active.lost = true;
         if !active.running.is_empty() {
             return;
         }
@@ -427,13 +465,22 @@
     /// Refuses the requests whose deadline passed while they waited.
     pub(super) fn expire_waiting(&mut self, now: Now) {
         for waiting in self.queues.expire(now) {
+            let still_runs = self
+                .active
+                .requests
+                .get(&waiting.request)
+                .is_some_and(|active| !active.running.is_empty());
+            // Only the second attempt beside a running first one is given up.
+            if still_runs {
+                continue;
+            }
             let detail = "no slot became free before the deadline";
             let refusal = Refusal::not_run(RefusalReason::DeadlinePassed, detail);
             let handed_over = self
                 .active
                 .requests
                 .get(&waiting.request)
-                .is_some_and(|active| active.handed_over);
+                .is_some_and(ActiveRequest::handed_over);
             if handed_over {
                 self.end_unknown(waiting.request, RefusalReason::DeadlinePassed, detail, now);
             } else {
@@ -449,7 +496,7 @@
             return;
         };
         self.invariants.check(
-            refusal.outcome != Outcome::NotRun || !active.handed_over,
+            refusal.outcome != Outcome::NotRun || !active.handed_over(),
             "not-run-was-never-dispatched",
             request,
         );
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -23,6 +23,10 @@
 pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
+pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
+pub use slots::{
+    Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
+};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -56,6 +60,10 @@
     Recall(Recall),
     /// Renews the leases held from the receiver.
     Renewal(Renewal),
+    /// Answers a renewal.
+    Renewed(Renewed),
+    /// Tells the owner of an endpoint that it is slow.
+    Slowness(Slowness),
     /// Service given in a subtree, towards the root.
     ServiceReport(ServiceReport),
     /// Service given in a data centre, from its root.
@@ -69,3 +77,32 @@
     /// Spreads which requests are suspected of crashing endpoints.
     Suspicions(Suspicions),
 }
+
+impl PeerMessage {
+    /// The name of the message's kind, for metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ping(_) => "ping",
+            Self::Ack(_) => "ack",
+            Self::PingRequest(_) => "ping-request",
+            Self::Bid(_) => "bid",
+            Self::Lend(_) => "lend",
+            Self::Return(_) => "return",
+            Self::Recall(_) => "recall",
+            Self::Renewal(_) => "renewal",
+            Self::Renewed(_) => "renewed",
+            Self::Slowness(_) => "slowness",
+            Self::ServiceReport(_) => "service-report",
+            Self::ServiceTotals(_) => "service-totals",
+            Self::ClaimRequest(_) => "claim-request",
+            Self::ClaimAnswer(_) => "claim-answer",
+        }
+    }
+
+    /// Length of the encoded message in bytes.
+    #[must_use]
+    pub fn encoded_bytes(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or_default()
+    }
+}
