--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -2,15 +2,17 @@
 
 pub mod call_ids;
 pub mod claims;
+pub mod config;
+pub mod cost;
 pub mod drain;
+pub mod fair_share;
 pub mod invariant;
 pub mod membership;
-pub mod rendezvous;
-pub mod retry_budget;
-pub mod store_gate;
-pub mod cost;
-pub mod fair_share;
+pub mod quarantine;
 pub mod queue;
 pub mod rendezvous;
+pub mod retry_budget;
+pub mod router;
 pub mod slots;
 pub mod speed;
+pub mod store_gate;
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -102,7 +102,7 @@
         );
         self.sheet = sheet.clone();
         self.fair.apply_sheet(&sheet);
-        let effects = self.drain.apply_sheet(&sheet, now, self.membership.view());
+        let effects = self.drain.apply_sheet(&sheet, now);
         self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
         self.effects.push(Effect::SheetInForce(sheet));
@@ -117,10 +117,7 @@
 
     /// Puts marks in force.
     pub(super) fn marks_in_force(&mut self, version: Version, now: Now) {
-        let members = self.membership.view();
-        let effects = self
-            .drain
-            .apply_marks(version, self.config.marks(), now, members);
+        let effects = self.drain.apply_marks(self.config.marks(), version, now);
         self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
         self.emit(now, EventKind::MarksInForce, None, &[("version", &version.0)]);
@@ -276,7 +273,8 @@
         self.poll_loads(now);
         self.poll_instances(now);
         self.repeat_slowness(now);
-        let effects = self.drain.tick(now, self.membership.view());
+        let members = self.membership.view();
+        let effects = self.drain.tick(&self.endpoints.owned, members, now);
         self.run_drain_effects(effects, now);
         self.update_owned(now);
         for (to, message) in self.quarantine.tick(self.membership.view(), now) {
@@ -323,8 +321,13 @@
         let StoreAnswer::Instances(instances) = answer else {
             return;
         };
-        let members = self.membership.view();
-        let effects = self.drain.apply_instances(&instances, now, members);
+        let leaving: Vec<EndpointId> = instances
+            .iter()
+            .filter(|instance| instance.leaving)
+            .map(|instance| EndpointId::new(&instance.name))
+            .filter(|endpoint| self.sheet.endpoints.contains_key(endpoint))
+            .collect();
+        let effects = self.drain.platform_says_leaving(&leaving, now);
         self.run_drain_effects(effects, now);
     }
 
@@ -360,7 +363,7 @@
             taken_ms: steady_of_unix(report.taken_unix_ms, now),
         };
         self.owner.observe_report(endpoint, slot_report, None, now);
-        let effects = self.drain.load_reported(report, now, self.membership.view());
+        let effects = self.drain.load_reported(endpoint, report, now);
         self.run_drain_effects(effects, now);
     }
 
@@ -371,8 +374,7 @@
         answer: Option<&OrderAnswer>,
         now: Now,
     ) {
-        let members = self.membership.view();
-        let effects = self.drain.order_answered(endpoint, answer, now, members);
+        let effects = self.drain.order_answered(endpoint, answer, now);
         self.run_drain_effects(effects, now);
     }
 
@@ -386,19 +388,14 @@
                     valid_until_ms,
                 } => self.send_order(endpoint, order, valid_until_ms, now),
                 DrainEffect::Notify { to, message } => self.send(&to, message, now),
-                DrainEffect::Leaving { endpoint } => {
+                DrainEffect::Leaving { endpoint, source } => {
                     self.holder.drop_endpoint(&endpoint);
                     self.endpoints.assign_again();
-                    let details: [(&str, &dyn Display); 1] = [("endpoint", &endpoint)];
+                    let source = source.as_str();
+                    let details: [(&str, &dyn Display); 2] =
+                        [("endpoint", &endpoint), ("source", &source)];
                     self.emit(now, EventKind::EndpointLeaving, None, &details);
                 }
-                DrainEffect::Emit { kind, details } => {
-                    let details: Vec<(&str, &dyn Display)> = details
-                        .iter()
-                        .map(|(key, value)| (*key, value as &dyn Display))
-                        .collect();
-                    self.emit(now, kind, None, &details);
-                }
             }
         }
     }
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -52,6 +52,7 @@
             PeerMessage::Lend(lend) => self.slot_lent(from, lend, now),
             PeerMessage::Recall(recall) => self.holder.receive_recall(from, &recall, now),
             PeerMessage::Slowness(slowness) => self.owner.receive_slowness(from, &slowness, now),
+            PeerMessage::Suspicions(_) => {}
             PeerMessage::ServiceReport(report) => {
                 self.fair.receive_report(from, incarnation, &report, now);
             }
@@ -76,17 +77,13 @@
                 self.run_config_effects(effects, now);
             }
             PeerMessage::ConfigUpdate(update) => {
-                let effects = self.config.handle_update(from, update, now);
+                let effects = self.config.handle_update(from, *update, now);
                 self.run_config_effects(effects, now);
             }
             PeerMessage::EndpointNotices(notices) => {
-                let members = self.membership.view();
-                let effects = self.drain.receive_notices(from, &notices, now, members);
+                let effects = self.drain.receive_notices(from, &notices, now);
                 self.run_drain_effects(effects, now);
             }
-            PeerMessage::Suspicions(suspicions) => {
-                self.quarantine.receive(&suspicions, now);
-            }
         }
     }
 
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -4,6 +4,7 @@
 //! the coordination layer and is defined in the file named after it.
 
 mod claims;
+mod config;
 mod drain;
 mod fair_share;
 mod membership;
@@ -17,16 +18,13 @@
 use crate::state::{Incarnation, InstanceId};
 
 pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
+pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use drain::{EndpointNotice, EndpointNotices, Listed};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
 pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
-pub use slots::{
-    Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
-};
+pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -72,6 +70,12 @@
     ClaimRequest(ClaimRequest),
     /// The answer to a claim request.
     ClaimAnswer(ClaimAnswer),
+    /// Says which sheet and marks are in force at the sender.
+    ConfigNumbers(ConfigNumbers),
+    /// Asks for the sheet and marks that the sender lacks.
+    ConfigRequest(ConfigRequest),
+    /// The answer to a request for the sheet and marks.
+    ConfigUpdate(Box<ConfigUpdate>),
     /// Spreads which endpoints are leaving.
     EndpointNotices(EndpointNotices),
     /// Spreads which requests are suspected of crashing endpoints.
@@ -97,6 +101,11 @@
             Self::ServiceTotals(_) => "service-totals",
             Self::ClaimRequest(_) => "claim-request",
             Self::ClaimAnswer(_) => "claim-answer",
+            Self::ConfigNumbers(_) => "config-numbers",
+            Self::ConfigRequest(_) => "config-request",
+            Self::ConfigUpdate(_) => "config-update",
+            Self::EndpointNotices(_) => "endpoint-notices",
+            Self::Suspicions(_) => "suspicions",
         }
     }
 
