Keep and change the sheet and the marks of endpoints

ConfigKeeper follows both objects of the store and what peers have, and puts only greater sheet numbers in force. A restarted router that can't reach the store listens to its peers for 1.5 s before a sheet comes into force, so that a stale peer does not win.

Submission and Marking change the objects by conditional updates and resolve lost answers by reading back.

--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -4,6 +4,7 @@
 //! the coordination layer and is defined in the file named after it.
 
 mod claims;
+mod config;
 mod fair_share;
 mod slots;
 
@@ -13,6 +14,7 @@
 use crate::state::{Incarnation, InstanceId};
 
 pub use claims::{ClaimAnswer, ClaimRequest};
+pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
 
@@ -50,4 +52,8 @@
     ClaimRequest(ClaimRequest),
     /// The answer to a claim request.
     ClaimAnswer(ClaimAnswer),
+    /// Asks for a sheet or marks that the receiver has and the sender lacks.
+    ConfigRequest(ConfigRequest),
+    /// The answer to a request for a sheet or marks.
+    ConfigUpdate(Box<ConfigUpdate>),
 }
--- a/crates/curranttrestle/src/state/mod.rs
+++ b/crates/curranttrestle/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub mod event;
 pub mod finding;
 pub mod ids;
+pub mod marks;
 pub mod member;
 pub mod now;
 pub mod settings;
