--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod quarantine;
 pub mod queue;
+pub mod config;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod router;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -20,6 +20,8 @@
 pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
 pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use drain::{EndpointNotice, EndpointNotices, Listed};
+pub use claims::{ClaimAnswer, ClaimRequest};
+pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
 pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
@@ -114,4 +116,8 @@
     pub fn encoded_bytes(&self) -> usize {
         postcard::experimental::serialized_size(self).unwrap_or_default()
     }
+    /// Asks for a sheet or marks that the receiver has and the sender lacks.
+    ConfigRequest(ConfigRequest),
+    /// The answer to a request for a sheet or marks.
+    ConfigUpdate(Box<ConfigUpdate>),
 }
