--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -10,7 +10,6 @@
 pub mod membership;
 pub mod quarantine;
 pub mod queue;
-pub mod config;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod router;
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -120,7 +120,12 @@
         let effects = self.drain.apply_marks(self.config.marks(), version, now);
         self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
-        self.emit(now, EventKind::MarksInForce, None, &[("version", &version.0)]);
+        self.emit(
+            now,
+            EventKind::MarksInForce,
+            None,
+            &[("version", &version.0)],
+        );
     }
 
     /// Finds out which endpoints this router owns and who owns the others.
@@ -135,20 +140,20 @@
         let mut by_endpoint: IndexMap<EndpointId, InstanceId> = IndexMap::new();
         for (id, row) in &self.sheet.endpoints {
             let members = view.in_data_centre(&row.data_centre);
-            let Some(owner) = rendezvous::best(id.as_str(), members) else {
+            let Some(best) = rendezvous::best(id.as_str(), members) else {
                 continue;
             };
-            by_endpoint.insert(id.clone(), owner.instance.clone());
+            by_endpoint.insert(id.clone(), best.instance.clone());
             let lists = by_pool.entry(row.pool.clone()).or_default();
             let list = if row.data_centre == self.me.data_centre {
                 &mut lists.local
             } else {
                 &mut lists.remote
             };
-            if !list.contains(&owner.instance) {
-                list.push(owner.instance.clone());
+            if !list.contains(&best.instance) {
+                list.push(best.instance.clone());
             }
-            if owner.instance == self.me.instance {
+            if best.instance == self.me.instance {
                 owned.push(id.clone());
             }
         }
@@ -195,8 +200,7 @@
             let lease = &assignment.lease;
             let usable = self.drain.is_usable(&lease.endpoint)
                 && !self.endpoints.is_avoided(&lease.endpoint, now);
-            let dispatched =
-                usable && self.dispatch(request, &lease.endpoint, Some(lease), now);
+            let dispatched = usable && self.dispatch(request, &lease.endpoint, Some(lease), now);
             if !dispatched {
                 self.holder.release(&lease.id, now);
                 if !usable {
@@ -208,9 +212,7 @@
             }
         }
         let owners = &self.endpoints.owners_by_pool;
-        let messages = self
-            .holder
-            .bids(&self.queues, &self.fair, owners, now, rng);
+        let messages = self.holder.bids(&self.queues, &self.fair, owners, now, rng);
         self.send_all(messages, now);
         let messages = self.holder.returns(now);
         self.send_all(messages, now);
@@ -249,15 +251,15 @@
     }
 
     /// Takes a slot that an owner lends.
-    pub(super) fn slot_lent(&mut self, from: &InstanceId, lend: Lend, now: Now) {
-        let endpoint = lend.lease.endpoint.clone();
+    pub(super) fn slot_lent(&mut self, from: &InstanceId, lend: &Lend, now: Now) {
+        let endpoint = &lend.lease.endpoint;
         self.emit(
             now,
             EventKind::SlotLent,
             None,
-            &[("endpoint", &endpoint), ("owner", from)],
+            &[("endpoint", endpoint), ("owner", from)],
         );
-        self.holder.receive_lend(from, &lend, now);
+        self.holder.receive_lend(from, lend, now);
     }
 
     /// Spreads the service given.
--- a/crates/curranttrestle/src/coordination/router/claims.rs
+++ b/crates/curranttrestle/src/coordination/router/claims.rs
@@ -21,7 +21,11 @@
         };
         let Some(key) = active.new.key else {
             let detail = "this operation may not run twice and needs an Idempotency-Key header";
-            self.end_refused(request, Refusal::not_run(RefusalReason::KeyMissing, detail), now);
+            self.end_refused(
+                request,
+                Refusal::not_run(RefusalReason::KeyMissing, detail),
+                now,
+            );
             return;
         };
         active.claim = Some(attempt.clone());
@@ -72,12 +76,22 @@
             ClaimVerdict::Dispatch => {
                 let attempt = active.claim.clone();
                 let attempt = attempt.map_or_else(String::new, |attempt| attempt.to_string());
-                self.emit(now, EventKind::Claimed, Some(request), &[("attempt", &attempt)]);
+                self.emit(
+                    now,
+                    EventKind::Claimed,
+                    Some(request),
+                    &[("attempt", &attempt)],
+                );
                 self.enqueue(request, now);
             }
             ClaimVerdict::Answered(answer) => {
                 self.active.requests.swap_remove(&request);
-                self.emit(now, EventKind::Answered, Some(request), &[("from", &"record")]);
+                self.emit(
+                    now,
+                    EventKind::Answered,
+                    Some(request),
+                    &[("from", &"record")],
+                );
                 self.counters.answered += 1;
                 self.decide(request, Decision::Replay(answer));
             }
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -20,8 +20,8 @@
 use indexmap::IndexMap;
 use rand_chacha::ChaCha8Rng;
 
-use crate::coordination::claims::ClaimBook;
 use crate::coordination::call_ids::{CallIds, CallOwner};
+use crate::coordination::claims::ClaimBook;
 use crate::coordination::config::{ConfigKeeper, ConfigPurpose};
 use crate::coordination::cost::CostEstimator;
 use crate::coordination::drain::Drain;
@@ -108,7 +108,7 @@
         let mut router = Self {
             membership: Membership::new(me.clone(), options.seeds.clone(), options.membership),
             config: ConfigKeeper::new(instance.clone(), options.config.clone(), now),
-            claims: ClaimBook::new(instance, incarnation, options.claims),
+            claims: ClaimBook::new(instance, incarnation, options.claims.clone()),
             store: StoreGate::new(options.store_gate.clone()),
             fair: FairShare::new(options.fair_share.clone(), me.clone()),
             queues: Queues::new(options.queue.clone()),
@@ -140,7 +140,12 @@
             options,
         };
         let data_centre = router.me.data_centre.clone();
-        router.emit(now, EventKind::Started, None, &[("data_centre", &data_centre)]);
+        router.emit(
+            now,
+            EventKind::Started,
+            None,
+            &[("data_centre", &data_centre)],
+        );
         router
     }
 
@@ -296,6 +301,11 @@
         self.reported_violations = total;
         let names: Vec<&str> = self.invariant_violations().map(|(name, _)| name).collect();
         let names = names.join(",");
-        self.emit(now, EventKind::Invariant, None, &[("names", &names), ("total", &total)]);
+        self.emit(
+            now,
+            EventKind::Invariant,
+            None,
+            &[("names", &names), ("total", &total)],
+        );
     }
 }
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -49,7 +49,7 @@
                 self.send_all(messages, now);
             }
             PeerMessage::Renewed(renewed) => self.holder.receive_renewed(from, &renewed, now),
-            PeerMessage::Lend(lend) => self.slot_lent(from, lend, now),
+            PeerMessage::Lend(lend) => self.slot_lent(from, &lend, now),
             PeerMessage::Recall(recall) => self.holder.receive_recall(from, &recall, now),
             PeerMessage::Slowness(slowness) => self.owner.receive_slowness(from, &slowness, now),
             PeerMessage::Suspicions(_) => {}
@@ -98,7 +98,8 @@
             match effect {
                 MembershipEffect::Send { address, message } => {
                     let time = self.clock.tick(now);
-                    let with_numbers = matches!(message, PeerMessage::Ping(_) | PeerMessage::Ack(_));
+                    let with_numbers =
+                        matches!(message, PeerMessage::Ping(_) | PeerMessage::Ack(_));
                     self.effects.push(Effect::Send {
                         address,
                         time,
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -1,8 +1,8 @@
 //! The life of a request: arrival, claim, queue, attempts, outcome.
 
 use crate::coordination::cost::{Charge, CostHints};
-use crate::coordination::queue::Waiting;
 use crate::coordination::quarantine::Admission;
+use crate::coordination::queue::Waiting;
 use crate::protocol::outcome::{Outcome, Refusal, RefusalReason};
 use crate::protocol::peer::{ClaimResult, Lease, StoredAnswer};
 use crate::state::event::EventKind;
@@ -21,8 +21,8 @@
         let request = new.request;
         let active = match self.admit(new, now) {
             Ok(active) => active,
-            Err((new, refusal)) => {
-                self.decide_refusal(new.request, refusal, now);
+            Err(refusal) => {
+                self.decide_refusal(request, refusal, now);
                 return;
             }
         };
@@ -46,27 +46,23 @@
     }
 
     /// Checks a request against the sheet in force.
-    fn admit(
-        &mut self,
-        new: NewRequest,
-        now: Now,
-    ) -> Result<ActiveRequest, (NewRequest, Refusal)> {
-        let refused = |new, reason, detail: &str| Err((new, Refusal::not_run(reason, detail)));
+    fn admit(&mut self, new: NewRequest, now: Now) -> Result<ActiveRequest, Refusal> {
+        let refused = |reason, detail: &str| Err(Refusal::not_run(reason, detail));
         if self.stopping || self.sheet.number == 0 {
-            return refused(new, RefusalReason::NotReady, "this router takes no requests");
+            return refused(RefusalReason::NotReady, "this router takes no requests");
         }
         let Some(operation) = self.sheet.operations.get(&new.operation) else {
-            return refused(new, RefusalReason::NoSuchOperation, "no such operation");
+            return refused(RefusalReason::NoSuchOperation, "no such operation");
         };
         if !self.sheet.customers.contains_key(&new.customer) {
-            return refused(new, RefusalReason::Unauthorized, "no such customer");
+            return refused(RefusalReason::Unauthorized, "no such customer");
         }
         if self.quarantine.admission(&new.digest, now) == Admission::Refused {
             let detail = "endpoints crashed while they ran this request";
-            return refused(new, RefusalReason::Quarantined, detail);
+            return refused(RefusalReason::Quarantined, detail);
         }
         let Some(kind) = self.pool_kind(&operation.pool) else {
-            return refused(new, RefusalReason::NoEndpoint, "the pool has no endpoint");
+            return refused(RefusalReason::NoEndpoint, "the pool has no endpoint");
         };
         let hints = CostHints {
             prior: operation.expected_cost,
@@ -129,7 +125,12 @@
             self.end_refused(request, refusal, now);
             return;
         }
-        self.emit(now, EventKind::Queued, Some(request), &[("pool", &account.pool)]);
+        self.emit(
+            now,
+            EventKind::Queued,
+            Some(request),
+            &[("pool", &account.pool)],
+        );
     }
 
     /// Hands a request that waited to an endpoint.
@@ -222,12 +223,7 @@
     }
 
     /// Charges what an attempt has cost beyond its estimate.
-    pub(super) fn attempt_progressed(
-        &mut self,
-        attempt: &AttemptId,
-        units: f64,
-        now: Now,
-    ) {
+    pub(super) fn attempt_progressed(&mut self, attempt: &AttemptId, units: f64, now: Now) {
         let Some(running) = self.active.attempts.get_mut(attempt) else {
             return;
         };
@@ -255,12 +251,7 @@
     }
 
     /// Ends an attempt and decides what becomes of its request.
-    pub(super) fn attempt_ended(
-        &mut self,
-        attempt: &AttemptId,
-        result: AttemptResult,
-        now: Now,
-    ) {
+    pub(super) fn attempt_ended(&mut self, attempt: &AttemptId, result: AttemptResult, now: Now) {
         let elapsed_ms = self.active.age_ms(attempt, now);
         let digests = match &result {
             AttemptResult::Interrupted { broken: true, .. } => self
@@ -381,7 +372,8 @@
     fn cancel_others(&mut self, active: &ActiveRequest, now: Now) {
         for attempt in &active.running {
             if let Some(other) = self.active.attempts.swap_remove(attempt) {
-                self.fair.charge(&active.account, -other.charge.charged(), now);
+                self.fair
+                    .charge(&active.account, -other.charge.charged(), now);
                 self.release_slot(&other, now);
                 self.drain.attempt_ended(&other.endpoint, attempt);
             }
--- a/crates/curranttrestle/src/coordination/router/status.rs
+++ b/crates/curranttrestle/src/coordination/router/status.rs
@@ -101,7 +101,9 @@
         let numbers = self.config.numbers();
         let waiting = self.queues.pools().into_iter().flat_map(|pool| {
             let demands = self.queues.demand(&pool, now);
-            demands.into_iter().map(move |demand| (pool.clone(), demand))
+            demands
+                .into_iter()
+                .map(move |demand| (pool.clone(), demand))
         });
         let queues = waiting
             .map(|(pool, demand)| QueueStatus {
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -20,13 +20,13 @@
 pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
 pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use drain::{EndpointNotice, EndpointNotices, Listed};
-pub use claims::{ClaimAnswer, ClaimRequest};
-pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
 pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness};
+pub use slots::{
+    Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
+};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -116,8 +116,4 @@
     pub fn encoded_bytes(&self) -> usize {
         postcard::experimental::serialized_size(self).unwrap_or_default()
     }
-    /// Asks for a sheet or marks that the receiver has and the sender lacks.
-    ConfigRequest(ConfigRequest),
-    /// The answer to a request for a sheet or marks.
-    ConfigUpdate(Box<ConfigUpdate>),
 }
--- a/crates/curranttrestle/src/state/mod.rs
+++ b/crates/curranttrestle/src/state/mod.rs
@@ -11,6 +11,9 @@
 
 pub use event::{Event, EventKind};
 pub use finding::{Finding, Findings, Place};
-pub use ids::{AccountId, AttemptId, CustomerId, DataCentreId, EndpointId, Incarnation, InstanceId, PoolId, RequestId};
+pub use ids::{
+    AccountId, AttemptId, CustomerId, DataCentreId, EndpointId, Incarnation, InstanceId, PoolId,
+    RequestId,
+};
 pub use member::{Member, MemberView};
-pub use now::{Now};
+pub use now::Now;
--- a/crates/curranttrestled/src/control/metrics.rs
+++ b/crates/curranttrestled/src/control/metrics.rs
@@ -5,7 +5,9 @@
 use curranttrestle::coordination::router::{Router, RouterStatus};
 use curranttrestle::protocol::peer::PeerMessage;
 use curranttrestle::transport::peer::{ByteCounts, PeerSender};
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 /// The metrics of one router, in a registry of its own.
 #[derive(Debug)]
--- a/crates/curranttrestled/src/control/mod.rs
+++ b/crates/curranttrestled/src/control/mod.rs
@@ -77,7 +77,7 @@
             }
             self.metrics.add_busy(busy_since.elapsed());
             if self.router.is_finished() {
-                self.emit_end();
+                log::info!("kind={} reason=finished", EventKind::Stopping);
                 return;
             }
         }
@@ -141,10 +141,6 @@
             self.carry_out(effect);
         }
     }
-
-    fn emit_end(&self) {
-        log::info!("kind={} reason=finished", EventKind::Stopping);
-    }
 }
 
 /// What the control thread waited for.
--- a/crates/curranttrestled/src/daemon.rs
+++ b/crates/curranttrestled/src/daemon.rs
@@ -217,9 +217,7 @@
 
     /// Begins a graceful shutdown: no new work is taken, running work is finished.
     pub fn stop(&self) {
-        let _ = self
-            .control
-            .try_send(ControlMessage::Input(Input::Stop));
+        let _ = self.control.try_send(ControlMessage::Input(Input::Stop));
     }
 
     /// Waits until the graceful shutdown has finished.
--- a/crates/curranttrestled/src/front/attempts.rs
+++ b/crates/curranttrestled/src/front/attempts.rs
@@ -201,7 +201,10 @@
         idempotency_key: key.as_deref(),
     };
     check_valid(shared, dispatch)?;
-    let answer = shared.endpoints.call_service(dispatch.address, call).await?;
+    let answer = shared
+        .endpoints
+        .call_service(dispatch.address, call)
+        .await?;
     Ok(Opened::Service(answer))
 }
 
--- a/crates/curranttrestled/src/front/mod.rs
+++ b/crates/curranttrestled/src/front/mod.rs
@@ -60,18 +60,19 @@
         return resume(conn, shared, &customer, token).await;
     }
     let detail = "no such path; operations are called by POST /v1/operations/NAME";
-    refuse(conn, &Refusal::not_run(RefusalReason::NoSuchOperation, detail))
+    refuse(
+        conn,
+        &Refusal::not_run(RefusalReason::NoSuchOperation, detail),
+    )
 }
 
-async fn call(
-    mut conn: Conn,
-    shared: Arc<Shared>,
-    customer: CustomerId,
-    operation: &str,
-) -> Conn {
+async fn call(mut conn: Conn, shared: Arc<Shared>, customer: CustomerId, operation: &str) -> Conn {
     let Some(kind) = operation_kind(&shared, operation) else {
         let detail = "no such operation";
-        return refuse(conn, &Refusal::not_run(RefusalReason::NoSuchOperation, detail));
+        return refuse(
+            conn,
+            &Refusal::not_run(RefusalReason::NoSuchOperation, detail),
+        );
     };
     let caller = match read_request(&mut conn, &shared, customer, operation).await {
         Ok(caller) => caller,
@@ -143,7 +144,10 @@
         Some(None) => refuse(conn, &lost()),
         None => {
             let detail = "the deadline passed while the request ran";
-            refuse(conn, &Refusal::unknown(RefusalReason::DeadlinePassed, detail))
+            refuse(
+                conn,
+                &Refusal::unknown(RefusalReason::DeadlinePassed, detail),
+            )
         }
     }
 }
@@ -152,8 +156,8 @@
 const DEADLINE_GRACE_MS: u64 = 250;
 
 async fn resume(conn: Conn, shared: Arc<Shared>, customer: &CustomerId, token: &str) -> Conn {
-    let token = ResumeToken::decode(token, &shared.fleet_key)
-        .filter(|token| token.customer == *customer);
+    let token =
+        ResumeToken::decode(token, &shared.fleet_key).filter(|token| token.customer == *customer);
     let Some(token) = token else {
         let detail = "the resume token is not valid for this customer";
         return refuse(conn, &Refusal::not_run(RefusalReason::BadRequest, detail));
@@ -187,7 +191,10 @@
 fn send_whole(conn: Conn, answer: StoredAnswer) -> Conn {
     let StoredBody::Whole(body) = answer.body else {
         let detail = "the request ran before; its answer was too large to be kept";
-        return refuse(conn, &Refusal::unknown(RefusalReason::ClaimedBefore, detail));
+        return refuse(
+            conn,
+            &Refusal::unknown(RefusalReason::ClaimedBefore, detail),
+        );
     };
     conn.with_status(answer.status)
         .with_response_header(KnownHeaderName::ContentType, answer.content_type)
--- a/crates/curranttrestled/src/front/request.rs
+++ b/crates/curranttrestled/src/front/request.rs
@@ -37,7 +37,9 @@
 ///
 /// Returns a refusal when the key is missing or wrong.
 pub fn authenticate(conn: &Conn, shared: &Shared) -> Result<CustomerId, Refusal> {
-    let header = conn.request_headers().get_str(KnownHeaderName::Authorization);
+    let header = conn
+        .request_headers()
+        .get_str(KnownHeaderName::Authorization);
     let Some(key) = header.and_then(|value| value.strip_prefix("Bearer ")) else {
         return Err(Refusal::not_run(
             RefusalReason::Unauthorized,
--- a/crates/curranttrestled/src/front/service.rs
+++ b/crates/curranttrestled/src/front/service.rs
@@ -4,13 +4,16 @@
 
 use curranttrestle::coordination::router::AttemptResult;
 use curranttrestle::protocol::Refusal;
-use curranttrestle::protocol::peer::StoredAnswer;
+use curranttrestle::protocol::peer::{StoredAnswer, StoredBody};
 use curranttrestle::state::Now;
 use curranttrestle::transport::endpoint::ServiceAnswer;
 
 use super::attempts::{Attempts, First, Opened};
 use crate::shared::Shared;
 
+/// The content type of an answer whose service names none.
+const DEFAULT_CONTENT_TYPE: &str = "application/octet-stream";
+
 /// The whole answer to a request, or why there is none.
 pub type WholeAnswer = Result<StoredAnswer, Refusal>;
 
@@ -46,11 +49,13 @@
 }
 
 fn stored_answer(answer: ServiceAnswer) -> StoredAnswer {
-    StoredAnswer::whole(
-        answer.status,
-        answer.content_type.as_deref().unwrap_or("application/octet-stream"),
-        answer.body,
-    )
+    StoredAnswer {
+        status: answer.status,
+        content_type: answer
+            .content_type
+            .unwrap_or_else(|| DEFAULT_CONTENT_TYPE.into()),
+        body: StoredBody::Whole(answer.body),
+    }
 }
 
 /// The unit of a plain service is a millisecond of its time.
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -134,7 +134,7 @@
                 Err(error) if resumes < RESUME_ATTEMPTS => {
                     resumes += 1;
                     match self.resume(dispatch, &stream).await {
-                        Ok(resumed) => stream = resumed,
+                        Ok(new_stream) => stream = new_stream,
                         Err(_) => return self.lost(dispatch, &error, tokens).await,
                     }
                 }
@@ -309,7 +309,11 @@
         loop {
             match stream.next().await {
                 Ok(Some(chunk)) => {
-                    if chunks.send(sse::part(chunk.offset, &chunk.text)).await.is_err() {
+                    if chunks
+                        .send(sse::part(chunk.offset, &chunk.text))
+                        .await
+                        .is_err()
+                    {
                         return;
                     }
                 }
@@ -318,8 +322,7 @@
                     return;
                 }
                 Err(error) => {
-                    let refusal =
-                        Refusal::unknown(RefusalReason::AttemptLost, error.to_string());
+                    let refusal = Refusal::unknown(RefusalReason::AttemptLost, error.to_string());
                     let _ = chunks.send(sse::error(&refusal)).await;
                     return;
                 }
--- a/crates/curranttrestled/src/main.rs
+++ b/crates/curranttrestled/src/main.rs
@@ -6,7 +6,8 @@
 use clap::Parser;
 use curranttrestle::state::settings::Settings;
 use curranttrestled::Daemon;
-use flexi_logger::{DeferredNow, Logger};
+use flexi_logger::{DeferredNow, LogSpecification, Logger};
+use log::LevelFilter;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -19,7 +20,10 @@
 /// exits with code 0. Exit code 1: a listener could not be bound. Exit code 2: the settings
 /// are faulty.
 #[derive(Debug, Parser)]
-#[command(version, after_help = "Example: curranttrestled --settings examples/router.toml")]
+#[command(
+    version,
+    after_help = "Example: curranttrestled --settings examples/router.toml"
+)]
 struct Arguments {
     /// The settings file.
     #[arg(long, value_name = "FILE", required_unless_present = "check_settings")]
@@ -50,13 +54,19 @@
 }
 
 fn read_settings(path: &std::path::Path) -> Result<Settings, String> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| format!("{}: {error}", path.display()))?;
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     Settings::parse(&path.display().to_string(), &text).map_err(|findings| findings.to_string())
 }
 
 fn run(settings: &Settings) -> ExitCode {
-    let logger = Logger::with(settings.log.level)
+    // Libraries are heard only when something is wrong.
+    let specification = LogSpecification::builder()
+        .default(LevelFilter::Warn)
+        .module("curranttrestle", settings.log.level)
+        .module("curranttrestled", settings.log.level)
+        .build();
+    let logger = Logger::with(specification)
         .format(write_line)
         .log_to_stderr()
         .start();
--- a/crates/curranttrestled/src/operators/mod.rs
+++ b/crates/curranttrestled/src/operators/mod.rs
@@ -95,7 +95,9 @@
         .filter(|event| after_unix_ms.is_none_or(|after| event.time.unix_ms > after))
         .filter(|event| {
             let own = event.request.map(|own| own.to_string());
-            request.as_ref().is_none_or(|request| own.as_ref() == Some(request))
+            request
+                .as_ref()
+                .is_none_or(|request| own.as_ref() == Some(request))
         })
         .collect();
     reply_json(conn, 200, &chosen)
--- a/crates/curranttrestled/src/operators/submit.rs
+++ b/crates/curranttrestled/src/operators/submit.rs
@@ -85,9 +85,11 @@
         ),
         SubmitOutcome::LostRace { winner } => reply_json(conn, 409, &LostRace { winner }),
         SubmitOutcome::Refused { reason } => reply_text(conn, 422, &format!("{reason}\n")),
-        SubmitOutcome::Unavailable => {
-            reply_text(conn, 503, "the store does not answer; nothing was changed\n")
-        }
+        SubmitOutcome::Unavailable => reply_text(
+            conn,
+            503,
+            "the store does not answer; nothing was changed\n",
+        ),
         SubmitOutcome::Unknown => {
             let text = "the store does not answer; the sheet may have been accepted\n";
             reply_text(conn, 504, text)
--- a/crates/curranttrestled/src/router_options.rs
+++ b/crates/curranttrestled/src/router_options.rs
@@ -2,11 +2,15 @@
 
 use curranttrestle::coordination::membership::MembershipOptions;
 use curranttrestle::coordination::router::{Policy, RouterOptions};
-use curranttrestle::state::settings::{PolicyKind, Settings};
+use curranttrestle::coordination::slots::ReportMode;
+use curranttrestle::state::settings::{LoadReports, PolicyKind, Settings};
 
 /// The environment variable that makes violated invariants fatal.
 const FATAL_INVARIANTS_VARIABLE: &str = "CURRANTTRESTLE_FATAL_INVARIANTS";
 
+/// Time between two readings of the platform's list of instances.
+const INSTANCES_INTERVAL_MS: u64 = 1_000;
+
 /// The router's options as the settings have them.
 #[must_use]
 pub fn from_settings(settings: &Settings) -> RouterOptions {
@@ -29,7 +33,18 @@
         },
         ..RouterOptions::default()
     };
+    options.queue_per_customer = settings.limits.queue_per_customer;
+    options.instances_interval_ms = INSTANCES_INTERVAL_MS;
+    options.claims.fatal_invariants = options.fatal_invariants;
+    options.drain.fatal_invariants = options.fatal_invariants;
+    options.drain.lease_ms = timing.lease_ms;
+    options.store_gate.rate_per_s = u64::from(settings.platform.calls_per_second);
+    options.slots.report_mode = match settings.policy.load_reports {
+        LoadReports::Reconcile => ReportMode::Reconcile,
+        LoadReports::Trust => ReportMode::Trust,
+        LoadReports::Ignore => ReportMode::Ignore,
+    };
     options.slots.lease_ms = timing.lease_ms;
-    options.fair_share.round_ms = timing.service_round_ms;
+    options.fair_share.service_round_ms = timing.service_round_ms;
     options
 }
--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -113,7 +113,11 @@
             }
             "error" => answer.error = Some(data.to_owned()),
             _ if json.is_object() => {
-                assert_eq!(json["offset"], answer.text.len(), "a part is missing or repeated");
+                assert_eq!(
+                    json["offset"],
+                    answer.text.len(),
+                    "a part is missing or repeated"
+                );
                 answer.text.push_str(json["text"].as_str().unwrap());
             }
             _ => {}
--- a/crates/curranttrestled/tests/support/fleet.rs
+++ b/crates/curranttrestled/tests/support/fleet.rs
@@ -172,7 +172,7 @@
             "[instance]\nname = \"{name}\"\ndata_centre = \"{data_centre}\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              [platform]\naddress = \"{}\"\n\
-             [fleet]\nkey = \"test-fleet\"\nseeds = [{}]\n\
+             [fleet]\nkey = \"test-fleet-key-0123\"\nseeds = [{}]\n\
              [operators]\ntoken_digest = \"{}\"\n{}",
             self.platform.address("address"),
             seeds.join(", "),
@@ -243,7 +243,12 @@
             "",
             &fault.to_string(),
         ));
-        assert_eq!(reply.status / 100, 2, "the fault was refused: {}", reply.body);
+        assert_eq!(
+            reply.status / 100,
+            2,
+            "the fault was refused: {}",
+            reply.body
+        );
     }
 }
 
--- a/crates/curranttrestled/tests/thin_path.rs
+++ b/crates/curranttrestled/tests/thin_path.rs
@@ -39,16 +39,16 @@
     let runs: u64 = fleet
         .services
         .iter()
-        .map(|service| fleet.truth(&service.process)["runs_by_key"][&booking].as_u64().unwrap_or(0))
+        .map(|service| {
+            fleet.truth(&service.process)["runs_by_key"][&booking]
+                .as_u64()
+                .unwrap_or(0)
+        })
         .sum();
     assert_eq!(runs, 1);
 
     // The time line shows the request's events in order.
-    let events = smol::block_on(get_json(
-        fleet.routers[0].operators(),
-        "/v1/events",
-        TOKEN,
-    ));
+    let events = smol::block_on(get_json(fleet.routers[0].operators(), "/v1/events", TOKEN));
     let kinds: Vec<&str> = events
         .as_array()
         .unwrap()
@@ -56,7 +56,13 @@
         .filter(|event| !event["request"].is_null())
         .map(|event| event["kind"].as_str().unwrap())
         .collect();
-    for kind in ["arrived", "queued", "dispatched", "attempt-ended", "answered"] {
+    for kind in [
+        "arrived",
+        "queued",
+        "dispatched",
+        "attempt-ended",
+        "answered",
+    ] {
         assert!(kinds.contains(&kind), "no event {kind} in {kinds:?}");
     }
 }
