--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -8,7 +8,7 @@
 use trillium_smol::ClientConfig;
 
 /// The longest that any exchange may take.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(60);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// A reply to an HTTP request.
 #[derive(Clone, Debug, Default)]
@@ -106,7 +106,10 @@
         }
         let json: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
         match name {
-            "start" => answer.resume_token = json["resume_token"].as_str().unwrap().to_owned(),
+            "start" => {
+                let token = json["resume_token"].as_str().unwrap();
+                token.clone_into(&mut answer.resume_token);
+            }
             "done" => {
                 answer.done = true;
                 assert_eq!(json["length"], answer.text.len());
--- a/crates/curranttrestled/tests/support/fleet.rs
+++ b/crates/curranttrestled/tests/support/fleet.rs
@@ -220,36 +220,36 @@
     pub fn wait_in_force(&self, number: u64) {
         for router in &self.routers {
             wait_for(&format!("sheet {number} at {}", router.name), || {
-                self.status(router)["sheet_number"].as_u64() >= Some(number)
+                status(router)["sheet_number"].as_u64() >= Some(number)
             });
         }
     }
+}
 
-    /// The status of a router.
-    pub fn status(&self, router: &Router) -> serde_json::Value {
-        smol::block_on(get_json(router.operators(), "/v1/status", TOKEN))
-    }
+/// The status of a router.
+pub fn status(router: &Router) -> serde_json::Value {
+    smol::block_on(get_json(router.operators(), "/v1/status", TOKEN))
+}
 
-    /// What a stand-in counted.
-    pub fn truth(&self, process: &Process) -> serde_json::Value {
-        smol::block_on(get_json(process.address("admin"), "/truth", ""))
-    }
+/// What a stand-in counted.
+pub fn truth(process: &Process) -> serde_json::Value {
+    smol::block_on(get_json(process.address("admin"), "/truth", ""))
+}
 
-    /// Switches a fault of a stand-in.
-    pub fn fault(&self, process: &Process, fault: &serde_json::Value) {
-        let reply = smol::block_on(post(
-            process.address("admin"),
-            "/faults",
-            "",
-            &fault.to_string(),
-        ));
-        assert_eq!(
-            reply.status / 100,
-            2,
-            "the fault was refused: {}",
-            reply.body
-        );
-    }
+/// Switches a fault of a stand-in.
+pub fn fault(process: &Process, fault: &serde_json::Value) {
+    let reply = smol::block_on(post(
+        process.address("admin"),
+        "/faults",
+        "",
+        &fault.to_string(),
+    ));
+    assert_eq!(
+        reply.status / 100,
+        2,
+        "the fault was refused: {}",
+        reply.body
+    );
 }
 
 /// The key of a customer of a test fleet.
--- a/crates/curranttrestled/tests/thin_path.rs
+++ b/crates/curranttrestled/tests/thin_path.rs
@@ -4,7 +4,7 @@
 
 use curranttrestle_standins::engine::expected_answer;
 use support::client::{ask, call, get_json};
-use support::fleet::{Fleet, FleetPlan, TOKEN, key_of};
+use support::fleet::{Fleet, FleetPlan, TOKEN, key_of, truth};
 use uuid::Uuid;
 
 const TOKENS: u32 = 40;
@@ -40,7 +40,7 @@
         .services
         .iter()
         .map(|service| {
-            fleet.truth(&service.process)["runs_by_key"][&booking]
+            truth(&service.process)["runs_by_key"][&booking]
                 .as_u64()
                 .unwrap_or(0)
         })
