--- a/crates/curranttrestle/src/transport/endpoint.rs
+++ b/crates/curranttrestle/src/transport/endpoint.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn, KnownHeaderName, Status};
 
-use super::frames::FrameStream;
+use super::frames::{FrameStream, FrameTimeouts};
 use super::http_client::{SendError, fresh_connections, send, url, within};
 use crate::protocol::endpoint::{
     ATTEMPT_HEADER, CacheEvent, IDEMPOTENCY_KEY_HEADER, LoadReport, Order, OrderAnswer, StreamId,
@@ -81,7 +81,7 @@
 pub struct EndpointClientOptions {
     /// How long opening a connection may take.
     pub connect_timeout_ms: u64,
-    /// How long the head of a stream's response may take.
+    /// How long the head of a stream's response may take, and then its first frame.
     pub first_byte_timeout_ms: u64,
     /// How long a stream may stay silent between frames.
     pub idle_timeout_ms: u64,
@@ -199,7 +199,11 @@
             .await
             .map_err(|error| send_failure(error, offset))?;
         check_status(&conn, offset)?;
-        FrameStream::open(conn.into(), attempt, offset, self.options.idle_timeout_ms).await
+        let timeouts = FrameTimeouts {
+            first_byte_ms: timeout_ms,
+            idle_ms: self.options.idle_timeout_ms,
+        };
+        FrameStream::open(conn.into(), attempt, offset, timeouts).await
     }
 
     /// Cancels a stream. A stream that is gone counts as cancelled.
