Read HTTP bodies with a buffer that the library cannot garble

trillium-http 0.3 puts the rest of a split chunk length behind bytes that it has not handed out yet when the reader's buffer is shorter than what came with the head. The new test failed with read_bytes: an answer in small chunks under a long head could not be read.

--- a/crates/curranttrestle-standins/src/server/http.rs
+++ b/crates/curranttrestle-standins/src/server/http.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use curranttrestle::transport::body::read_whole;
 use indexmap::IndexMap;
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
@@ -141,7 +142,8 @@
     source: Option<SocketAddr>,
     link: Arc<Link>,
 ) -> Option<Request> {
-    let body = conn.request_body().await.read_bytes().await.ok()?;
+    let body = conn.request_body().await;
+    let body = read_whole(body, MAX_BODY_BYTES).await.ok()?;
     Some(Request {
         method: conn.method(),
         segments: segments(conn.path()),
--- a/crates/curranttrestle/src/transport/endpoint.rs
+++ b/crates/curranttrestle/src/transport/endpoint.rs
@@ -8,6 +8,7 @@
 use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn, KnownHeaderName, Status};
 
+use super::body::read_whole;
 use super::frames::{FrameStream, FrameTimeouts};
 use super::http_client::{SendError, fresh_connections, send, url, within};
 use crate::protocol::endpoint::{
@@ -366,9 +367,7 @@
 }
 
 async fn read_body(conn: &mut Conn, max_bytes: u64) -> Result<Vec<u8>> {
-    conn.response_body()
-        .with_max_len(max_bytes)
-        .read_bytes()
+    read_whole(conn.response_body(), max_bytes)
         .await
         .map_err(|_| interrupted(InterruptCause::ConnectionLost))
 }
--- a/crates/curranttrestle/src/transport/frames/stream.rs
+++ b/crates/curranttrestle/src/transport/frames/stream.rs
@@ -6,15 +6,13 @@
 
 use super::{Chunk, FrameAssembler, FrameCounters};
 use crate::protocol::endpoint::{COMMENT_PREFIX, StreamId, StreamLine};
+use crate::transport::body::READ_BYTES;
 use crate::transport::endpoint::{AttemptError, InterruptCause, Result};
 use crate::transport::http_client::within;
 
 /// The longest line that is read.
 const MAX_LINE_BYTES: usize = 1024 * 1024;
 
-/// How many bytes are read at a time.
-const READ_BYTES: usize = 8 * 1024;
-
 /// How long a stream may stay silent.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::transport) struct FrameTimeouts {
@@ -145,7 +143,7 @@
         if self.buffer.len() > MAX_LINE_BYTES {
             return Err(self.interrupted(InterruptCause::Malformed));
         }
-        let mut bytes = [0; READ_BYTES];
+        let mut bytes = vec![0; READ_BYTES];
         let timeout_ms = if self.has_begun {
             self.timeouts.idle_ms
         } else {
--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! The I/O of a router.
 
+pub mod body;
 pub mod endpoint;
 pub mod frames;
 mod http_client;
--- a/crates/curranttrestle/src/transport/platform.rs
+++ b/crates/curranttrestle/src/transport/platform.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn, KnownHeaderName, Status, Url};
 
+use super::body::read_whole;
 use super::http_client::{SendError, fresh_connections, kept_connections, send, url, within};
 use crate::protocol::platform::{Expected, Object, StoreAnswer, StoreCall, Version};
 
@@ -161,10 +162,7 @@
 async fn exchange(conn: Conn, timeout_ms: u64) -> Result<Response, SendError> {
     let mut conn = send(conn, timeout_ms).await?;
     let status = conn.status();
-    let body = conn
-        .response_body()
-        .with_max_len(MAX_ANSWER_BYTES)
-        .read_bytes()
+    let body = read_whole(conn.response_body(), MAX_ANSWER_BYTES)
         .await
         .map_err(|_| SendError::ConnectionLost)?;
     Ok(Response { status, body })
--- a/crates/curranttrestle/tests/endpoint_client.rs
+++ b/crates/curranttrestle/tests/endpoint_client.rs
@@ -147,3 +147,43 @@
     let expected = interrupted(InterruptCause::Silent);
     assert_eq!(book(address).unwrap_err(), expected);
 }
+
+/// Makes the head of an answer long, so that the client reads much of the body with it.
+const HEAD_PADDING_BYTES: usize = 300;
+
+/// Answers one call with chunks of the given lengths, all sent at once.
+fn serve_chunks(lengths: Vec<usize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_until(&mut stream, b"\r\n\r\n");
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").unwrap();
+        read_until(&mut stream, b"}");
+        let padding = "x".repeat(HEAD_PADDING_BYTES);
+        let head =
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nPadding: {padding}\r\n\r\n");
+        let mut answer = head.into_bytes();
+        for length in lengths {
+            answer.extend(format!("{length:x}\r\n{}\r\n", text(length)).bytes());
+        }
+        answer.extend(b"0\r\n\r\n");
+        stream.write_all(&answer).unwrap();
+    });
+    address
+}
+
+fn text(length: usize) -> String {
+    ('a'..='z').cycle().take(length).collect()
+}
+
+#[test]
+fn an_answer_in_chunks_of_any_length_arrives_whole() {
+    for longest in 1..300 {
+        let lengths: Vec<usize> = (0..200).map(|index| 1 + index * 7 % longest).collect();
+        let expected: String = lengths.iter().copied().map(text).collect();
+        let answer = book(serve_chunks(lengths)).unwrap();
+        let whole = answer.body == expected.as_bytes();
+        assert!(whole, "chunks of up to {longest} bytes");
+    }
+}
