Test the faults of the platform and of services

Kept connections are offered by the stand-ins, so that one which goes silent can be met. Stand-ins that run as processes are switched through the remote module.

--- a/crates/curranttrestle-standins/src/lib.rs
+++ b/crates/curranttrestle-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`engine`]: a model engine that batches continuously and streams its answers.
 //! - [`service`]: a plain service that counts how often each booking ran.
 //! - [`relay`]: a TCP relay that cuts, silences or delays connections.
+//! - [`remote`]: faults and truth of stand-ins that run as processes of their own.
 //!
 //! Each is started with an options struct and returns a handle. Faults are injected through
 //! the handle or by `POST /faults` on the stand-in's administration address, and what really
@@ -13,6 +14,7 @@
 pub mod engine;
 pub mod platform;
 pub mod relay;
+pub mod remote;
 pub mod server;
 pub mod service;
 
--- a/crates/curranttrestle-standins/src/server/http.rs
+++ b/crates/curranttrestle-standins/src/server/http.rs
@@ -158,6 +158,7 @@
 fn write_reply(conn: &mut Conn<Connection>, reply: Reply) {
     conn.set_status(reply.status);
     let headers = conn.response_headers_mut();
+    headers.insert(KnownHeaderName::Connection, "keep-alive");
     headers.insert(KnownHeaderName::ContentType, reply.content_type);
     for (name, value) in reply.headers {
         headers.insert(name, value);
--- a/crates/curranttrestle-standins/tests/standins/common.rs
+++ b/crates/curranttrestle-standins/tests/standins/common.rs
@@ -1,6 +1,7 @@
 //! What the tests of the stand-ins share.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use curranttrestle::protocol::endpoint::StreamRequest;
 use curranttrestle::state::{AttemptId, CustomerId, Incarnation, InstanceId, PoolId};
@@ -16,6 +17,11 @@
     }
 }
 
+/// Waits a little before something is looked at again.
+pub async fn pause() {
+    smol::Timer::after(Duration::from_millis(10)).await;
+}
+
 /// A request for an answer to `prompt`.
 pub fn request(sequence: u64, prompt: &str, max_tokens: u32) -> StreamRequest {
     StreamRequest {
--- a/crates/curranttrestle-standins/tests/standins/platform.rs
+++ b/crates/curranttrestle-standins/tests/standins/platform.rs
@@ -6,7 +6,9 @@
     Expected, InstanceStatus, Object, StoreAnswer, StoreCall, Version,
 };
 use curranttrestle::transport::platform::{PlatformClient, PlatformClientOptions};
-use curranttrestle_standins::platform::{PlatformOptions, start};
+use curranttrestle_standins::platform::{
+    Outage, PlatformFault, PlatformOptions, PlatformTruth, start,
+};
 
 fn client(address: SocketAddr) -> PlatformClient {
     PlatformClient::new(PlatformClientOptions {
@@ -110,3 +112,120 @@
         );
     });
 }
+
+/// Makes a call and then another one, after the fault has ended.
+fn call_twice(fault: PlatformFault) -> (StoreAnswer, StoreAnswer, PlatformTruth) {
+    let platform = start(PlatformOptions::default()).unwrap();
+    let client = client(platform.address());
+    smol::block_on(async {
+        client.call(&update("a", Expected::Absent, "one")).await;
+        platform.inject(fault);
+        let change = update("a", Expected::Version(Version(1)), "two");
+        let during = client.call(&change).await;
+        platform.inject(PlatformFault::Heal);
+        let after = client.call(&read("a")).await;
+        (during, after, platform.truth())
+    })
+}
+
+#[test]
+fn an_outage_with_an_answer_had_no_effect() {
+    let outage = Outage::Unavailable;
+    let (during, after, truth) = call_twice(PlatformFault::Outage { outage });
+    assert_eq!(during, StoreAnswer::Unavailable);
+    assert_eq!(after, found(1, "one"));
+    assert_eq!(truth.total.in_outage, 1);
+}
+
+#[test]
+fn an_outage_without_an_answer_leaves_doubt() {
+    let outage = Outage::Closed;
+    let (during, after, truth) = call_twice(PlatformFault::Outage { outage });
+    assert_eq!(during, StoreAnswer::Lost);
+    assert_eq!(after, found(1, "one"));
+    assert_eq!(truth.effects, 1);
+}
+
+#[test]
+fn an_answer_is_lost_after_the_effect() {
+    let (during, after, truth) = call_twice(PlatformFault::LoseAnswers { count: 1 });
+    assert_eq!(during, StoreAnswer::Lost);
+    assert_eq!(after, found(2, "two"));
+    assert_eq!((truth.effects, truth.answers_lost), (2, 1));
+}
+
+#[test]
+fn a_slow_platform_leaves_doubt() {
+    let (during, _, _) = call_twice(PlatformFault::Slow { delay_ms: 2_000 });
+    assert_eq!(during, StoreAnswer::Lost);
+}
+
+#[test]
+fn a_frozen_platform_leaves_doubt_and_answers_later() {
+    let (during, after, _) = call_twice(PlatformFault::Freeze);
+    assert_eq!(during, StoreAnswer::Lost);
+    assert!(matches!(after, StoreAnswer::Found(_)));
+}
+
+#[test]
+fn a_kept_connection_that_went_silent_is_used_once() {
+    let (during, after, _) = call_twice(PlatformFault::SilenceConnections);
+    assert_eq!(during, StoreAnswer::Lost);
+    assert_eq!(after, found(1, "one"));
+}
+
+#[test]
+fn a_platform_that_is_not_there_had_no_effect() {
+    let platform = start(PlatformOptions::default()).unwrap();
+    let client = client(platform.address());
+    platform.stop();
+    let answer = smol::block_on(client.call(&update("a", Expected::Absent, "one")));
+    assert_eq!(answer, StoreAnswer::Unavailable);
+}
+
+#[test]
+fn calls_over_the_rate_are_refused_and_counted() {
+    let platform = start(PlatformOptions {
+        reads_per_s: 5,
+        delay_ms: 0,
+        ..PlatformOptions::default()
+    })
+    .unwrap();
+    let client = client(platform.address());
+    let answers: Vec<StoreAnswer> = smol::block_on(async {
+        let mut answers = Vec::new();
+        for _ in 0..20 {
+            answers.push(client.call(&read("a")).await);
+        }
+        answers
+    });
+    let refused = answers
+        .iter()
+        .filter(|answer| **answer == StoreAnswer::Unavailable)
+        .count() as u64;
+    let truth = platform.truth();
+    assert!(refused >= 10, "{refused} of 20 calls were refused");
+    assert_eq!(truth.total.over_rate, refused);
+    let by_second: u64 = truth
+        .by_second
+        .iter()
+        .map(|second| second.counts.calls())
+        .sum();
+    assert_eq!(by_second, 20);
+}
+
+#[test]
+fn a_watch_without_news_ends() {
+    let platform = start(PlatformOptions {
+        watch_wait_ms: 100,
+        ..PlatformOptions::default()
+    })
+    .unwrap();
+    let watch = StoreCall::Watch {
+        name: String::from("sheet"),
+        after: Version(0),
+    };
+    let answer = smol::block_on(client(platform.address()).call(&watch));
+    assert_eq!(answer, StoreAnswer::Absent);
+    assert_eq!(platform.truth().waiting_watches, 0);
+}
--- a/crates/curranttrestle-standins/tests/standins/service.rs
+++ b/crates/curranttrestle-standins/tests/standins/service.rs
@@ -2,9 +2,14 @@
 
 use std::net::SocketAddr;
 
-use crate::common::{attempt, client};
-use curranttrestle::transport::endpoint::{Result, ServiceAnswer, ServiceCall};
-use curranttrestle_standins::service::{ServiceOptions, expected_answer, start};
+use curranttrestle::protocol::endpoint::{Order, OrderAnswer, OrderKind};
+use curranttrestle::transport::endpoint::{
+    AttemptError, EndpointClient, EndpointClientOptions, InterruptCause, NotRunReason, Result,
+    ServiceAnswer, ServiceCall,
+};
+use curranttrestle_standins::service::{ServiceFault, ServiceOptions, expected_answer, start};
+
+use crate::common::{attempt, client, pause};
 
 const KEY: &str = "01890000-0000-7000-8000-000000000001";
 
@@ -31,3 +36,104 @@
     assert_eq!(truth.runs_by_key.get(KEY), Some(&1));
     assert_eq!(truth.finished, 1);
 }
+
+/// Books once under a fault and returns the result, and how often the booking ran.
+fn book_under(fault: ServiceFault) -> (Result<ServiceAnswer>, u64) {
+    let service = start(ServiceOptions::default()).unwrap();
+    service.inject(fault);
+    let answer = smol::block_on(book(service.address(), 1));
+    let runs = service.truth().runs_by_key.get(KEY).copied();
+    (answer, runs.unwrap_or(0))
+}
+
+fn lost() -> Result<ServiceAnswer> {
+    Err(AttemptError::Interrupted {
+        offset: 0,
+        cause: InterruptCause::ConnectionLost,
+    })
+}
+
+#[test]
+fn a_call_closed_before_it_is_read_did_not_run() {
+    let fault = ServiceFault::CloseBeforeReading { count: 1 };
+    assert_eq!(book_under(fault), (lost(), 0));
+}
+
+#[test]
+fn a_call_closed_after_it_is_read_did_not_run() {
+    let fault = ServiceFault::CloseWithoutRunning { count: 1 };
+    assert_eq!(book_under(fault), (lost(), 0));
+}
+
+#[test]
+fn a_call_closed_after_it_ran_did_run() {
+    let fault = ServiceFault::CloseAfterRunning { count: 1 };
+    assert_eq!(book_under(fault), (lost(), 1));
+}
+
+#[test]
+fn a_refused_call_provably_did_not_run() {
+    let refused = Err(AttemptError::NotRun {
+        reason: NotRunReason::Refused,
+    });
+    let fault = ServiceFault::RefuseNext { count: 1 };
+    assert_eq!(book_under(fault), (refused, 0));
+}
+
+#[test]
+fn a_frozen_service_runs_the_call_once_it_thaws() {
+    let service = start(ServiceOptions::default()).unwrap();
+    service.inject(ServiceFault::Freeze);
+    let address = service.address();
+    let hasty = EndpointClient::new(EndpointClientOptions {
+        service_timeout_ms: 300,
+        ..EndpointClientOptions::default()
+    });
+    let call = ServiceCall {
+        operation: "book",
+        body: b"camera 7",
+        attempt: &attempt(1),
+        idempotency_key: Some(KEY),
+    };
+    smol::block_on(async {
+        let answer = hasty.call_service(address, call).await;
+        let silent = AttemptError::Interrupted {
+            offset: 0,
+            cause: InterruptCause::Silent,
+        };
+        assert_eq!(answer, Err(silent));
+        assert_eq!(service.truth().started, 0);
+        service.inject(ServiceFault::Heal);
+        book(address, 2).await.unwrap();
+    });
+}
+
+#[test]
+fn a_stopped_service_counts_what_it_cut() {
+    let service = start(ServiceOptions {
+        work_ms: 2_000,
+        load_lag_ms: 0,
+        ..ServiceOptions::default()
+    })
+    .unwrap();
+    let address = service.address();
+    smol::block_on(async {
+        let booking = smol::spawn(book(address, 1));
+        while service.truth().running == 0 {
+            pause().await;
+        }
+        let report = client().load(address).await.unwrap();
+        assert_eq!(report.running, vec![attempt(1).to_string()]);
+        let order = Order {
+            kind: OrderKind::Stop,
+            fencing: 1,
+            incarnation: report.incarnation,
+        };
+        let answer = client().order(address, &order).await.unwrap();
+        assert_eq!(answer, OrderAnswer::Applied);
+        assert_eq!(booking.await, lost());
+        let later = book(address, 2).await.unwrap_err();
+        assert!(matches!(later, AttemptError::NotRun { .. }));
+    });
+    assert_eq!(service.truth().orders.cut_by_stop, 1);
+}
