--- /dev/null
+++ b/crates/curranttrestle-standins/tests/standins/engine_faults.rs
@@ -0,0 +1,256 @@
+//! The faults of the engine stand-in, as its client sees them.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use curranttrestle::protocol::endpoint::{StreamId, StreamRequest};
+use curranttrestle::transport::endpoint::{
+    AttemptError, EndpointClient, EndpointClientOptions, InterruptCause, NotRunReason,
+};
+use curranttrestle::transport::frames::FrameStream;
+use curranttrestle_standins::engine::{
+    CRASH_MARKER, EngineFault, EngineHandle, EngineOptions, FrameFaults, expected_answer, start,
+    tokens_marker,
+};
+
+use crate::common::{attempt, client, pause, read_all, request, run};
+
+/// A client that gives up early.
+fn hasty_client() -> EndpointClient {
+    EndpointClient::new(EndpointClientOptions {
+        first_byte_timeout_ms: 400,
+        idle_timeout_ms: 300,
+        ..EndpointClientOptions::default()
+    })
+}
+
+/// Starts a stream and reads its first part.
+async fn begin(address: SocketAddr, request: &StreamRequest) -> (FrameStream, String) {
+    let mut stream = hasty_client().start_stream(address, request).await.unwrap();
+    let first = stream.next().await.unwrap().unwrap();
+    (stream, first.text)
+}
+
+/// Reads until the stream is interrupted; returns why, and adds what came to `text`.
+async fn read_until_interrupted(stream: &mut FrameStream, text: &mut String) -> InterruptCause {
+    loop {
+        match stream.next().await {
+            Ok(Some(chunk)) => text.push_str(&chunk.text),
+            Ok(None) => panic!("the stream ended whole"),
+            Err(AttemptError::Interrupted { offset, cause }) => {
+                assert_eq!(offset, text.len() as u64);
+                return cause;
+            }
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+async fn resume(address: SocketAddr, id: &StreamId, text: &mut String) {
+    let offset = text.len() as u64;
+    let mut resumed = client()
+        .resume_stream(address, id, &attempt(99), offset)
+        .await
+        .unwrap();
+    while let Some(chunk) = resumed.next().await.unwrap() {
+        text.push_str(&chunk.text);
+    }
+}
+
+#[test]
+fn tokens_100_ms_apart_arrive_apart() {
+    let engine = start(EngineOptions {
+        token_interval_ms: 100.0,
+        ..EngineOptions::default()
+    })
+    .unwrap();
+    let request = request(1, "Five tokens.", 5);
+    let gaps: Vec<Duration> = smol::block_on(async {
+        let mut stream = client()
+            .start_stream(engine.address(), &request)
+            .await
+            .unwrap();
+        let mut gaps = Vec::new();
+        let mut last = Instant::now();
+        while stream.next().await.unwrap().is_some() {
+            gaps.push(last.elapsed());
+            last = Instant::now();
+        }
+        gaps
+    });
+    assert_eq!(gaps.len(), 5);
+    let apart = |gap: &Duration| (50..250).contains(&gap.as_millis());
+    assert!(gaps.iter().all(apart), "{gaps:?}");
+}
+
+#[test]
+fn disturbed_frames_still_give_the_whole_answer() {
+    let engine = start(EngineOptions::default()).unwrap();
+    engine.inject(EngineFault::Frames {
+        frames: FrameFaults {
+            duplicate_every: 2,
+            reorder_every: 3,
+            foreign_every: 5,
+            late_every: 7,
+            drop_every: 0,
+        },
+    });
+    let request = request(1, "Disturbed.", 100);
+    smol::block_on(async {
+        let mut stream = client()
+            .start_stream(engine.address(), &request)
+            .await
+            .unwrap();
+        let text = read_all(&mut stream).await.unwrap();
+        assert_eq!(text, expected_answer(&request.prompt, 100));
+        let counters = stream.counters();
+        assert!(counters.duplicate > 20, "{counters:?}");
+        assert!(counters.early > 20, "{counters:?}");
+        assert_eq!(counters.other_attempt, 20, "{counters:?}");
+    });
+}
+
+#[test]
+fn a_dropped_frame_shows_as_a_gap_and_is_resumed() {
+    let engine = start(EngineOptions::default()).unwrap();
+    let drop_every = 10;
+    let frames = FrameFaults {
+        drop_every,
+        ..FrameFaults::default()
+    };
+    let request = request(1, "Dropped.", 60);
+    let address = engine.address();
+    engine.inject(EngineFault::Frames { frames });
+    smol::block_on(async {
+        let (mut stream, mut text) = begin(address, &request).await;
+        let cause = read_until_interrupted(&mut stream, &mut text).await;
+        assert_eq!(cause, InterruptCause::Gap);
+        engine.inject(EngineFault::Heal);
+        resume(address, stream.stream(), &mut text).await;
+        assert_eq!(text, expected_answer(&request.prompt, 60));
+    });
+}
+
+#[test]
+fn a_silent_connection_is_given_up_and_the_stream_resumed_over_a_new_one() {
+    let engine = start(EngineOptions::default()).unwrap();
+    let request = request(1, "Silent.", 100);
+    let address = engine.address();
+    smol::block_on(async {
+        let (mut stream, mut text) = begin(address, &request).await;
+        engine.inject(EngineFault::SilenceConnections);
+        let cause = read_until_interrupted(&mut stream, &mut text).await;
+        assert_eq!(cause, InterruptCause::Silent);
+        resume(address, stream.stream(), &mut text).await;
+        assert_eq!(text, expected_answer(&request.prompt, 100));
+    });
+    assert_eq!(engine.truth().admitted, 1);
+}
+
+#[test]
+fn a_frozen_engine_is_given_up_and_goes_on_when_it_thaws() {
+    let engine = start(EngineOptions::default()).unwrap();
+    let request = request(1, "Frozen.", 60);
+    let address = engine.address();
+    smol::block_on(async {
+        let (mut stream, mut text) = begin(address, &request).await;
+        engine.inject(EngineFault::Freeze);
+        let cause = read_until_interrupted(&mut stream, &mut text).await;
+        assert_eq!(cause, InterruptCause::Silent);
+        let tokens = engine.truth().tokens;
+        pause().await;
+        assert_eq!(engine.truth().tokens, tokens);
+        engine.inject(EngineFault::Heal);
+        resume(address, stream.stream(), &mut text).await;
+        assert_eq!(text, expected_answer(&request.prompt, 60));
+    });
+}
+
+/// Waits until the engine serves again after a crash.
+async fn wait_for_restart(engine: &EngineHandle) -> u64 {
+    loop {
+        if let Ok(report) = client().load(engine.address()).await {
+            return report.incarnation;
+        }
+        pause().await;
+    }
+}
+
+#[test]
+fn a_marked_request_crashes_the_engine_and_all_beside_it() {
+    let engine = start(EngineOptions {
+        restart_ms: 300,
+        ..EngineOptions::default()
+    })
+    .unwrap();
+    let address = engine.address();
+    let before = engine.truth().incarnation;
+    smol::block_on(async {
+        let (mut innocent, mut text) = begin(address, &request(1, "Innocent.", 5_000)).await;
+        let marked = request(2, &format!("Bad {CRASH_MARKER}"), 10);
+        let crashed = run(address, &marked).await.unwrap_err();
+        assert!(matches!(crashed, AttemptError::Interrupted { .. }));
+        read_until_interrupted(&mut innocent, &mut text).await;
+        let refused = run(address, &request(3, "Next.", 5)).await;
+        let unreachable = AttemptError::NotRun {
+            reason: NotRunReason::Unreachable,
+        };
+        assert_eq!(refused, Err(unreachable));
+        assert!(wait_for_restart(&engine).await > before);
+        let gone = client()
+            .resume_stream(address, innocent.stream(), &attempt(4), 1)
+            .await
+            .map(|_| ())
+            .unwrap_err();
+        let cause = InterruptCause::StreamGone;
+        assert_eq!(gone, AttemptError::Interrupted { offset: 1, cause });
+        run(address, &request(5, "After.", 5)).await.unwrap();
+    });
+    let truth = engine.truth();
+    assert_eq!((truth.crashes, truth.lost_in_crashes), (1, 2));
+}
+
+#[test]
+fn a_refused_request_provably_did_not_run() {
+    let engine = start(EngineOptions::default()).unwrap();
+    engine.inject(EngineFault::RefuseNext { count: 1 });
+    let refused = smol::block_on(run(engine.address(), &request(1, "Refused.", 5)));
+    let expected = AttemptError::NotRun {
+        reason: NotRunReason::Refused,
+    };
+    assert_eq!(refused, Err(expected));
+    assert_eq!(engine.truth().admitted, 0);
+}
+
+#[test]
+fn an_unread_stream_is_given_up_after_the_grace_time() {
+    let engine = start(EngineOptions {
+        grace_ms: 200,
+        ..EngineOptions::default()
+    })
+    .unwrap();
+    smol::block_on(async {
+        let (stream, _) = begin(engine.address(), &request(1, "Left.", 100_000)).await;
+        drop(stream);
+        while engine.truth().running > 0 {
+            pause().await;
+        }
+    });
+    assert_eq!(engine.truth().abandoned, 1);
+}
+
+#[test]
+fn a_slowed_engine_takes_longer_by_its_factor() {
+    let engine = start(EngineOptions::default()).unwrap();
+    let address = engine.address();
+    let time = |sequence| {
+        let begun = Instant::now();
+        let prompt = format!("Timed {}", tokens_marker(20));
+        smol::block_on(run(address, &request(sequence, &prompt, 500))).unwrap();
+        begun.elapsed()
+    };
+    let quick = time(1);
+    engine.inject(EngineFault::Slow { factor: 5.0 });
+    let slow = time(2);
+    assert!(slow > 3 * quick, "{slow:?} against {quick:?}");
+}
--- a/crates/curranttrestle-standins/tests/standins/main.rs
+++ b/crates/curranttrestle-standins/tests/standins/main.rs
@@ -2,5 +2,9 @@
 
 mod common;
 mod engine;
+mod engine_faults;
+mod engine_orders;
 mod platform;
+mod process;
+mod relay;
 mod service;
