--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -2,15 +2,14 @@
 
 pub mod call_ids;
 pub mod claims;
+pub mod cost;
 pub mod drain;
+pub mod fair_share;
 pub mod invariant;
 pub mod membership;
-pub mod rendezvous;
-pub mod retry_budget;
-pub mod store_gate;
-pub mod cost;
-pub mod fair_share;
 pub mod queue;
 pub mod rendezvous;
+pub mod retry_budget;
 pub mod slots;
 pub mod speed;
+pub mod store_gate;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -22,8 +22,6 @@
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
 pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return};
 pub use slots::{
     Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
 };
@@ -97,6 +95,8 @@
             Self::ServiceTotals(_) => "service-totals",
             Self::ClaimRequest(_) => "claim-request",
             Self::ClaimAnswer(_) => "claim-answer",
+            Self::EndpointNotices(_) => "endpoint-notices",
+            Self::Suspicions(_) => "suspicions",
         }
     }
 
