Add the quarantine of requests that crash endpoints

All requests that ran on a dead endpoint run alone until they finish so; a second death gets one refused for a time. What is known only grows and is merged between routers. A request that recently finished stays free after one death: one that crashes every endpoint never finishes.

--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod fair_share;
 pub mod invariant;
 pub mod membership;
+pub mod quarantine;
 pub mod queue;
 pub mod rendezvous;
 pub mod retry_budget;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -20,7 +20,7 @@
 pub use drain::{EndpointNotice, EndpointNotices, Listed};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
 pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
-pub use quarantine::{Cleared, EndpointDeath, SuspectDigest, Suspicions};
+pub use quarantine::{EndpointDeath, Suspicion, Suspicions};
 pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{
     Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
