Wire the quarantine of requests that crash endpoints

Deaths of endpoints make suspects of what ran on them; suspects run alone; news goes out before the retry.

--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -18,7 +18,8 @@
 use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, EndpointId, InstanceId, Now, PoolId};
 
-use super::{Effect, Policy, Router};
+use super::active::RunningAttempt;
+use super::{Effect, Policy, RequestDigest, Router};
 
 /// How long an endpoint that refused a connection gets no work from this router.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
@@ -279,9 +280,8 @@
         let effects = self.drain.tick(&self.endpoints.owned, members, now);
         self.run_drain_effects(effects, now);
         self.update_owned(now);
-        for (to, message) in self.quarantine.tick(self.membership.view(), now) {
-            self.send(&to, message, now);
-        }
+        let messages = self.quarantine.tick(self.membership.view(), now);
+        self.send_all(messages, now);
     }
 
     fn poll_loads(&mut self, now: Now) {
@@ -428,15 +428,25 @@
     }
 
     /// Makes suspects of all requests that ran on an endpoint that died.
-    pub(super) fn endpoint_died(&mut self, endpoint: &EndpointId, digests: &[[u8; 16]], now: Now) {
-        self.quarantine.endpoint_died(endpoint, digests, now);
+    pub(super) fn endpoint_died(
+        &mut self,
+        running: &RunningAttempt,
+        digests: &[RequestDigest],
+        now: Now,
+    ) {
+        let endpoint = &running.endpoint;
+        self.quarantine
+            .endpoint_died(endpoint, digests, running.exclusive, now);
         self.endpoint_unreachable(endpoint, now);
         self.emit(
             now,
             EventKind::Quarantine,
-            None,
+            Some(running.request),
             &[("endpoint", endpoint), ("suspects", &digests.len())],
         );
+        // Other routers hear of it before the caller can send its request again.
+        let messages = self.quarantine.tick(self.membership.view(), now);
+        self.send_all(messages, now);
     }
 
     /// Judges an endpoint by the time one of its units took.
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -52,7 +52,7 @@
             PeerMessage::Lend(lend) => self.slot_lent(from, &lend, now),
             PeerMessage::Recall(recall) => self.holder.receive_recall(from, &recall, now),
             PeerMessage::Slowness(slowness) => self.owner.receive_slowness(from, &slowness, now),
-            PeerMessage::Suspicions(_) => {}
+            PeerMessage::Suspicions(suspicions) => self.quarantine.receive(&suspicions, now),
             PeerMessage::ServiceReport(report) => {
                 self.fair.receive_report(from, incarnation, &report, now);
             }
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -279,7 +279,7 @@
             ],
         );
         if let Some(digests) = digests {
-            self.endpoint_died(&running.endpoint, &digests, now);
+            self.endpoint_died(&running, &digests, now);
         }
         match result {
             AttemptResult::Answered { units, stored } => {
@@ -343,9 +343,8 @@
             self.hedging.observe(pool, elapsed_ms);
         }
         self.observe_speed(pool, &running.endpoint, units, elapsed_ms, now);
-        if running.exclusive {
-            self.quarantine.finished_alone(&active.new.digest, now);
-        }
+        let digest = active.new.digest;
+        self.quarantine.finished(&digest, running.exclusive, now);
         if let Some(claim) = &active.claim {
             let result = stored.map_or(ClaimResult::Unknown, ClaimResult::Answered);
             let effects = self.claims.finish(claim, result, now);
