Cut off slow senders, honour deadlines in streams, send answers out before exit

Causes: the HTTP library has no timeout for a request's head, a stream ran past its caller's deadline, and join() returned before the last bytes of an answer were written. Bodies are read with the buffer that the library cannot garble.

--- a/crates/curranttrestle/src/transport/body.rs
+++ b/crates/curranttrestle/src/transport/body.rs
@@ -23,7 +23,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the connection breaks, or the body is longer than `max_bytes`.
+/// Returns an error when the connection breaks, and one of the kind `FileTooLarge` when the
+/// body is longer than `max_bytes`.
 pub async fn read_whole(mut body: impl AsyncRead + Unpin, max_bytes: u64) -> io::Result<Vec<u8>> {
     let mut whole = Vec::new();
     let mut buffer = vec![0; READ_BYTES];
@@ -33,7 +34,7 @@
             return Ok(whole);
         }
         if (whole.len() + length) as u64 > max_bytes {
-            return Err(io::Error::other("the body is too long"));
+            return Err(io::ErrorKind::FileTooLarge.into());
         }
         whole.extend_from_slice(&buffer[..length]);
     }
--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -6,3 +6,4 @@
 mod http_client;
 pub mod peer;
 pub mod platform;
+pub mod sender_limit;
--- a/crates/curranttrestled/src/daemon.rs
+++ b/crates/curranttrestled/src/daemon.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use curranttrestle::coordination::router::{Input, Router};
 use curranttrestle::protocol::peer::{Envelope, FleetKey};
-use curranttrestle::state::settings::Settings;
+use curranttrestle::state::settings::{Limits, Settings};
 use curranttrestle::state::sheet::{KeyDigest, Sheet};
 use curranttrestle::state::{Incarnation, Member};
 use curranttrestle::transport::endpoint::{EndpointClient, EndpointClientOptions};
@@ -16,11 +17,13 @@
     ByteCounts, PeerListener, PeerListenerOptions, PeerSender, PeerSenderOptions,
 };
 use curranttrestle::transport::platform::{PlatformClient, PlatformClientOptions};
+use curranttrestle::transport::sender_limit::SenderLimit;
+use futures_lite::FutureExt;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol::net::TcpListener;
 use trillium_http::HttpConfig;
-use trillium_smol::Stopper;
+use trillium_server_common::ServerHandle;
 
 use crate::clock::Clock;
 use crate::control::{Control, ControlMetrics};
@@ -31,6 +34,8 @@
 const CONTROL_MESSAGES: usize = 16_384;
 /// Envelopes of other routers that may wait.
 const INBOX_ENVELOPES: usize = 4_096;
+/// Time between two looks at whether the control thread has ended.
+const JOIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Bits of an incarnation that are random, so that two runs that begin in the same
 /// millisecond differ.
 const INCARNATION_RANDOM_BITS: u32 = 12;
@@ -65,7 +70,8 @@
     peers: SocketAddr,
     control: Sender<ControlMessage>,
     thread: JoinHandle<()>,
-    stopper: Stopper,
+    servers: Vec<ServerHandle>,
+    shutdown_ms: u64,
 }
 
 impl Daemon {
@@ -133,12 +139,13 @@
             ControlMetrics::new(counts)?,
             rng,
         );
-        let daemon = Self {
+        let mut daemon = Self {
             callers: callers.local_addr()?,
             operators: operators.local_addr()?,
             peers: peers.local_addr()?,
             control,
-            stopper: Stopper::new(),
+            servers: Vec::new(),
+            shutdown_ms: settings.limits.shutdown_ms,
             thread: std::thread::Builder::new()
                 .name("control".into())
                 .spawn(move || control_thread.run())?,
@@ -148,7 +155,7 @@
     }
 
     fn listen(
-        &self,
+        &mut self,
         settings: &Settings,
         shared: &Arc<Shared>,
         callers: TcpListener,
@@ -167,34 +174,36 @@
             }
         })
         .detach();
-        let connections = settings.limits.connections as usize;
+        let limits = &settings.limits;
         let for_callers = shared.clone();
-        self.serve(callers, connections, move |conn| {
+        self.serve(callers, limits, move |conn| {
             front::handle(conn, for_callers.clone())
         });
         let for_operators = shared.clone();
         let token_digest: KeyDigest = settings.operators.token_digest;
-        self.serve(operators, connections, move |conn| {
+        self.serve(operators, limits, move |conn| {
             operators::handle(conn, for_operators.clone(), token_digest)
         });
     }
 
-    fn serve<F, Answer>(&self, listener: TcpListener, connections: usize, handler: F)
+    fn serve<F, Answer>(&mut self, listener: TcpListener, limits: &Limits, handler: F)
     where
         F: Fn(trillium::Conn) -> Answer + Send + Sync + 'static,
         Answer: Future<Output = trillium::Conn> + Send + 'static,
     {
         // Each chunk of a streamed answer goes out at once.
         let http = HttpConfig::default().with_response_buffer_len(0);
-        let server = trillium_smol::config()
+        let config = trillium_smol::config()
             .without_signals()
             .with_nodelay()
             .with_http_config(http)
-            .with_max_connections(Some(connections))
-            .with_stopper(self.stopper.clone())
-            .with_prebound_server(listener)
-            .run_async(handler);
-        smol::spawn(server).detach();
+            .with_max_connections(Some(limits.connections as usize))
+            .with_acceptor(SenderLimit {
+                idle_timeout_ms: limits.header_timeout_ms,
+                request_timeout_ms: limits.header_timeout_ms + limits.sender_timeout_ms,
+            })
+            .with_prebound_server(listener);
+        self.servers.push(config.spawn(handler));
     }
 
     /// Where callers are served.
@@ -220,10 +229,23 @@
         let _ = self.control.try_send(ControlMessage::Input(Input::Stop));
     }
 
-    /// Waits until the graceful shutdown has finished.
+    /// Waits until the graceful shutdown has finished: all requests have ended and their
+    /// answers were sent, or the longest time for it has passed.
     pub fn join(self) {
-        let _ = self.thread.join();
-        self.stopper.stop();
+        let deadline = Instant::now() + Duration::from_millis(self.shutdown_ms);
+        while !self.thread.is_finished() && Instant::now() < deadline {
+            std::thread::sleep(JOIN_INTERVAL);
+        }
+        let servers = self.servers;
+        let stopped = async {
+            for server in &servers {
+                server.stop().await;
+            }
+        };
+        let expired = async {
+            smol::Timer::at(deadline).await;
+        };
+        smol::block_on(stopped.or(expired));
     }
 }
 
--- a/crates/curranttrestled/src/front/request.rs
+++ b/crates/curranttrestled/src/front/request.rs
@@ -1,11 +1,13 @@
 //! Reads a caller's request: access, limits and headers.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use curranttrestle::coordination::router::NewRequest;
 use curranttrestle::protocol::{Refusal, RefusalReason};
 use curranttrestle::state::sheet::KeyDigest;
 use curranttrestle::state::{CustomerId, RequestId};
+use curranttrestle::transport::body::read_whole;
 use futures_lite::FutureExt;
 use sha2::{Digest, Sha256};
 use trillium::{Conn, KnownHeaderName};
@@ -107,7 +109,7 @@
     let timeout = Duration::from_millis(shared.limits.sender_timeout_ms);
     let reading = async {
         let body = conn.request_body().await;
-        Some(body.with_max_len(limit).read_bytes().await)
+        Some(read_whole(body, limit).await)
     };
     let expired = async {
         smol::Timer::after(timeout).await;
@@ -115,7 +117,7 @@
     };
     match reading.or(expired).await {
         Some(Ok(body)) => Ok(body),
-        Some(Err(trillium_http::Error::ReceivedBodyTooLong(_))) => Err(too_large()),
+        Some(Err(error)) if error.kind() == ErrorKind::FileTooLarge => Err(too_large()),
         Some(Err(error)) => Err(Refusal::not_run(
             RefusalReason::BadRequest,
             format!("the body could not be read: {error}"),
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -111,6 +111,8 @@
         first: Option<Chunk>,
     ) -> Passed {
         let mut replay = Replay::new(self.sent_bytes);
+        // The control thread learns of the first part at once.
+        self.last_progress = Now::default();
         let mut tokens = 0;
         let mut next = first;
         let mut resumes = 0;
@@ -128,7 +130,11 @@
                 }
                 self.report_progress(dispatch, tokens).await;
             }
-            match stream.next().await {
+            let deadline_ms = self.caller.new.deadline_ms;
+            let Some(received) = until(&self.shared, deadline_ms, stream.next()).await else {
+                return self.expired(dispatch, &stream, tokens).await;
+            };
+            match received {
                 Ok(Some(chunk)) => next = Some(chunk),
                 Ok(None) => return self.finish(dispatch, &stream).await,
                 Err(error) if resumes < RESUME_ATTEMPTS => {
@@ -223,6 +229,22 @@
         Passed::Ended
     }
 
+    /// Ends an answer whose caller's deadline has passed.
+    async fn expired(&self, dispatch: &Dispatch, stream: &FrameStream, tokens: u64) -> Passed {
+        let endpoints = &self.shared.endpoints;
+        let _ = endpoints
+            .cancel_stream(dispatch.address, stream.stream())
+            .await;
+        let result = AttemptResult::CallerGone {
+            units: units(tokens),
+        };
+        self.attempts.report(dispatch, result).await;
+        let detail = "the deadline passed while the answer was streamed";
+        let refusal = Refusal::unknown(RefusalReason::DeadlinePassed, detail);
+        let _ = self.chunks.send(sse::error(&refusal)).await;
+        Passed::Ended
+    }
+
     /// Ends an answer whose new attempt does not begin with the bytes already passed on.
     async fn differs(&self, dispatch: &Dispatch, tokens: u64) -> Passed {
         let result = AttemptResult::CallerGone {
--- a/crates/curranttrestled/src/operators/submit.rs
+++ b/crates/curranttrestled/src/operators/submit.rs
@@ -9,6 +9,7 @@
 use curranttrestle::state::EndpointId;
 use curranttrestle::state::marks::{Mark, MarkEntry};
 use curranttrestle::state::sheet::{SHEET_LIMIT_BYTES, SheetStamp, read_sheet};
+use curranttrestle::transport::body::read_whole;
 use serde::{Deserialize, Serialize};
 use trillium::Conn;
 use uuid::Uuid;
@@ -21,6 +22,9 @@
 /// The file name that findings carry when the operator gives none.
 const DEFAULT_FILE_NAME: &str = "sheet";
 
+/// The largest body that asks for a mark.
+const MARK_LIMIT_BYTES: u64 = 64 * 1024;
+
 /// The answer to an accepted sheet.
 #[derive(Debug, Serialize)]
 struct Accepted {
@@ -51,9 +55,8 @@
 /// Submits the sheet in the body.
 pub async fn sheet(mut conn: Conn, shared: &Shared) -> Conn {
     let operator = operator_name(&conn);
-    let limit = SHEET_LIMIT_BYTES as u64 + 1;
-    let body = conn.request_body().await.with_max_len(limit);
-    let Ok(bytes) = body.read_bytes().await else {
+    let body = conn.request_body().await;
+    let Ok(bytes) = read_whole(body, SHEET_LIMIT_BYTES as u64).await else {
         return reply_text(conn, 413, "the sheet is too large or did not arrive\n");
     };
     let mut sheet = match read_sheet(DEFAULT_FILE_NAME, &bytes) {
@@ -101,7 +104,7 @@
 pub async fn mark(mut conn: Conn, shared: &Shared) -> Conn {
     let by = operator_name(&conn);
     let body = conn.request_body().await;
-    let request: Option<MarkRequest> = match body.read_bytes().await {
+    let request: Option<MarkRequest> = match read_whole(body, MARK_LIMIT_BYTES).await {
         Ok(bytes) => serde_json::from_slice(&bytes).ok(),
         Err(_) => None,
     };
--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use curranttrestle::transport::body::read_whole;
 use futures_lite::FutureExt;
 use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
@@ -10,6 +11,9 @@
 /// The longest that any exchange may take.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The largest body that is read.
+const MAX_BODY_BYTES: u64 = 16 << 20;
+
 /// A reply to an HTTP request.
 #[derive(Clone, Debug, Default)]
 pub struct Reply {
@@ -44,7 +48,9 @@
             .get_str("Outcome")
             .unwrap_or_default()
             .to_owned();
-        let bytes = conn.response_body().read_bytes().await.unwrap_or_default();
+        let bytes = read_whole(conn.response_body(), MAX_BODY_BYTES)
+            .await
+            .unwrap_or_default();
         let body = String::from_utf8_lossy(&bytes).into_owned();
         Some(Reply {
             status,
