--- a/crates/curranttrestle-cli/src/main.rs
+++ b/crates/curranttrestle-cli/src/main.rs
@@ -1,2 +1,67 @@
-//! placeholder
-fn main() {}
+//! The command-line tool of a curranttrestle fleet.
+
+mod client;
+mod commands;
+mod error;
+mod fleet;
+mod output;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use commands::{call, endpoint, load, sheet, status, timeline};
+use error::{CliError, EXIT_CODES};
+
+/// Operates and calls a curranttrestle fleet.
+#[derive(Debug, Parser)]
+#[command(
+    name = "curranttrestle",
+    version,
+    propagate_version = true,
+    after_help = EXIT_CODES
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Checks, submits, shows and compares sheets.
+    Sheet(sheet::Arguments),
+    /// Shows the state of each router.
+    Status(status::Arguments),
+    /// Shows what happened, over all routers in order.
+    Timeline(timeline::Arguments),
+    /// Takes an endpoint out of service.
+    Endpoint(endpoint::Arguments),
+    /// Calls an operation as a customer.
+    Call(call::Arguments),
+    /// Calls an operation many times at random moments and measures the answers.
+    Load(load::Arguments),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match smol::block_on(run(cli.command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            if !error.is_closed_output() {
+                eprintln!("{error}");
+            }
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), CliError> {
+    match command {
+        Command::Sheet(arguments) => sheet::run(arguments).await,
+        Command::Status(arguments) => status::run(&arguments).await,
+        Command::Timeline(arguments) => timeline::run(&arguments).await,
+        Command::Endpoint(arguments) => endpoint::run(arguments).await,
+        Command::Call(arguments) => call::run(&arguments).await,
+        Command::Load(arguments) => load::run(&arguments).await,
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-cli/tests/commands/main.rs
@@ -0,0 +1,5 @@
+//! The tool as a process, against listeners that answer as scripted.
+
+mod callers;
+mod operators;
+mod support;
