--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -1,4 +1,18 @@
 //! The decisions of a router. No I/O, no clock, no random number of its own.
 
+pub mod call_ids;
+pub mod claims;
 pub mod config;
+pub mod cost;
+pub mod drain;
+pub mod fair_share;
+pub mod invariant;
+pub mod membership;
+pub mod quarantine;
+pub mod queue;
 pub mod rendezvous;
+pub mod retry_budget;
+pub mod router;
+pub mod slots;
+pub mod speed;
+pub mod store_gate;
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -5,7 +5,11 @@
 
 mod claims;
 mod config;
+mod drain;
 mod fair_share;
+mod membership;
+mod quarantine;
+mod seal;
 mod slots;
 
 use serde::{Deserialize, Serialize};
@@ -13,10 +17,16 @@
 use crate::state::event::HybridTime;
 use crate::state::{Incarnation, InstanceId};
 
-pub use claims::{ClaimAnswer, ClaimRequest};
+pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
 pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
+pub use drain::{EndpointNotice, EndpointNotices, Listed};
 pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
-pub use slots::{Bid, BidEntry, Lease, LeaseId, Lend, Recall, Renewal, Return};
+pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
+pub use quarantine::{EndpointDeath, Suspicion, Suspicions};
+pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
+pub use slots::{
+    Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
+};
 
 /// One batch of messages from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,6 +44,12 @@
 /// One message from one router to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
+    /// Probes a member.
+    Ping(Ping),
+    /// Answers a probe.
+    Ack(Ack),
+    /// Asks for an indirect probe.
+    PingRequest(PingRequest),
     /// Asks a slot owner for slots.
     Bid(Bid),
     /// Lends a slot.
@@ -44,6 +60,10 @@
     Recall(Recall),
     /// Renews the leases held from the receiver.
     Renewal(Renewal),
+    /// Answers a renewal.
+    Renewed(Renewed),
+    /// Tells the owner of an endpoint that it is slow.
+    Slowness(Slowness),
     /// Service given in a subtree, towards the root.
     ServiceReport(ServiceReport),
     /// Service given in a data centre, from its root.
@@ -52,8 +72,48 @@
     ClaimRequest(ClaimRequest),
     /// The answer to a claim request.
     ClaimAnswer(ClaimAnswer),
-    /// Asks for a sheet or marks that the receiver has and the sender lacks.
+    /// Says which sheet and marks are in force at the sender.
+    ConfigNumbers(ConfigNumbers),
+    /// Asks for the sheet and marks that the sender lacks.
     ConfigRequest(ConfigRequest),
-    /// The answer to a request for a sheet or marks.
+    /// The answer to a request for the sheet and marks.
     ConfigUpdate(Box<ConfigUpdate>),
+    /// Spreads which endpoints are leaving.
+    EndpointNotices(EndpointNotices),
+    /// Spreads which requests are suspected of crashing endpoints.
+    Suspicions(Suspicions),
+}
+
+impl PeerMessage {
+    /// The name of the message's kind, for metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ping(_) => "ping",
+            Self::Ack(_) => "ack",
+            Self::PingRequest(_) => "ping-request",
+            Self::Bid(_) => "bid",
+            Self::Lend(_) => "lend",
+            Self::Return(_) => "return",
+            Self::Recall(_) => "recall",
+            Self::Renewal(_) => "renewal",
+            Self::Renewed(_) => "renewed",
+            Self::Slowness(_) => "slowness",
+            Self::ServiceReport(_) => "service-report",
+            Self::ServiceTotals(_) => "service-totals",
+            Self::ClaimRequest(_) => "claim-request",
+            Self::ClaimAnswer(_) => "claim-answer",
+            Self::ConfigNumbers(_) => "config-numbers",
+            Self::ConfigRequest(_) => "config-request",
+            Self::ConfigUpdate(_) => "config-update",
+            Self::EndpointNotices(_) => "endpoint-notices",
+            Self::Suspicions(_) => "suspicions",
+        }
+    }
+
+    /// Length of the encoded message in bytes.
+    #[must_use]
+    pub fn encoded_bytes(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or_default()
+    }
 }
--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -1,1 +1,8 @@
 //! The I/O of a router.
+
+pub mod body;
+pub mod endpoint;
+pub mod frames;
+mod http_client;
+pub mod peer;
+pub mod platform;
