--- a/crates/curranttrestle-standins/src/relay/mod.rs
+++ b/crates/curranttrestle-standins/src/relay/mod.rs
@@ -11,7 +11,7 @@
 use smol::Task;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::server::{Gate, Result, Runtime, Spawner, bind, bind_again};
+use crate::server::{Gate, Port, Result, Runtime, Spawner};
 use pump::{Flow, pump};
 
 /// Settings of a relay.
@@ -86,7 +86,7 @@
 #[derive(Debug)]
 struct Relay {
     options: RelayOptions,
-    address: SocketAddr,
+    port: Port,
     spawner: Spawner,
     forward: Arc<Flow>,
     backward: Arc<Flow>,
@@ -109,11 +109,12 @@
 /// Returns an error when the address cannot be bound.
 pub fn start(options: RelayOptions) -> Result<RelayHandle> {
     let runtime = Runtime::start("relay")?;
-    let listener = bind(options.address)?;
-    let address = listener.local_addr().unwrap_or(options.address);
+    let port = Port::reserve(options.address)?;
+    let address = port.address();
+    let listener = port.listen()?;
     let relay = Arc::new(Relay {
         options,
-        address,
+        port,
         spawner: runtime.spawner(),
         forward: Arc::new(Flow::new(options.delay_ms)),
         backward: Arc::new(Flow::new(options.delay_ms)),
@@ -193,7 +194,7 @@
         }
         let relay = Arc::clone(self);
         self.spawner.spawn_detached(async move {
-            let listener = bind_again(relay.address).await;
+            let listener = relay.port.listen_again().await;
             relay.listen(listener);
         });
     }
--- a/crates/curranttrestle-standins/src/server/control.rs
+++ b/crates/curranttrestle-standins/src/server/control.rs
@@ -4,18 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use indexmap::IndexMap;
+use smol::Task;
 use smol::net::{TcpListener, TcpStream};
-use smol::{Task, Timer};
 
+use super::Spawner;
 use super::connection::{Connection, Gate, Link};
 use super::http::{Reply, Request, serve};
-use super::{Error, Result, Spawner};
-
-/// How long to wait before an address that is still in use is tried again.
-const REBIND_INTERVAL_MS: u64 = 20;
 
 /// The open connections, each with its switch.
 type Connections = IndexMap<u64, (Arc<Link>, Task<()>)>;
@@ -146,19 +142,3 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Binds an address; port zero lets the system choose.
-pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let bound = std::net::TcpListener::bind(address).and_then(TcpListener::try_from);
-    bound.map_err(|source| Error::Bind { address, source })
-}
-
-/// Binds an address again, waiting until it is free.
-pub(crate) async fn bind_again(address: SocketAddr) -> TcpListener {
-    loop {
-        if let Ok(listener) = bind(address) {
-            return listener;
-        }
-        Timer::after(Duration::from_millis(REBIND_INTERVAL_MS)).await;
-    }
-}
--- a/crates/curranttrestle-standins/src/server/handle.rs
+++ b/crates/curranttrestle-standins/src/server/handle.rs
@@ -5,8 +5,7 @@
 
 use trillium_http::{Method, Status};
 
-use super::control::{bind, bind_again};
-use super::{Reply, Request, Result, Runtime, ServerControl, StandIn};
+use super::{Port, Reply, Request, Result, Runtime, ServerControl, StandIn};
 
 /// A running stand-in. It stops when the handle is dropped.
 #[derive(Debug)]
@@ -32,13 +31,13 @@
 #[derive(Debug)]
 pub(crate) struct Reopen {
     control: Arc<ServerControl>,
-    address: SocketAddr,
+    port: Port,
 }
 
 impl Reopen {
     /// Accepts connections again at the stand-in's address.
     pub(crate) async fn open<S: StandIn>(&self, stand_in: Arc<S>) {
-        let listener = bind_again(self.address).await;
+        let listener = self.port.listen_again().await;
         listen(&self.control, listener, stand_in);
     }
 }
@@ -50,14 +49,15 @@
         build: impl FnOnce(Arc<ServerControl>, Reopen) -> S,
     ) -> Result<Self> {
         let runtime = Runtime::start(listen_at.name)?;
-        let listener = bind(listen_at.address)?;
-        let admin_listener = bind(listen_at.admin_address)?;
-        let address = local_address(&listener, listen_at.address);
-        let admin_address = local_address(&admin_listener, listen_at.admin_address);
+        let port = Port::reserve(listen_at.address)?;
+        let admin_port = Port::reserve(listen_at.admin_address)?;
+        let (address, admin_address) = (port.address(), admin_port.address());
+        let listener = port.listen()?;
+        let admin_listener = admin_port.listen()?;
         let control = Arc::new(ServerControl::new(runtime.spawner()));
         let reopen = Reopen {
             control: Arc::clone(&control),
-            address,
+            port,
         };
         let stand_in = Arc::new(build(Arc::clone(&control), reopen));
         listen(&control, listener, Arc::clone(&stand_in));
@@ -135,7 +135,3 @@
         _ => Reply::empty(Status::NotFound),
     }
 }
-
-fn local_address(listener: &smol::net::TcpListener, asked: SocketAddr) -> SocketAddr {
-    listener.local_addr().unwrap_or(asked)
-}
--- a/crates/curranttrestle-standins/src/server/mod.rs
+++ b/crates/curranttrestle-standins/src/server/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod handle;
 mod http;
+mod port;
 mod runtime;
 mod time;
 
@@ -17,10 +18,10 @@
 pub(crate) use connection::Gate;
 pub use connection::Link;
 pub use control::ServerControl;
-pub(crate) use control::{bind, bind_again};
 pub use handle::Handle;
 pub(crate) use handle::{Listen, Reopen};
 pub use http::{Reply, Request};
+pub(crate) use port::Port;
 pub(crate) use runtime::{Runtime, Spawner};
 pub(crate) use time::{milliseconds, unix_ms};
 
--- a/crates/curranttrestle-standins/tests/standins/process.rs
+++ b/crates/curranttrestle-standins/tests/process.rs
@@ -1,14 +1,42 @@
 //! Stand-ins as processes of their own.
+//!
+//! These tests have a program of their own: a process that is just being started holds copies
+//! of the listeners of its parent, which would disturb tests beside it.
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
-use curranttrestle::transport::endpoint::{AttemptError, NotRunReason};
+use curranttrestle::protocol::endpoint::StreamRequest;
+use curranttrestle::state::{CustomerId, PoolId};
+use curranttrestle::transport::endpoint::{
+    AttemptError, EndpointClient, EndpointClientOptions, NotRunReason, Result,
+};
 use curranttrestle_standins::engine::{EngineFault, EngineTruth, expected_answer};
 use curranttrestle_standins::remote;
 
-use crate::common::{request, run};
+const PROMPT: &str = "As a process.";
+
+/// Asks an engine for an answer and reads it to its end.
+async fn run(address: SocketAddr) -> Result<String> {
+    let request = StreamRequest {
+        attempt: String::from("router-1.1.1"),
+        request: String::from("request-1"),
+        customer: CustomerId::new("roofers"),
+        operation: String::from("draft"),
+        pool: PoolId::new("model"),
+        prompt: PROMPT.to_owned(),
+        max_tokens: 10,
+        expected_cost: None,
+    };
+    let client = EndpointClient::new(EndpointClientOptions::default());
+    let mut stream = client.start_stream(address, &request).await?;
+    let mut text = String::new();
+    while let Some(chunk) = stream.next().await? {
+        text.push_str(&chunk.text);
+    }
+    Ok(text)
+}
 
 /// A stand-in's process, ended when dropped.
 struct Process {
@@ -53,12 +81,11 @@
 fn an_engine_process_serves_fails_on_command_and_tells_the_truth() {
     let engine = Process::start(&["engine", "--name", "engine-7", "--slots", "2"]);
     smol::block_on(async {
-        let first = request(1, "As a process.", 10);
-        let text = run(engine.address, &first).await.unwrap();
-        assert_eq!(text, expected_answer(&first.prompt, 10));
+        let text = run(engine.address).await.unwrap();
+        assert_eq!(text, expected_answer(PROMPT, 10));
         let fault = EngineFault::RefuseNext { count: 1 };
         remote::inject(engine.admin, &fault).await.unwrap();
-        let refused = run(engine.address, &request(2, "Refused.", 10)).await;
+        let refused = run(engine.address).await;
         let reason = NotRunReason::Refused;
         assert_eq!(refused, Err(AttemptError::NotRun { reason }));
         let truth: EngineTruth = remote::truth(engine.admin).await.unwrap();
--- a/crates/curranttrestle-standins/tests/standins/main.rs
+++ b/crates/curranttrestle-standins/tests/standins/main.rs
@@ -5,6 +5,5 @@
 mod engine_faults;
 mod engine_orders;
 mod platform;
-mod process;
 mod relay;
 mod service;
--- a/crates/curranttrestle-standins/tests/standins/platform.rs
+++ b/crates/curranttrestle-standins/tests/standins/platform.rs
@@ -10,6 +10,9 @@
     Outage, PlatformFault, PlatformOptions, PlatformTruth, start,
 };
 
+/// A port where nothing listens.
+const UNUSED_PORT: u16 = 1;
+
 fn client(address: SocketAddr) -> PlatformClient {
     PlatformClient::new(PlatformClientOptions {
         address,
@@ -176,10 +179,9 @@
 
 #[test]
 fn a_platform_that_is_not_there_had_no_effect() {
-    let platform = start(PlatformOptions::default()).unwrap();
-    let client = client(platform.address());
-    platform.stop();
-    let answer = smol::block_on(client.call(&update("a", Expected::Absent, "one")));
+    let nobody = SocketAddr::from(([127, 0, 0, 1], UNUSED_PORT));
+    let call = update("a", Expected::Absent, "one");
+    let answer = smol::block_on(client(nobody).call(&call));
     assert_eq!(answer, StoreAnswer::Unavailable);
 }
 
--- a/crates/curranttrestle/tests/endpoint_client.rs
+++ b/crates/curranttrestle/tests/endpoint_client.rs
@@ -17,6 +17,9 @@
 /// How long a repeated request is waited for.
 const REPEAT_WAIT_MS: u64 = 300;
 
+/// A port where nothing listens.
+const UNUSED_PORT: u16 = 1;
+
 /// How far the server goes before it closes the connection.
 #[derive(Clone, Copy, Debug)]
 enum BreakOff {
@@ -131,9 +134,7 @@
 
 #[test]
 fn a_refused_connection_proves_that_a_call_did_not_run() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let address = SocketAddr::from(([127, 0, 0, 1], UNUSED_PORT));
     let expected = AttemptError::NotRun {
         reason: NotRunReason::Unreachable,
     };
