--- a/crates/curranttrestle-cli/src/commands/mod.rs
+++ b/crates/curranttrestle-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod sheet;
 pub mod status;
 pub mod timeline;
+pub mod trial;
 
 use serde::Serialize;
 
