Reach routers through forwarded addresses, and cut the ways between data centres in tests

A router may be reached at another address than it announces (fleet.via). The test fleet uses it to put a relay on each way from a data centre to a router, and one to the platform.

--- a/crates/curranttrestle-cli/src/commands/trial/fleet.rs
+++ b/crates/curranttrestle-cli/src/commands/trial/fleet.rs
@@ -98,6 +98,7 @@
             fleet: Fleet {
                 key: Secret::new(FLEET_KEY),
                 seeds: self.routers.iter().map(Daemon::peers).collect(),
+                ..Fleet::default()
             },
             operators: Operators {
                 token_digest: KeyDigest::of(OPERATORS_TOKEN),
--- a/crates/curranttrestle-standins/src/relay/mod.rs
+++ b/crates/curranttrestle-standins/src/relay/mod.rs
@@ -86,6 +86,7 @@
 #[derive(Debug)]
 struct Relay {
     options: RelayOptions,
+    target: Mutex<SocketAddr>,
     port: Port,
     spawner: Spawner,
     forward: Arc<Flow>,
@@ -114,6 +115,7 @@
     let listener = port.listen()?;
     let relay = Arc::new(Relay {
         options,
+        target: Mutex::new(options.target),
         port,
         spawner: runtime.spawner(),
         forward: Arc::new(Flow::new(options.delay_ms)),
@@ -142,6 +144,11 @@
         self.relay.inject(fault);
     }
 
+    /// Makes new connections lead to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.relay.lock_target() = target;
+    }
+
     /// How many connections are open.
     #[must_use]
     pub fn connections(&self) -> usize {
@@ -155,6 +162,10 @@
 }
 
 impl Relay {
+    fn lock_target(&self) -> MutexGuard<'_, SocketAddr> {
+        self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn inject(self: &Arc<Self>, fault: RelayFault) {
         match fault {
             RelayFault::Heal => self.heal(),
@@ -228,7 +239,8 @@
     /// Carries one connection until either party ends it.
     async fn carry(&self, caller: TcpStream, gate: Arc<Gate>) {
         self.forward.gate.thawed().await;
-        let Ok(target) = TcpStream::connect(self.options.target).await else {
+        let address = *self.lock_target();
+        let Ok(target) = TcpStream::connect(address).await else {
             return;
         };
         let nodelay = caller.set_nodelay(true).and(target.set_nodelay(true));
--- a/crates/curranttrestle/src/coordination/membership/mod.rs
+++ b/crates/curranttrestle/src/coordination/membership/mod.rs
@@ -96,6 +96,7 @@
     revision: u32,
     leaving: bool,
     seeds: Vec<SocketAddr>,
+    via: IndexMap<InstanceId, SocketAddr>,
     records: IndexMap<InstanceId, Record>,
     news: NewsQueue,
     round: Vec<InstanceId>,
@@ -122,6 +123,7 @@
                 .filter(|seed| *seed != me.address)
                 .collect(),
             me,
+            via: IndexMap::new(),
             revision: 0,
             leaving: false,
             records: IndexMap::new(),
@@ -136,6 +138,12 @@
         }
     }
 
+    /// Sets the addresses at which members are reached in place of those they announce.
+    #[must_use]
+    pub fn with_via(self, via: IndexMap<InstanceId, SocketAddr>) -> Self {
+        Self { via, ..self }
+    }
+
     /// The live members. A suspect member still counts as live; a leaving one does not.
     #[must_use]
     pub fn view(&self) -> &MemberView {
@@ -147,7 +155,13 @@
     pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
         self.records
             .get(instance)
-            .map(|record| record.news.member.address)
+            .map(|record| self.reach(&record.news.member))
+    }
+
+    /// The address at which a member is reached from here.
+    fn reach(&self, member: &Member) -> SocketAddr {
+        let via = self.via.get(&member.instance);
+        via.copied().unwrap_or(member.address)
     }
 
     /// All members known, with what is believed of each, this router excluded.
@@ -261,7 +275,7 @@
             sequence,
             sent_ms: now.steady_ms,
         });
-        vec![self.ping(request.target.address, sequence, false)]
+        vec![self.ping(self.reach(&request.target), sequence, false)]
     }
 
     fn take_sequence(&mut self) -> u64 {
@@ -409,7 +423,7 @@
             .values()
             .filter(|record| record.news.status == MemberStatus::Alive)
             .filter(|record| record.news.member.instance != target.instance)
-            .map(|record| record.news.member.address)
+            .map(|record| self.reach(&record.news.member))
             .collect();
         helpers.shuffle(rng);
         for address in helpers.into_iter().take(self.options.indirect_probes) {
@@ -495,12 +509,17 @@
             return;
         }
         self.last_rejoin_ms = Some(now.steady_ms);
-        let live: Vec<SocketAddr> = self.view.live.iter().map(|member| member.address).collect();
+        let live: Vec<SocketAddr> = self
+            .view
+            .live
+            .iter()
+            .map(|member| self.reach(member))
+            .collect();
         let dead = self
             .records
             .values()
             .filter(|record| record.news.status == MemberStatus::Dead)
-            .map(|record| record.news.member.address);
+            .map(|record| self.reach(&record.news.member));
         let candidates: Vec<SocketAddr> = self
             .seeds
             .iter()
@@ -530,7 +549,7 @@
         let believed = self
             .records
             .values()
-            .filter(|record| record.news.member.address == address)
+            .filter(|record| self.reach(&record.news.member) == address)
             .map(|record| record.news.clone());
         ping.news.extend(believed);
     }
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -106,7 +106,8 @@
         let instance = &me.instance;
         let incarnation = me.incarnation;
         let mut router = Self {
-            membership: Membership::new(me.clone(), options.seeds.clone(), options.membership),
+            membership: Membership::new(me.clone(), options.seeds.clone(), options.membership)
+                .with_via(options.via.clone()),
             config: ConfigKeeper::new(instance.clone(), options.config.clone(), now),
             claims: ClaimBook::new(instance, incarnation, options.claims.clone()),
             store: StoreGate::new(options.store_gate.clone()),
--- a/crates/curranttrestle/src/coordination/router/options.rs
+++ b/crates/curranttrestle/src/coordination/router/options.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
+
 use crate::coordination::claims::ClaimOptions;
 use crate::coordination::config::ConfigSettings;
 use crate::coordination::cost::CostOptions;
@@ -14,6 +16,7 @@
 use crate::coordination::slots::SlotOptions;
 use crate::coordination::speed::{HedgeBudget, HedgeOptions, SpeedOptions};
 use crate::coordination::store_gate::StoreGateOptions;
+use crate::state::InstanceId;
 
 /// How waiting requests are matched with endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,6 +38,8 @@
     pub hedging: bool,
     /// Addresses at which the fleet may be joined.
     pub seeds: Vec<SocketAddr>,
+    /// Addresses at which routers are reached in place of those that they announce.
+    pub via: IndexMap<InstanceId, SocketAddr>,
     /// A violated invariant ends the process.
     pub fatal_invariants: bool,
     /// Time between two load reports of an owned endpoint.
--- a/crates/curranttrestle/src/state/settings/model.rs
+++ b/crates/curranttrestle/src/state/settings/model.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use indexmap::IndexMap;
 use log::LevelFilter;
 
 use crate::state::sheet::KeyDigest;
@@ -139,6 +140,9 @@
     pub key: Secret,
     /// Addresses of the peer listeners of some routers, to join through.
     pub seeds: Vec<SocketAddr>,
+    /// Addresses at which routers are reached from here in place of those that they
+    /// announce, as where a gateway forwards ports between data centres.
+    pub via: IndexMap<InstanceId, SocketAddr>,
 }
 
 /// Access of operators.
--- a/crates/curranttrestle/src/state/settings/reader.rs
+++ b/crates/curranttrestle/src/state/settings/reader.rs
@@ -214,6 +214,7 @@
     let mut fleet = Fleet::default();
     section.secret("key", FLEET_KEY_BYTES, &mut fleet.key);
     section.addresses("seeds", &mut fleet.seeds);
+    section.named_addresses("via", &mut fleet.via);
     section.require(&["key"]);
     section.finish();
     fleet
--- a/crates/curranttrestle/src/state/settings/section.rs
+++ b/crates/curranttrestle/src/state/settings/section.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::ops::{Range, RangeInclusive};
 
+use indexmap::IndexMap;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
+use crate::state::InstanceId;
+
 use super::Secret;
 use super::reader::Reader;
 
@@ -127,6 +130,25 @@
             .collect();
     }
 
+    /// Reads a table of addresses by the name of an instance.
+    pub(super) fn named_addresses(
+        &mut self,
+        key: &'static str,
+        field: &mut IndexMap<InstanceId, SocketAddr>,
+    ) {
+        let Some(value) = self.value(key) else { return };
+        let Some(table) = value.get_ref().as_table() else {
+            return self.add_type(value, key, "a table of addresses");
+        };
+        *field = table
+            .iter()
+            .filter_map(|(name, item)| {
+                let address = self.parse_address(key, item)?;
+                Some((InstanceId::new(name.get_ref()), address))
+            })
+            .collect();
+    }
+
     /// Reads one of a closed set of words.
     pub(super) fn choice<T: Copy>(
         &mut self,
--- a/crates/curranttrestled/src/router_options.rs
+++ b/crates/curranttrestled/src/router_options.rs
@@ -22,6 +22,7 @@
         },
         hedging: settings.policy.hedging,
         seeds: settings.fleet.seeds.clone(),
+        via: settings.fleet.via.clone(),
         fatal_invariants: std::env::var_os(FATAL_INVARIANTS_VARIABLE).is_some(),
         load_report_interval_ms: timing.load_report_interval_ms,
         membership: MembershipOptions {
--- a/crates/curranttrestled/tests/support/fleet.rs
+++ b/crates/curranttrestled/tests/support/fleet.rs
@@ -7,6 +7,9 @@
 
 use curranttrestle::state::sheet::KeyDigest;
 
+use curranttrestle_standins::relay::{self, RelayFault, RelayHandle, RelayOptions};
+use indexmap::IndexMap;
+
 use super::client::{get_json, post};
 use super::process::Process;
 
@@ -85,6 +88,15 @@
     }
 }
 
+/// Ways between data centres and to the platform, which can be cut.
+#[derive(Default)]
+pub struct Ways {
+    /// By the data centre that sends and the router that receives.
+    peers: IndexMap<(&'static str, String), RelayHandle>,
+    /// By the data centre that calls.
+    platform: IndexMap<&'static str, RelayHandle>,
+}
+
 /// A running fleet. All processes end when it is dropped.
 pub struct Fleet {
     /// What it consists of.
@@ -97,6 +109,7 @@
     pub services: Vec<Endpoint>,
     /// The routers.
     pub routers: Vec<Router>,
+    ways: Ways,
     folder: PathBuf,
 }
 
@@ -141,8 +154,10 @@
             engines,
             services,
             routers: Vec::new(),
+            ways: Ways::default(),
             folder,
         };
+        fleet.start_ways();
         for data_centre in DATA_CENTRES {
             for number in 0..fleet.plan.routers {
                 let router = fleet.start_router(&format!("{data_centre}-{number}"), data_centre);
@@ -161,34 +176,108 @@
         fleet
     }
 
+    fn start_ways(&mut self) {
+        for data_centre in DATA_CENTRES {
+            let to_platform = relay::start(RelayOptions {
+                target: self.platform.address("address"),
+                ..RelayOptions::default()
+            });
+            let to_platform = to_platform.expect("a relay can be started");
+            self.ways.platform.insert(data_centre, to_platform);
+            for other in DATA_CENTRES.iter().filter(|other| **other != data_centre) {
+                for number in 0..self.plan.routers {
+                    let way = relay::start(RelayOptions::default());
+                    let way = way.expect("a relay can be started");
+                    self.ways
+                        .peers
+                        .insert((data_centre, format!("{other}-{number}")), way);
+                }
+            }
+        }
+    }
+
+    /// Cuts the routers of two data centres off from each other, or heals the cut.
+    pub fn cut(&self, one: &str, other: &str, fault: RelayFault) {
+        for ((from, to), way) in &self.ways.peers {
+            let forth = *from == one && to.starts_with(other);
+            let back = *from == other && to.starts_with(one);
+            if forth || back {
+                way.inject(fault);
+            }
+        }
+    }
+
+    /// Cuts what the routers of one data centre send to those of another, or heals the cut.
+    pub fn cut_one_way(&self, from_centre: &str, to_centre: &str, fault: RelayFault) {
+        for ((from, to), way) in &self.ways.peers {
+            if *from == from_centre && to.starts_with(to_centre) {
+                way.inject(fault);
+            }
+        }
+    }
+
+    /// Cuts the routers of a data centre off from the platform, or heals the cut.
+    pub fn cut_platform(&self, data_centre: &str, fault: RelayFault) {
+        self.ways.platform[data_centre].inject(fault);
+    }
+
+    /// Starts the router of a place anew after it ended.
+    pub fn restart_router(&mut self, index: usize) {
+        let name = self.routers[index].name.clone();
+        let data_centre = self.routers[index].data_centre;
+        self.routers[index].process.kill();
+        let router = self.start_router(&name, data_centre);
+        self.routers[index] = router;
+    }
+
     /// Starts one router process.
     pub fn start_router(&self, name: &str, data_centre: &'static str) -> Router {
         let seeds: Vec<String> = self
             .routers
             .iter()
-            .map(|router| format!("\"{}\"", router.process.address("peers")))
+            .map(|router| format!("\"{}\"", self.address_from(data_centre, router)))
+            .collect();
+        let ways: Vec<String> = self
+            .ways
+            .peers
+            .iter()
+            .filter(|((from, _), _)| *from == data_centre)
+            .map(|((_, to), way)| format!("\"{to}\" = \"{}\"", way.address()))
             .collect();
         let settings = format!(
             "[instance]\nname = \"{name}\"\ndata_centre = \"{data_centre}\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              [platform]\naddress = \"{}\"\n\
-             [fleet]\nkey = \"test-fleet-key-0123\"\nseeds = [{}]\n\
+             [fleet]\nkey = \"test-fleet-key-0123\"\nseeds = [{}]\nvia = {{ {} }}\n\
              [operators]\ntoken_digest = \"{}\"\n{}",
-            self.platform.address("address"),
+            self.ways.platform[data_centre].address(),
             seeds.join(", "),
+            ways.join(", "),
             digest(TOKEN),
             self.plan.settings,
         );
         let path = self.folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings).expect("the settings can be written");
         let path = path.display().to_string();
+        let process = Process::start("curranttrestled", &["--settings", &path]);
+        for ((_, to), way) in &self.ways.peers {
+            if to == name {
+                way.set_target(process.address("peers"));
+            }
+        }
         Router {
             name: name.to_owned(),
             data_centre,
-            process: Process::start("curranttrestled", &["--settings", &path]),
+            process,
         }
     }
 
+    /// The address at which a data centre reaches a router.
+    fn address_from(&self, data_centre: &'static str, router: &Router) -> SocketAddr {
+        let way = self.ways.peers.get(&(data_centre, router.name.clone()));
+        way.map_or_else(|| router.process.address("peers"), RelayHandle::address)
+    }
+
     /// The sheet that names all customers, operations and endpoints.
     pub fn sheet(&self) -> String {
         let mut sheet = String::new();
