Take an endpoint for dead only when it does not answer

Cause: each broken connection counted as the death of its endpoint, so that two services that closed a connection after a booking got the booking's request quarantined: the repeat was told 'quarantined' in place of 'unknown', and innocent requests with the same body would be refused. Seen by bookings::doubt_about_a_service_gives_unknown_and_no_second_run, which failed before. Ruled out: the claim record, which said 'unknown' at the first router. Change: an endpoint whose connection broke is asked for its load; no answer, or one of a later run, is a death. The interrupted request waits for the verdict before it is tried again.

--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -18,8 +18,7 @@
 use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, EndpointId, InstanceId, Now, PoolId};
 
-use super::active::RunningAttempt;
-use super::{Effect, Policy, RequestDigest, Router};
+use super::{Effect, Policy, PollPurpose, Router};
 
 /// How long an endpoint that refused a connection gets no work from this router.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
@@ -37,6 +36,8 @@
     avoid_until_ms: u64,
     /// When its load was last asked for, in steady time.
     polled_ms: Option<u64>,
+    /// Its run, by its last load report.
+    incarnation: Option<u64>,
 }
 
 /// What a router knows of all endpoints, and which it owns.
@@ -61,6 +62,11 @@
         self.states.entry(endpoint.clone()).or_default()
     }
 
+    /// The run of an endpoint, by its last load report.
+    pub fn incarnation(&self, endpoint: &EndpointId) -> Option<u64> {
+        self.states.get(endpoint)?.incarnation
+    }
+
     fn is_down(&self, endpoint: &EndpointId) -> bool {
         self.states
             .get(endpoint)
@@ -298,6 +304,7 @@
                 state.polled_ms = Some(now.steady_ms);
                 self.effects.push(Effect::PollLoad {
                     endpoint: id,
+                    purpose: PollPurpose::Load,
                     address,
                 });
             }
@@ -343,7 +350,10 @@
         let was_down = self.endpoints.is_down(endpoint);
         let state = self.endpoints.state(endpoint);
         match report {
-            Some(_) => state.missed_reports = 0,
+            Some(report) => {
+                state.missed_reports = 0;
+                state.incarnation = Some(report.incarnation);
+            }
             None => state.missed_reports = state.missed_reports.saturating_add(1),
         }
         let is_down = self.endpoints.is_down(endpoint);
@@ -427,28 +437,6 @@
         self.holder.drop_endpoint(endpoint);
     }
 
-    /// Makes suspects of all requests that ran on an endpoint that died.
-    pub(super) fn endpoint_died(
-        &mut self,
-        running: &RunningAttempt,
-        digests: &[RequestDigest],
-        now: Now,
-    ) {
-        let endpoint = &running.endpoint;
-        self.quarantine
-            .endpoint_died(endpoint, digests, running.exclusive, now);
-        self.endpoint_unreachable(endpoint, now);
-        self.emit(
-            now,
-            EventKind::Quarantine,
-            Some(running.request),
-            &[("endpoint", endpoint), ("suspects", &digests.len())],
-        );
-        // Other routers hear of it before the caller can send its request again.
-        let messages = self.quarantine.tick(self.membership.view(), now);
-        self.send_all(messages, now);
-    }
-
     /// Judges an endpoint by the time one of its units took.
     pub(super) fn observe_speed(
         &mut self,
@@ -509,7 +497,7 @@
         self.send(&owner, message, now);
     }
 
-    fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
+    pub(super) fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         self.sheet.endpoints.get(endpoint).map(|row| row.address)
     }
 }
--- a/crates/curranttrestle/src/coordination/router/input.rs
+++ b/crates/curranttrestle/src/coordination/router/input.rs
@@ -60,6 +60,8 @@
         detail: String,
         /// The connection broke, as it does when an endpoint crashes.
         broken: bool,
+        /// The run of the endpoint, where the attempt learned it.
+        incarnation: Option<u64>,
     },
     /// The caller went away while the answer was sent.
     CallerGone {
@@ -68,6 +70,15 @@
     },
 }
 
+/// Why an endpoint is asked for its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum PollPurpose {
+    /// To know what runs on it.
+    Load,
+    /// To find out whether it died.
+    DeathCheck,
+}
+
 /// What a router is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
@@ -104,6 +115,8 @@
     LoadReport {
         /// The endpoint.
         endpoint: EndpointId,
+        /// Why it was asked.
+        purpose: PollPurpose,
         /// Its report; none when it did not answer.
         report: Option<LoadReport>,
     },
@@ -176,6 +189,8 @@
     PollLoad {
         /// The endpoint.
         endpoint: EndpointId,
+        /// Why it is asked.
+        purpose: PollPurpose,
         /// Its address.
         address: SocketAddr,
     },
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -6,6 +6,7 @@
 mod active;
 mod capacity;
 mod claims;
+mod deaths;
 mod hedges;
 mod input;
 mod naive;
@@ -43,7 +44,9 @@
 use active::ActiveRequests;
 use naive::NaiveDispatcher;
 
-pub use input::{AttemptResult, Decision, Dispatch, Effect, Input, NewRequest, RequestDigest};
+pub use input::{
+    AttemptResult, Decision, Dispatch, Effect, Input, NewRequest, PollPurpose, RequestDigest,
+};
 pub use options::{Policy, RouterOptions};
 pub use status::{EndpointStatus, MemberLine, QueueStatus, RouterStatus};
 
@@ -89,6 +92,7 @@
     retries: RetryBudget,
     active: ActiveRequests,
     endpoints: capacity::EndpointTable,
+    death_checks: Vec<deaths::DeathCheck>,
     instances: capacity::InstancePoll,
     invariants: Invariants,
     reported_violations: u64,
@@ -125,6 +129,7 @@
             retries: RetryBudget::new(options.retries.clone()),
             active: ActiveRequests::default(),
             endpoints: capacity::EndpointTable::default(),
+            death_checks: Vec::new(),
             instances: capacity::InstancePoll::default(),
             invariants: Invariants::new(options.fatal_invariants),
             reported_violations: 0,
@@ -160,9 +165,16 @@
             Input::Progress { attempt, units } => self.attempt_progressed(&attempt, units, now),
             Input::Ended { attempt, result } => self.attempt_ended(&attempt, result, now),
             Input::StoreAnswered { call, answer } => self.store_answered(call, answer, now, rng),
-            Input::LoadReport { endpoint, report } => {
-                self.load_reported(&endpoint, report.as_ref(), now);
-            }
+            Input::LoadReport {
+                endpoint,
+                purpose: PollPurpose::Load,
+                report,
+            } => self.load_reported(&endpoint, report.as_ref(), now),
+            Input::LoadReport {
+                endpoint,
+                purpose: PollPurpose::DeathCheck,
+                report,
+            } => self.death_checked(&endpoint, report.as_ref(), now),
             Input::OrderAnswered { endpoint, answer } => {
                 self.order_answered(&endpoint, answer.as_ref(), now);
             }
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -253,14 +253,12 @@
     /// Ends an attempt and decides what becomes of its request.
     pub(super) fn attempt_ended(&mut self, attempt: &AttemptId, result: AttemptResult, now: Now) {
         let elapsed_ms = self.active.age_ms(attempt, now);
-        let digests = match &result {
-            AttemptResult::Interrupted { broken: true, .. } => self
-                .active
-                .attempts
-                .get(attempt)
-                .map(|running| self.active.digests_on(&running.endpoint)),
-            _ => None,
-        };
+        let digests = self
+            .active
+            .attempts
+            .get(attempt)
+            .map(|running| self.active.digests_on(&running.endpoint))
+            .unwrap_or_default();
         let Some(running) = self.active.remove_attempt(attempt) else {
             return;
         };
@@ -278,9 +276,6 @@
                 ("elapsed_ms", &elapsed_ms),
             ],
         );
-        if let Some(digests) = digests {
-            self.endpoint_died(&running, &digests, now);
-        }
         match result {
             AttemptResult::Answered { units, stored } => {
                 self.attempt_answered(&running, units, stored, elapsed_ms, now);
@@ -294,6 +289,12 @@
                 }
                 self.attempt_not_run(&running, &detail, now);
             }
+            AttemptResult::Interrupted {
+                detail,
+                broken: true,
+                incarnation,
+                ..
+            } => self.check_death(running, digests, incarnation, detail, now),
             AttemptResult::Interrupted { detail, .. } => {
                 self.attempt_interrupted(&running, &detail, now);
             }
@@ -410,7 +411,7 @@
     }
 
     /// Tries an idempotent request again whose attempt was lost; ends any other.
-    fn attempt_interrupted(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
+    pub(super) fn attempt_interrupted(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
         let Some(active) = self.active.requests.get_mut(&running.request) else {
             return;
         };
--- a/crates/curranttrestled/src/control/effects.rs
+++ b/crates/curranttrestled/src/control/effects.rs
@@ -54,11 +54,20 @@
                 })
                 .detach();
             }
-            Effect::PollLoad { endpoint, address } => {
+            Effect::PollLoad {
+                endpoint,
+                purpose,
+                address,
+            } => {
                 let shared = self.shared.clone();
                 smol::spawn(async move {
                     let report = shared.endpoints.load(address).await.ok();
-                    shared.tell(Input::LoadReport { endpoint, report }).await;
+                    let input = Input::LoadReport {
+                        endpoint,
+                        purpose,
+                        report,
+                    };
+                    shared.tell(input).await;
                 })
                 .detach();
             }
--- a/crates/curranttrestled/src/front/attempts.rs
+++ b/crates/curranttrestled/src/front/attempts.rs
@@ -91,7 +91,7 @@
                 }
                 Next::Opening(dispatch, Err(error)) => {
                     open.retain(|other| other.attempt != dispatch.attempt);
-                    self.report(&dispatch, failed(&error, 0.0)).await;
+                    self.report(&dispatch, failed(&error, 0.0, None)).await;
                 }
             }
         }
@@ -128,6 +128,7 @@
                 units: 0.0,
                 detail: "another attempt answered first".into(),
                 broken: false,
+                incarnation: None,
             };
             self.report(dispatch, result).await;
         }
@@ -208,8 +209,8 @@
     Ok(Opened::Service(answer))
 }
 
-/// The result of a failed attempt that cost `units` so far.
-pub fn failed(error: &AttemptError, units: f64) -> AttemptResult {
+/// The result of a failed attempt that cost `units` so far on the run `incarnation`.
+pub fn failed(error: &AttemptError, units: f64, incarnation: Option<u64>) -> AttemptResult {
     let detail = error.to_string();
     match error {
         AttemptError::NotRun { reason } => AttemptResult::NotRun {
@@ -220,6 +221,7 @@
             units,
             detail,
             broken: is_broken(*cause),
+            incarnation,
         },
     }
 }
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -141,10 +141,10 @@
                     resumes += 1;
                     match self.resume(dispatch, &stream).await {
                         Ok(new_stream) => stream = new_stream,
-                        Err(_) => return self.lost(dispatch, &error, tokens).await,
+                        Err(_) => return self.lost(dispatch, &stream, &error, tokens).await,
                     }
                 }
-                Err(error) => return self.lost(dispatch, &error, tokens).await,
+                Err(error) => return self.lost(dispatch, &stream, &error, tokens).await,
             }
         }
     }
@@ -214,10 +214,15 @@
         Passed::Whole
     }
 
-    async fn lost(&self, dispatch: &Dispatch, error: &AttemptError, tokens: u64) -> Passed {
-        self.attempts
-            .report(dispatch, failed(error, units(tokens)))
-            .await;
+    async fn lost(
+        &self,
+        dispatch: &Dispatch,
+        stream: &FrameStream,
+        error: &AttemptError,
+        tokens: u64,
+    ) -> Passed {
+        let result = failed(error, units(tokens), Some(stream.incarnation()));
+        self.attempts.report(dispatch, result).await;
         Passed::Lost
     }
 
--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -151,3 +151,20 @@
         .with_body(body.to_owned());
     exchange(conn).await
 }
+
+/// Makes a booking with an idempotency key.
+pub async fn book(router: SocketAddr, key: &str, booking: &str, body: &str) -> Reply {
+    let headers = [("Idempotency-Key", booking.to_owned())];
+    call(router, key, "book-camera", &headers, body).await
+}
+
+/// Makes a booking in a thread of its own.
+pub fn book_in_background(
+    router: SocketAddr,
+    key: &str,
+    booking: &str,
+) -> std::thread::JoinHandle<Reply> {
+    let key = key.to_owned();
+    let booking = booking.to_owned();
+    std::thread::spawn(move || smol::block_on(book(router, &key, &booking, "camera 7")))
+}
--- a/crates/curranttrestled/tests/support/fleet.rs
+++ b/crates/curranttrestled/tests/support/fleet.rs
@@ -367,3 +367,23 @@
 fn digest(key: &str) -> String {
     hex::encode(KeyDigest::of(key).0)
 }
+
+impl Fleet {
+    /// How often a booking ran, over all services.
+    pub fn runs(&self, booking: &str) -> u64 {
+        self.services
+            .iter()
+            .map(|service| truth(&service.process)["runs_by_key"][booking].as_u64())
+            .map(Option::unwrap_or_default)
+            .sum()
+    }
+
+    /// How many calls ran at services, over all keys and without.
+    pub fn service_runs(&self) -> u64 {
+        self.services
+            .iter()
+            .map(|service| truth(&service.process)["started"].as_u64())
+            .map(Option::unwrap_or_default)
+            .sum()
+    }
+}
