--- a/crates/curranttrestle-standins/src/relay/mod.rs
+++ b/crates/curranttrestle-standins/src/relay/mod.rs
@@ -11,7 +11,7 @@
 use smol::Task;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::server::{Gate, Port, Result, Runtime, Spawner};
+use crate::server::{Accepting, Gate, Port, Result, Runtime, Spawner};
 use pump::{Flow, pump};
 
 /// Settings of a relay.
@@ -92,7 +92,7 @@
     backward: Arc<Flow>,
     next_connection: AtomicU64,
     connections: Mutex<Connections>,
-    listening: Mutex<Option<Task<()>>>,
+    listening: Mutex<Option<Accepting>>,
 }
 
 /// Starts a relay.
@@ -149,7 +149,15 @@
     }
 
     /// Stops the relay and closes its connections.
-    pub fn stop(mut self) {
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+impl Drop for RelayHandle {
+    fn drop(&mut self) {
+        let accepting = self.relay.listening().take();
+        drop(accepting);
         self.runtime.stop();
     }
 }
@@ -201,12 +209,13 @@
 
     fn listen(self: &Arc<Self>, listener: TcpListener) {
         let relay = Arc::clone(self);
+        let accepted = listener.clone();
         let task = self.spawner.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, _)) = accepted.accept().await {
                 relay.accept(stream);
             }
         });
-        *self.listening() = task;
+        *self.listening() = Some(Accepting::new(listener, task));
     }
 
     fn accept(self: &Arc<Self>, stream: TcpStream) {
@@ -251,7 +260,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn listening(&self) -> MutexGuard<'_, Option<Task<()>>> {
+    fn listening(&self) -> MutexGuard<'_, Option<Accepting>> {
         self.listening
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/curranttrestle-standins/src/server/control.rs
+++ b/crates/curranttrestle-standins/src/server/control.rs
@@ -9,9 +9,9 @@
 use smol::Task;
 use smol::net::{TcpListener, TcpStream};
 
-use super::Spawner;
 use super::connection::{Connection, Gate, Link};
 use super::http::{Reply, Request, serve};
+use super::{Accepting, Spawner};
 
 /// The open connections, each with its switch.
 type Connections = IndexMap<u64, (Arc<Link>, Task<()>)>;
@@ -24,7 +24,7 @@
     connections: Mutex<Connections>,
     next_connection: AtomicU64,
     close_on_accept: AtomicU32,
-    listening: Mutex<Option<Task<()>>>,
+    listening: Mutex<Option<Accepting>>,
 }
 
 impl ServerControl {
@@ -75,8 +75,8 @@
 
     /// Refuses new connections.
     pub fn stop_listening(&self) {
-        let task = self.listening().take();
-        drop(task);
+        let accepting = self.listening().take();
+        drop(accepting);
     }
 
     /// Runs a task on the stand-in's thread.
@@ -91,12 +91,13 @@
         Fut: Future<Output = Reply> + Send + 'static,
     {
         let control = Arc::clone(self);
+        let accepted = listener.clone();
         let task = self.spawner.spawn(async move {
-            while let Ok((stream, source)) = listener.accept().await {
+            while let Ok((stream, source)) = accepted.accept().await {
                 control.accept(stream, source, answer.clone());
             }
         });
-        *self.listening() = task;
+        *self.listening() = Some(Accepting::new(listener, task));
     }
 
     fn accept<F, Fut>(self: &Arc<Self>, stream: TcpStream, source: SocketAddr, answer: F)
@@ -136,7 +137,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn listening(&self) -> MutexGuard<'_, Option<Task<()>>> {
+    fn listening(&self) -> MutexGuard<'_, Option<Accepting>> {
         self.listening
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/curranttrestle-standins/src/server/handle.rs
+++ b/crates/curranttrestle-standins/src/server/handle.rs
@@ -13,6 +13,7 @@
     address: SocketAddr,
     admin_address: SocketAddr,
     stand_in: Arc<S>,
+    controls: [Arc<ServerControl>; 2],
     runtime: Runtime,
 }
 
@@ -71,6 +72,7 @@
             address,
             admin_address,
             stand_in,
+            controls: [control, admin_control],
             runtime,
         })
     }
@@ -105,7 +107,16 @@
     }
 
     /// Stops the stand-in and closes its connections.
-    pub fn stop(mut self) {
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+impl<S: StandIn> Drop for Handle<S> {
+    fn drop(&mut self) {
+        for control in &self.controls {
+            control.stop_listening();
+        }
         self.runtime.stop();
     }
 }
--- a/crates/curranttrestle-standins/src/server/mod.rs
+++ b/crates/curranttrestle-standins/src/server/mod.rs
@@ -21,7 +21,7 @@
 pub use handle::Handle;
 pub(crate) use handle::{Listen, Reopen};
 pub use http::{Reply, Request};
-pub(crate) use port::Port;
+pub(crate) use port::{Accepting, Port};
 pub(crate) use runtime::{Runtime, Spawner};
 pub(crate) use time::{milliseconds, unix_ms};
 
--- a/crates/curranttrestle-standins/src/server/port.rs
+++ b/crates/curranttrestle-standins/src/server/port.rs
@@ -5,9 +5,9 @@
 use std::os::fd::OwnedFd;
 use std::time::Duration;
 
-use rustix::net::{AddressFamily, SocketType, bind, getsockname, socket, sockopt};
-use smol::Timer;
+use rustix::net::{AddressFamily, Shutdown, SocketType, bind, getsockname, socket, sockopt};
 use smol::net::TcpListener;
+use smol::{Task, Timer};
 
 use super::{Error, Result};
 
@@ -50,6 +50,30 @@
     }
 }
 
+/// A listener and the task that accepts its connections. It refuses connections once dropped.
+#[derive(Debug)]
+pub(crate) struct Accepting {
+    listener: TcpListener,
+    _task: Option<Task<()>>,
+}
+
+impl Accepting {
+    /// Keeps a listener with the task that uses it.
+    pub(crate) fn new(listener: TcpListener, task: Option<Task<()>>) -> Self {
+        Self {
+            listener,
+            _task: task,
+        }
+    }
+}
+
+impl Drop for Accepting {
+    /// Refuses connections from now on. The task, and with it the socket, ends a little later.
+    fn drop(&mut self) {
+        let _ = rustix::net::shutdown(&self.listener, Shutdown::Both);
+    }
+}
+
 /// Binds a socket that never listens. The system then gives its port to nobody else, and a
 /// listener with the same options may still use it.
 fn reserve(address: SocketAddr) -> io::Result<Port> {
