--- a/crates/curranttrestle-standins/src/bin/curranttrestle-standin.rs
+++ b/crates/curranttrestle-standins/src/bin/curranttrestle-standin.rs
@@ -57,6 +57,15 @@
     /// How late a change of the list of instances is seen.
     #[arg(long, default_value_t = PlatformOptions::default().instance_lag_ms)]
     instance_lag_ms: u64,
+    /// How many writes are taken a second.
+    #[arg(long, default_value_t = PlatformOptions::default().writes_per_s)]
+    writes_per_s: u32,
+    /// How many reads are taken a second.
+    #[arg(long, default_value_t = PlatformOptions::default().reads_per_s)]
+    reads_per_s: u32,
+    /// How long each call takes.
+    #[arg(long, default_value_t = PlatformOptions::default().delay_ms)]
+    delay_ms: u64,
 }
 
 #[derive(Debug, Args)]
@@ -72,6 +81,15 @@
     /// The time of one token when one stream runs.
     #[arg(long, default_value_t = EngineOptions::default().token_interval_ms)]
     token_interval_ms: f64,
+    /// How much each further stream adds to the time of a token, as a fraction of it.
+    #[arg(long, default_value_t = EngineOptions::default().batch_slowdown)]
+    batch_slowdown: f64,
+    /// How old the state is that a load report shows.
+    #[arg(long, default_value_t = EngineOptions::default().load_lag_ms)]
+    load_lag_ms: u64,
+    /// How long the engine stays away after a crash.
+    #[arg(long, default_value_t = EngineOptions::default().restart_ms)]
+    restart_ms: u64,
     /// Takes orders whatever their fencing number.
     #[arg(long)]
     ignores_fencing: bool,
@@ -87,6 +105,9 @@
     /// How long a call runs.
     #[arg(long, default_value_t = ServiceOptions::default().work_ms)]
     work_ms: u64,
+    /// How old the state is that a load report shows.
+    #[arg(long, default_value_t = ServiceOptions::default().load_lag_ms)]
+    load_lag_ms: u64,
     /// Takes orders whatever their fencing number.
     #[arg(long)]
     ignores_fencing: bool,
@@ -116,6 +137,9 @@
         address: common.listen,
         admin_address: common.admin_listen,
         instance_lag_ms: arguments.instance_lag_ms,
+        writes_per_s: arguments.writes_per_s,
+        reads_per_s: arguments.reads_per_s,
+        delay_ms: arguments.delay_ms,
         ..PlatformOptions::default()
     })?;
     serve("platform", common, &handle)
@@ -131,6 +155,9 @@
         admin_address: common.admin_listen,
         slots: arguments.slots,
         token_interval_ms: arguments.token_interval_ms,
+        batch_slowdown: arguments.batch_slowdown,
+        load_lag_ms: arguments.load_lag_ms,
+        restart_ms: arguments.restart_ms,
         checks_fencing: !arguments.ignores_fencing,
         ..EngineOptions::default()
     })?;
@@ -146,6 +173,7 @@
         admin_address: common.admin_listen,
         slots: arguments.slots,
         work_ms: arguments.work_ms,
+        load_lag_ms: arguments.load_lag_ms,
         checks_fencing: !arguments.ignores_fencing,
         ..ServiceOptions::default()
     })?;
--- a/crates/curranttrestle-standins/src/engine/mod.rs
+++ b/crates/curranttrestle-standins/src/engine/mod.rs
@@ -80,6 +80,12 @@
     })?;
     let engine = Arc::clone(handle.stand_in());
     let control = Arc::clone(&engine.control);
+    log::info!(
+        "event=engine-start endpoint={} data_centre={} address={}",
+        engine.options.name,
+        engine.options.data_centre,
+        handle.address()
+    );
     control.spawn_detached(run_batch(engine, woken));
     Ok(handle)
 }
@@ -172,6 +178,9 @@
 
     /// Ends the run: all streams die, and the next run begins after the restart time.
     fn crash(self: &Arc<Self>, state: &mut State, now: Now) {
+        if state.orders.is_stopped() || !self.control.is_listening() {
+            return;
+        }
         log::info!(
             "event=engine-crash endpoint={} incarnation={}",
             self.options.name,
--- a/crates/curranttrestle-standins/src/platform/handlers.rs
+++ b/crates/curranttrestle-standins/src/platform/handlers.rs
@@ -29,8 +29,6 @@
     Update(&'a str, Expected, String),
     Remove(&'a str),
     Instances,
-    PutInstance(InstanceStatus),
-    RemoveInstance(&'a str),
 }
 
 impl Call<'_> {
@@ -38,15 +36,16 @@
         match self {
             Self::Read(_) | Self::List(_) | Self::Instances => CallKind::Read,
             Self::Watch(..) => CallKind::Watch,
-            Self::Update(..) | Self::Remove(_) | Self::PutInstance(_) | Self::RemoveInstance(_) => {
-                CallKind::Write
-            }
+            Self::Update(..) | Self::Remove(_) => CallKind::Write,
         }
     }
 }
 
 /// Answers one request.
 pub(super) async fn answer(platform: &Arc<Platform>, request: Request) -> Reply {
+    if let Some(reply) = change_instances(platform, &request) {
+        return reply;
+    }
     let call = match read_call(&request) {
         Ok(call) => call,
         Err(reply) => return reply,
@@ -66,6 +65,33 @@
     reply
 }
 
+/// Changes the list of instances, which is the platform's own doing: it is not counted as a
+/// call and works during an outage.
+fn change_instances(platform: &Platform, request: &Request) -> Option<Reply> {
+    let [path, name] = request.segments.as_slice() else {
+        return None;
+    };
+    match (request.method, path.as_str()) {
+        (Method::Put, "instances") => Some(put_instance(platform, request, name)),
+        (Method::Delete, "instances") => {
+            platform.remove_instance(name);
+            Some(Reply::empty(Status::NoContent))
+        }
+        _ => None,
+    }
+}
+
+fn put_instance(platform: &Platform, request: &Request, name: &str) -> Reply {
+    match request.json::<InstanceStatus>() {
+        Ok(status) if status.name == name => {
+            platform.put_instance(status);
+            Reply::empty(Status::NoContent)
+        }
+        Ok(_) => Reply::text(Status::BadRequest, "the names differ"),
+        Err(reply) => reply,
+    }
+}
+
 fn read_call(request: &Request) -> Result<Call<'_>, Reply> {
     let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
     let after = request.query.contains_key("after");
@@ -80,8 +106,6 @@
         (Method::Put, ["objects", name]) => read_update(request, name),
         (Method::Delete, ["objects", name]) => Ok(Call::Remove(name)),
         (Method::Get, ["instances"]) => Ok(Call::Instances),
-        (Method::Put, ["instances", _]) => request.json().map(Call::PutInstance),
-        (Method::Delete, ["instances", name]) => Ok(Call::RemoveInstance(name)),
         _ => Err(Reply::empty(Status::NotFound)),
     }
 }
@@ -146,15 +170,6 @@
             let lag_ms = state.faults.instance_lag_ms;
             Reply::json(Status::Ok, &state.instances.seen(now_ms, lag_ms))
         }
-        Call::PutInstance(status) => {
-            let name = status.name.clone();
-            state.instances.put(now_ms, name, Some(status));
-            Reply::empty(Status::NoContent)
-        }
-        Call::RemoveInstance(name) => {
-            state.instances.put(now_ms, name.to_owned(), None);
-            Reply::empty(Status::NoContent)
-        }
     }
 }
 
--- a/crates/curranttrestle-standins/src/platform/mod.rs
+++ b/crates/curranttrestle-standins/src/platform/mod.rs
@@ -96,6 +96,15 @@
     },
 }
 
+/// A time without service, counted from the start of the stand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutageSpan {
+    /// When it began.
+    pub began_ms: u64,
+    /// When it ended, if it has.
+    pub ended_ms: Option<u64>,
+}
+
 /// What really happened at a platform stand-in.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlatformTruth {
@@ -103,6 +112,8 @@
     pub total: CallCounts,
     /// The calls of each second in which there was one.
     pub by_second: Vec<SecondCounts>,
+    /// The outages.
+    pub outages: Vec<OutageSpan>,
     /// How many updates and removals took effect.
     pub effects: u64,
     /// How many answers were lost after the effect.
@@ -131,6 +142,7 @@
     instances: Instances,
     rates: Rates,
     faults: Faults,
+    outages: Vec<OutageSpan>,
     effects: u64,
     answers_lost: u64,
     waiting_watches: u64,
@@ -179,6 +191,7 @@
             instances: Instances::default(),
             rates: Rates::new(options.reads_per_s, options.writes_per_s),
             faults,
+            outages: Vec::new(),
             effects: 0,
             answers_lost: 0,
             waiting_watches: 0,
@@ -255,6 +268,7 @@
         PlatformTruth {
             total: state.rates.total(),
             by_second: state.rates.by_second(),
+            outages: state.outages.clone(),
             effects: state.effects,
             answers_lost: state.answers_lost,
             objects: state.store.len() as u64,
@@ -265,14 +279,25 @@
 
 impl Platform {
     fn begin_outage(&self, outage: Outage) {
-        self.state().faults.outage = Some(outage);
+        let began_ms = self.now_ms();
+        let mut state = self.state();
+        state.faults.outage = Some(outage);
+        state.outages.push(OutageSpan {
+            began_ms,
+            ended_ms: None,
+        });
+        drop(state);
         if outage == Outage::Closed {
             self.control.close_connections();
         }
     }
 
     fn heal(&self) {
+        let ended_ms = self.now_ms();
         let mut state = self.state();
+        if let Some(outage) = state.outages.last_mut() {
+            outage.ended_ms.get_or_insert(ended_ms);
+        }
         state.faults.outage = None;
         state.faults.delay_ms = 0;
         state.faults.answers_to_lose = 0;
--- a/crates/curranttrestle-standins/src/remote.rs
+++ b/crates/curranttrestle-standins/src/remote.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use curranttrestle::protocol::platform::InstanceStatus;
 use curranttrestle::transport::body::read_whole;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -49,6 +50,21 @@
     Ok(())
 }
 
+/// Puts an instance on the list of the platform stand-in that serves at `platform`.
+///
+/// # Errors
+///
+/// Returns an error when the stand-in was not reached.
+pub async fn put_instance(
+    platform: SocketAddr,
+    status: &InstanceStatus,
+) -> Result<(), RemoteError> {
+    let body = serde_json::to_string(status)?;
+    let conn = client().put(format!("http://{platform}/instances/{}", status.name));
+    exchange(conn.with_body(body)).await?;
+    Ok(())
+}
+
 /// Reads the truth of the stand-in with this administration address.
 ///
 /// # Errors
--- a/crates/curranttrestle-standins/src/server/control.rs
+++ b/crates/curranttrestle-standins/src/server/control.rs
@@ -79,6 +79,12 @@
         drop(accepting);
     }
 
+    /// Whether new connections are accepted.
+    #[must_use]
+    pub fn is_listening(&self) -> bool {
+        self.listening().is_some()
+    }
+
     /// Runs a task on the stand-in's thread.
     pub(crate) fn spawn_detached(&self, future: impl Future<Output = ()> + Send + 'static) {
         self.spawner.spawn_detached(future);
--- a/crates/curranttrestle-standins/src/service/mod.rs
+++ b/crates/curranttrestle-standins/src/service/mod.rs
@@ -126,7 +126,15 @@
         address: options.address,
         admin_address: options.admin_address,
     };
-    Handle::start(&listen, |control, _reopen| Service::new(options, control))
+    let handle = Handle::start(&listen, |control, _reopen| Service::new(options, control))?;
+    let options = &handle.stand_in().options;
+    log::info!(
+        "event=service-start endpoint={} data_centre={} address={}",
+        options.name,
+        options.data_centre,
+        handle.address()
+    );
+    Ok(handle)
 }
 
 impl Service {
--- a/crates/curranttrestle-standins/tests/standins/platform.rs
+++ b/crates/curranttrestle-standins/tests/standins/platform.rs
@@ -9,6 +9,7 @@
 use curranttrestle_standins::platform::{
     Outage, PlatformFault, PlatformOptions, PlatformTruth, start,
 };
+use curranttrestle_standins::remote;
 
 /// A port where nothing listens.
 const UNUSED_PORT: u16 = 1;
@@ -103,9 +104,10 @@
         data_centre: String::from("rennes"),
         leaving: false,
     };
-    platform.stand_in().put_instance(status.clone());
     let client = client(platform.address());
     smol::block_on(async {
+        let put = remote::put_instance(platform.address(), &status);
+        put.await.unwrap();
         let call = StoreCall::Instances;
         assert_eq!(client.call(&call).await, StoreAnswer::Instances(vec![]));
         smol::Timer::after(std::time::Duration::from_millis(400)).await;
@@ -138,6 +140,10 @@
     assert_eq!(during, StoreAnswer::Unavailable);
     assert_eq!(after, found(1, "one"));
     assert_eq!(truth.total.in_outage, 1);
+    let [outage] = truth.outages[..] else {
+        panic!("{:?}", truth.outages);
+    };
+    assert!(outage.ended_ms >= Some(outage.began_ms));
 }
 
 #[test]
