--- a/crates/curranttrestle-standins/src/endpoint/mod.rs
+++ b/crates/curranttrestle-standins/src/endpoint/mod.rs
@@ -7,14 +7,12 @@
 pub(crate) use orders::{Leaving, OrderLog};
 pub use orders::{LeavingTruth, OrderTruth};
 
-use curranttrestle::protocol::endpoint::OrderAnswer;
+use curranttrestle::protocol::endpoint::{LoadReport, OrderAnswer, running_digest};
 use curranttrestle::protocol::outcome::{OUTCOME_HEADER, Outcome};
+use curranttrestle::state::EndpointId;
 use trillium_http::Status;
 
-use crate::server::Reply;
-
-/// How long the answer to a stop order may take before the listener closes.
-pub(crate) const STOP_LINGER_MS: u64 = 50;
+use crate::server::{Reply, unix_ms};
 
 /// Refuses a request before it begins.
 pub(crate) fn not_run_reply() -> Reply {
@@ -22,6 +20,43 @@
         .with_header(OUTCOME_HEADER, Outcome::NotRun.as_str())
 }
 
+/// What an endpoint says of itself in a load report.
+#[derive(Debug)]
+pub(crate) struct Identity<'a> {
+    /// Its name.
+    pub(crate) name: &'a str,
+    /// Its run.
+    pub(crate) incarnation: u64,
+    /// How many requests it is made to run at once.
+    pub(crate) slots: u32,
+}
+
+/// The reply to a question for the load, which shows the state of `lag_ms` ago. A lying report
+/// claims to be fresh.
+pub(crate) fn load_reply(
+    identity: &Identity<'_>,
+    load: &LoadLog,
+    orders: &OrderLog,
+    lag_ms: u64,
+    lying: bool,
+) -> Reply {
+    let now_unix_ms = unix_ms();
+    let seen_unix_ms = now_unix_ms.saturating_sub(lag_ms);
+    let running = load.running_at(seen_unix_ms);
+    let report = LoadReport {
+        endpoint: EndpointId::new(identity.name),
+        incarnation: identity.incarnation,
+        taken_unix_ms: if lying { now_unix_ms } else { seen_unix_ms },
+        running_digest: running_digest(running.iter().map(String::as_str)),
+        running,
+        slots: identity.slots,
+        draining: orders.is_stopped(),
+        model: orders.model.clone(),
+        role: orders.role.clone(),
+    };
+    Reply::json(Status::Ok, &report)
+}
+
 /// The reply to an order.
 pub(crate) fn order_reply(answer: OrderAnswer) -> Reply {
     Reply::json(Status::Ok, &answer)
--- a/crates/curranttrestle-standins/src/engine/handlers.rs
+++ b/crates/curranttrestle-standins/src/engine/handlers.rs
@@ -2,16 +2,13 @@
 
 use std::sync::Arc;
 
-use curranttrestle::protocol::endpoint::{
-    LoadReport, Order, OrderAnswer, OrderKind, StreamRequest, running_digest,
-};
-use curranttrestle::state::EndpointId;
+use curranttrestle::protocol::endpoint::{Order, OrderAnswer, OrderKind, StreamRequest};
 use futures_util::TryStreamExt;
 use trillium_http::{Body, Method, Status};
 
 use super::reader::Lines;
 use super::{Engine, State};
-use crate::endpoint::{not_run_reply, order_reply};
+use crate::endpoint::{Identity, load_reply, not_run_reply, order_reply};
 use crate::server::{Reply, Request};
 
 /// Answers one request.
@@ -80,27 +77,20 @@
 }
 
 fn load(engine: &Engine) -> Reply {
-    let now = engine.now();
     let state = engine.state();
-    let seen_unix_ms = now.unix_ms.saturating_sub(state.faults.load_lag_ms);
-    let taken_unix_ms = if state.faults.lying_load {
-        now.unix_ms
-    } else {
-        seen_unix_ms
-    };
-    let running = state.load.running_at(seen_unix_ms);
-    let report = LoadReport {
-        endpoint: EndpointId::new(&engine.options.name),
+    let identity = Identity {
+        name: &engine.options.name,
         incarnation: state.incarnation,
-        taken_unix_ms,
-        running_digest: running_digest(running.iter().map(String::as_str)),
-        running,
         slots: engine.options.slots,
-        draining: state.orders.is_stopped(),
-        model: state.orders.model.clone(),
-        role: state.orders.role.clone(),
     };
-    Reply::json(Status::Ok, &report)
+    let faults = &state.faults;
+    load_reply(
+        &identity,
+        &state.load,
+        &state.orders,
+        faults.load_lag_ms,
+        faults.lying_load,
+    )
 }
 
 fn order(engine: &Arc<Engine>, request: &Request) -> Result<Reply, Reply> {
--- a/crates/curranttrestle-standins/src/engine/mod.rs
+++ b/crates/curranttrestle-standins/src/engine/mod.rs
@@ -17,7 +17,7 @@
 use curranttrestle::state::Now;
 use smol::Timer;
 
-use crate::endpoint::{Leaving, LoadLog, OrderLog, STOP_LINGER_MS};
+use crate::endpoint::{Leaving, LoadLog, OrderLog};
 use crate::server::{
     Handle, Listen, Reopen, Reply, Request, Result, ServerControl, StandIn, milliseconds, unix_ms,
 };
@@ -211,12 +211,7 @@
             "event=engine-stop endpoint={} cut_streams={cut}",
             self.options.name
         );
-        let control = Arc::clone(&self.control);
-        self.control.spawn_detached(async move {
-            Timer::after(Duration::from_millis(STOP_LINGER_MS)).await;
-            control.stop_listening();
-            control.close_connections();
-        });
+        self.control.shut_soon();
     }
 }
 
--- a/crates/curranttrestle-standins/src/server/control.rs
+++ b/crates/curranttrestle-standins/src/server/control.rs
@@ -4,15 +4,19 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use indexmap::IndexMap;
-use smol::Task;
 use smol::net::{TcpListener, TcpStream};
+use smol::{Task, Timer};
 
 use super::connection::{Connection, Gate, Link};
 use super::http::{Reply, Request, serve};
 use super::{Accepting, Spawner};
 
+/// How long the answer to a stop order may take before the connections close.
+const SHUT_DELAY_MS: u64 = 50;
+
 /// The open connections, each with its switch.
 type Connections = IndexMap<u64, (Arc<Link>, Task<()>)>;
 
@@ -79,6 +83,17 @@
         drop(accepting);
     }
 
+    /// Refuses new connections and closes the present ones, a little later, so that the answer
+    /// to the order that asked for it still gets out.
+    pub(crate) fn shut_soon(self: &Arc<Self>) {
+        let control = Arc::clone(self);
+        self.spawn_detached(async move {
+            Timer::after(Duration::from_millis(SHUT_DELAY_MS)).await;
+            control.stop_listening();
+            control.close_connections();
+        });
+    }
+
     /// Whether new connections are accepted.
     #[must_use]
     pub fn is_listening(&self) -> bool {
--- a/crates/curranttrestle-standins/src/service/handlers.rs
+++ b/crates/curranttrestle-standins/src/service/handlers.rs
@@ -4,17 +4,15 @@
 use std::time::Duration;
 
 use curranttrestle::protocol::endpoint::{
-    ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, LoadReport, Order, OrderAnswer, OrderKind,
-    running_digest,
+    ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, Order, OrderAnswer, OrderKind,
 };
-use curranttrestle::state::EndpointId;
 use smol::Timer;
 use trillium_http::{Method, Status};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Service;
 use super::fault::take_one;
-use crate::endpoint::{not_run_reply, order_reply};
+use crate::endpoint::{Identity, load_reply, not_run_reply, order_reply};
 use crate::server::{Reply, Request, unix_ms};
 
 /// The answer to a call, which depends on the operation and the body alone.
@@ -141,27 +139,20 @@
 }
 
 fn load(service: &Service) -> Reply {
-    let now_unix_ms = unix_ms();
-    let state = service.state();
-    let seen_unix_ms = now_unix_ms.saturating_sub(state.faults.load_lag_ms);
-    let taken_unix_ms = if state.faults.lying_load {
-        now_unix_ms
-    } else {
-        seen_unix_ms
-    };
-    let running = state.load.running_at(seen_unix_ms);
-    let report = LoadReport {
-        endpoint: EndpointId::new(&service.options.name),
+    let identity = Identity {
+        name: &service.options.name,
         incarnation: service.incarnation,
-        taken_unix_ms,
-        running_digest: running_digest(running.iter().map(String::as_str)),
-        running,
         slots: service.options.slots,
-        draining: state.orders.is_stopped(),
-        model: state.orders.model.clone(),
-        role: state.orders.role.clone(),
     };
-    Reply::json(Status::Ok, &report)
+    let state = service.state();
+    let faults = &state.faults;
+    load_reply(
+        &identity,
+        &state.load,
+        &state.orders,
+        faults.load_lag_ms,
+        faults.lying_load,
+    )
 }
 
 fn order(service: &Service, request: &Request) -> Reply {
--- a/crates/curranttrestle-standins/src/service/mod.rs
+++ b/crates/curranttrestle-standins/src/service/mod.rs
@@ -5,13 +5,11 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use smol::Timer;
 
-use crate::endpoint::{Leaving, LeavingTruth, LoadLog, OrderLog, OrderTruth, STOP_LINGER_MS};
+use crate::endpoint::{Leaving, LeavingTruth, LoadLog, OrderLog, OrderTruth};
 use crate::server::{Handle, Listen, Reply, Request, Result, ServerControl, StandIn, unix_ms};
 use fault::Faults;
 pub use fault::ServiceFault;
@@ -172,12 +170,7 @@
             "event=service-stop endpoint={} cut_calls={cut}",
             self.options.name
         );
-        let control = Arc::clone(&self.control);
-        self.control.spawn_detached(async move {
-            Timer::after(Duration::from_millis(STOP_LINGER_MS)).await;
-            control.stop_listening();
-            control.close_connections();
-        });
+        self.control.shut_soon();
     }
 }
 
