Test claims against a faulty store and a naive table

Three routers freeze and restart over a store that loses answers after the effect, delays them past the retention of keys and goes down; callers repeat each booking five times.

--- /dev/null
+++ b/crates/curranttrestle/tests/claims.rs
@@ -0,0 +1,59 @@
+//! Claims: several routers over one store that loses answers, delays and goes down.
+
+#[path = "claims_support/mod.rs"]
+mod claims_support;
+
+use claims_support::{Fault, Report, run};
+
+/// Seeds of the randomised runs.
+const SEEDS: std::ops::Range<u64> = 0..100;
+
+/// The first seed at which a run with `fault` dispatches a booking twice.
+fn first_double(fault: Fault) -> Option<u64> {
+    let (seed, report) = (0..50)
+        .map(|seed| (seed, run(seed, fault)))
+        .find(|(_, report)| report.max_dispatches > 1)?;
+    println!("{fault:?} seed {seed}: {report:?}");
+    Some(seed)
+}
+
+#[test]
+#[ignore = "takes minutes; run it with --release and --ignored"]
+fn no_booking_runs_twice_in_many_runs() {
+    let mut total = Report::default();
+    for seed in SEEDS.end..20_000 {
+        let report = run(seed, Fault::None);
+        assert!(report.is_sound(), "seed {seed}: {report:?}");
+        total.add(&report);
+    }
+    println!("{total:?}");
+}
+
+#[test]
+fn no_booking_runs_twice_and_each_caller_gets_one_true_outcome() {
+    let mut total = Report::default();
+    for seed in SEEDS {
+        let report = run(seed, Fault::None);
+        assert!(report.is_sound(), "seed {seed}: {report:?}");
+        total.add(&report);
+    }
+    println!("{total:?}");
+    // The runs must reach each outcome, or they prove nothing.
+    assert!(total.dispatches > 0 && total.answered > 0);
+    assert!(total.unknown > 0 && total.not_run > 0 && total.deleted_objects > 0);
+}
+
+#[test]
+fn a_wall_clock_read_before_a_freeze_runs_a_booking_twice() {
+    assert!(first_double(Fault::StaleClock).is_some());
+}
+
+#[test]
+fn taking_a_lost_answer_for_success_runs_a_booking_twice() {
+    assert!(first_double(Fault::TrustLostAnswers).is_some());
+}
+
+#[test]
+fn updates_without_a_condition_run_a_booking_twice() {
+    assert!(first_double(Fault::UnconditionalUpdates).is_some());
+}
--- /dev/null
+++ b/crates/curranttrestle/tests/claims_naive.rs
@@ -0,0 +1,280 @@
+//! Claims without faults, against a naive table of what each key may do.
+
+#[path = "claims_support/store.rs"]
+mod store;
+
+use std::net::SocketAddr;
+
+use curranttrestle::coordination::claims::{ClaimBook, ClaimEffect, ClaimOptions, ClaimVerdict};
+use curranttrestle::protocol::RefusalReason;
+use curranttrestle::protocol::peer::{ClaimResult, PeerMessage, StoredAnswer, StoredBody};
+use curranttrestle::protocol::platform::{StoreAnswer, StoreCall};
+use curranttrestle::state::{
+    AttemptId, CustomerId, Incarnation, InstanceId, Member, MemberView, Now, RequestId,
+};
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use uuid::Uuid;
+
+use store::FakeStore;
+
+const NOW: Now = Now {
+    steady_ms: 1_000,
+    unix_ms: 1_700_000_000_000,
+};
+
+/// Two routers over one store, without delay or loss.
+struct Pair {
+    books: [ClaimBook; 2],
+    store: FakeStore,
+    updates: u32,
+    next: u64,
+}
+
+impl Pair {
+    fn new(options: &ClaimOptions) -> Self {
+        let book = |name| ClaimBook::new(&InstanceId::new(name), Incarnation(1), options.clone());
+        Self {
+            books: [book("r0"), book("r1")],
+            store: FakeStore::new(false),
+            updates: 0,
+            next: 0,
+        }
+    }
+
+    fn attempt(&mut self, router: usize) -> AttemptId {
+        self.next += 1;
+        AttemptId {
+            instance: InstanceId::new(["r0", "r1"][router]),
+            incarnation: Incarnation(1),
+            sequence: self.next,
+        }
+    }
+
+    /// Begins a request and returns its attempt and verdict.
+    fn begin(
+        &mut self,
+        router: usize,
+        customer: &str,
+        key: Uuid,
+        digest: u8,
+    ) -> (AttemptId, ClaimVerdict) {
+        let attempt = self.attempt(router);
+        let request = RequestId(Uuid::from_u128(u128::from(self.next)));
+        let effects = self.books[router].begin(
+            request,
+            &CustomerId::new(customer),
+            key,
+            [digest; 16],
+            attempt.clone(),
+            NOW.steady_ms + 1_000,
+            NOW,
+            &members(router),
+        );
+        let verdicts = self.settle(router, effects);
+        (attempt, verdicts[&request].clone())
+    }
+
+    fn finish(&mut self, router: usize, attempt: &AttemptId, result: ClaimResult) {
+        let effects = self.books[router].finish(attempt, result, NOW);
+        self.settle(router, effects);
+    }
+
+    /// Performs effects until none is left.
+    fn settle(
+        &mut self,
+        router: usize,
+        effects: Vec<ClaimEffect>,
+    ) -> IndexMap<RequestId, ClaimVerdict> {
+        let mut verdicts = IndexMap::new();
+        let mut open: Vec<(usize, ClaimEffect)> =
+            effects.into_iter().map(|effect| (router, effect)).collect();
+        while !open.is_empty() {
+            let (at, effect) = open.remove(0);
+            let (to, effects) = match effect {
+                ClaimEffect::Store { call, request } => {
+                    let answer = self.store.call(&request, NOW.steady_ms);
+                    let is_update = matches!(request, StoreCall::Update { .. });
+                    self.updates += u32::from(is_update && answer != StoreAnswer::Conflict);
+                    let book = &mut self.books[at];
+                    (at, book.store_answered(call, answer, NOW, &members(at)))
+                }
+                ClaimEffect::Send { message, .. } => {
+                    let from = InstanceId::new(["r0", "r1"][at]);
+                    let book = &mut self.books[1 - at];
+                    let effects = match message {
+                        PeerMessage::ClaimRequest(request) => {
+                            book.receive_request(&from, request, NOW)
+                        }
+                        PeerMessage::ClaimAnswer(answer) => {
+                            book.receive_answer(&from, &answer, NOW)
+                        }
+                        _ => Vec::new(),
+                    };
+                    (1 - at, effects)
+                }
+                ClaimEffect::Resolved { request, verdict } => {
+                    verdicts.insert(request, verdict);
+                    continue;
+                }
+                ClaimEffect::Emit { .. } => continue,
+            };
+            open.extend(effects.into_iter().map(|effect| (to, effect)));
+        }
+        verdicts
+    }
+}
+
+fn members(me: usize) -> MemberView {
+    let member = |name: &str| Member {
+        instance: InstanceId::new(name),
+        incarnation: Incarnation(1),
+        data_centre: "brest".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
+    };
+    let live = vec![member("r0"), member("r1")];
+    MemberView {
+        me: live[me].clone(),
+        live,
+    }
+}
+
+fn key(number: u8) -> Uuid {
+    uuid::Builder::from_unix_timestamp_millis(NOW.unix_ms, &[number; 10]).into_uuid()
+}
+
+fn answer(body: &[u8]) -> StoredAnswer {
+    StoredAnswer {
+        status: 201,
+        content_type: String::from("text/plain"),
+        body: StoredBody::Whole(body.to_vec()),
+    }
+}
+
+fn result() -> impl Strategy<Value = ClaimResult> {
+    prop_oneof![
+        any::<u8>().prop_map(|body| ClaimResult::Answered(answer(&[body]))),
+        Just(ClaimResult::NotRun),
+        Just(ClaimResult::Unknown),
+    ]
+}
+
+#[test]
+fn verdicts_match_a_naive_table() {
+    let config = Config {
+        cases: 256,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let step = (0..2_usize, 0..2_u8, 0..3_u8, 0..2_u8, result());
+    let steps = prop::collection::vec(step, 1..30);
+    runner
+        .run(&steps, |steps| {
+            let mut pair = Pair::new(&ClaimOptions::default());
+            let mut table: IndexMap<(u8, u8), (u8, ClaimResult)> = IndexMap::new();
+            for (router, customer, number, digest, result) in steps {
+                let name = format!("customer {customer}");
+                let (attempt, verdict) = pair.begin(router, &name, key(number), digest);
+                let expected = table.get(&(customer, number));
+                match (expected, &verdict) {
+                    (None, ClaimVerdict::Dispatch)
+                    | (Some((_, ClaimResult::Unknown)), ClaimVerdict::Unknown(_)) => {}
+                    (Some((known, _)), ClaimVerdict::NotRun(refusal)) if *known != digest => {
+                        prop_assert_eq!(refusal.reason, RefusalReason::KeyReused);
+                    }
+                    (Some((known, ClaimResult::NotRun)), ClaimVerdict::Dispatch) => {
+                        prop_assert_eq!(*known, digest);
+                    }
+                    (Some((_, ClaimResult::Answered(stored))), ClaimVerdict::Answered(given)) => {
+                        prop_assert_eq!(stored, given);
+                    }
+                    _ => prop_assert!(false, "{:?} for {:?}", verdict, expected),
+                }
+                let may_dispatch = pair.books[router].may_dispatch(&attempt, NOW);
+                prop_assert_eq!(may_dispatch, verdict == ClaimVerdict::Dispatch);
+                if may_dispatch {
+                    pair.finish(router, &attempt, result.clone());
+                    prop_assert!(!pair.books[router].may_dispatch(&attempt, NOW));
+                    table.insert((customer, number), (digest, result));
+                }
+            }
+            prop_assert!(pair.books.iter().all(ClaimBook::is_settled));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn many_claims_of_one_object_share_an_update() {
+    let options = ClaimOptions {
+        shards: 1,
+        ..ClaimOptions::default()
+    };
+    let mut pair = Pair::new(&options);
+    let mut members = members(0);
+    members.live.truncate(1);
+    let mut effects = Vec::new();
+    for number in 0..100 {
+        let attempt = pair.attempt(0);
+        let request = RequestId(Uuid::from_u128(u128::from(number)));
+        let customer = CustomerId::new("armor");
+        effects.extend(pair.books[0].begin(
+            request,
+            &customer,
+            key(number),
+            [0; 16],
+            attempt,
+            NOW.steady_ms + 1_000,
+            NOW,
+            &members,
+        ));
+    }
+    let verdicts = pair.settle(0, effects);
+    let dispatched = verdicts
+        .values()
+        .filter(|verdict| **verdict == ClaimVerdict::Dispatch);
+    assert_eq!(dispatched.count(), 100);
+    assert_eq!(pair.updates, 1);
+}
+
+#[test]
+fn a_large_answer_is_recorded_without_its_body() {
+    let mut pair = Pair::new(&ClaimOptions::default());
+    let (attempt, _) = pair.begin(0, "armor", key(1), 0);
+    pair.finish(0, &attempt, ClaimResult::Answered(answer(&[7; 5_000])));
+    let (_, verdict) = pair.begin(1, "armor", key(1), 0);
+    let ClaimVerdict::Answered(answer) = verdict else {
+        panic!("{verdict:?}");
+    };
+    let StoredBody::TooLarge { length_bytes, .. } = answer.body else {
+        panic!("{answer:?}");
+    };
+    assert_eq!((answer.status, length_bytes), (201, 5_000));
+}
+
+#[test]
+fn an_object_never_exceeds_its_bound() {
+    let options = ClaimOptions {
+        shards: 1,
+        max_object_bytes: 20_000,
+        ..ClaimOptions::default()
+    };
+    let mut pair = Pair::new(&options);
+    let mut refused = 0;
+    for number in 0..80 {
+        let (attempt, verdict) = pair.begin(0, "armor", key(number), 0);
+        match verdict {
+            ClaimVerdict::Dispatch => {
+                let result = ClaimResult::Answered(answer(&[7; 2_000]));
+                pair.finish(0, &attempt, result);
+            }
+            ClaimVerdict::NotRun(_) => refused += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(refused > 0);
+    assert!(pair.store.largest_bytes() <= 20_000);
+}
--- /dev/null
+++ b/crates/curranttrestle/tests/claims_support/store.rs
@@ -0,0 +1,85 @@
+//! The platform's store.
+
+use std::ops::Range;
+
+use curranttrestle::protocol::platform::{Expected, Object, StoreAnswer, StoreCall, Version};
+use indexmap::IndexMap;
+
+/// Objects with versions and conditional updates.
+#[derive(Debug)]
+pub struct FakeStore {
+    /// When no call is taken.
+    pub down: Range<u64>,
+    /// How many objects were removed.
+    pub deleted: u64,
+    objects: IndexMap<String, Object>,
+    version: u64,
+    ignores_conditions: bool,
+}
+
+impl FakeStore {
+    /// An empty store.
+    pub fn new(ignores_conditions: bool) -> Self {
+        Self {
+            down: 0..0,
+            deleted: 0,
+            objects: IndexMap::new(),
+            version: 0,
+            ignores_conditions,
+        }
+    }
+
+    /// Carries out a call.
+    pub fn call(&mut self, request: &StoreCall, now_ms: u64) -> StoreAnswer {
+        if self.down.contains(&now_ms) {
+            return StoreAnswer::Unavailable;
+        }
+        match request {
+            StoreCall::Read { name } => self.read(name),
+            StoreCall::Update {
+                name,
+                expected,
+                value,
+            } => self.update(name, *expected, value),
+            StoreCall::Delete { name } => {
+                self.deleted += u64::from(self.objects.shift_remove(name).is_some());
+                StoreAnswer::Updated(Version(self.version))
+            }
+            StoreCall::List { prefix } => {
+                let names = self.objects.keys().filter(|name| name.starts_with(prefix));
+                StoreAnswer::Names(names.cloned().collect())
+            }
+            StoreCall::Watch { .. } | StoreCall::Instances => StoreAnswer::Unavailable,
+        }
+    }
+
+    /// The size of the largest object.
+    pub fn largest_bytes(&self) -> usize {
+        let sizes = self.objects.values().map(|object| object.value.len());
+        sizes.max().unwrap_or_default()
+    }
+
+    fn read(&self, name: &str) -> StoreAnswer {
+        match self.objects.get(name) {
+            Some(object) => StoreAnswer::Found(object.clone()),
+            None => StoreAnswer::Absent,
+        }
+    }
+
+    fn update(&mut self, name: &str, expected: Expected, value: &str) -> StoreAnswer {
+        let present = match self.objects.get(name) {
+            Some(object) => Expected::Version(object.version),
+            None => Expected::Absent,
+        };
+        if present != expected && !self.ignores_conditions {
+            return StoreAnswer::Conflict;
+        }
+        self.version += 1;
+        let object = Object {
+            version: Version(self.version),
+            value: value.to_owned(),
+        };
+        self.objects.insert(name.to_owned(), object);
+        StoreAnswer::Updated(Version(self.version))
+    }
+}
