Share the HTTP client with the tool and follow a slow store

The tool connects within 2 s and tells a request that was surely not sent from one that may have been, by the functions that the daemon's clients use. A router whose first read of the store fails goes on with watches, which may take longer.

--- a/crates/curranttrestle-cli/src/client/caller.rs
+++ b/crates/curranttrestle-cli/src/client/caller.rs
@@ -4,12 +4,13 @@
 
 use curranttrestle::protocol::Outcome;
 use curranttrestle::protocol::outcome::OUTCOME_HEADER;
+use curranttrestle::transport::http_client::{url, within};
 use smol::io::AsyncReadExt;
 use trillium_client::{Conn, KnownHeaderName};
 use uuid::Uuid;
 
 use super::events::{EventReader, StreamEvent};
-use super::{Answer, ClientError, Problem, http, send, within};
+use super::{Answer, ClientError, Problem, http, send};
 
 /// How many bytes are read at a time.
 const READ_BYTES: usize = 16 * 1024;
@@ -63,9 +64,9 @@
         router: SocketAddr,
         sink: &mut impl FnMut(&[u8]),
     ) -> Result<Called, ClientError> {
-        let url = format!("http://{router}/v1/operations/{}", self.operation);
+        let url = url(router, &["v1", "operations", self.operation]);
         let mut conn = http()
-            .post(url.as_str())
+            .post(url)
             .with_request_header(
                 KnownHeaderName::Authorization,
                 format!("Bearer {}", self.key),
@@ -92,8 +93,9 @@
     ) -> Result<Called, ClientError> {
         let token = &interrupted.resume_token;
         let offset = interrupted.received_bytes;
-        let url = format!("http://{router}/v1/streams/{token}?offset={offset}");
-        let conn = http().get(url.as_str()).with_request_header(
+        let mut url = url(router, &["v1", "streams", token]);
+        url.set_query(Some(&format!("offset={offset}")));
+        let conn = http().get(url).with_request_header(
             KnownHeaderName::Authorization,
             format!("Bearer {}", self.key),
         );
--- a/crates/curranttrestle-cli/src/client/mod.rs
+++ b/crates/curranttrestle-cli/src/client/mod.rs
@@ -5,30 +5,27 @@
 mod events;
 mod operator;
 
-use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use smol::Timer;
-use smol::future::FutureExt;
+use curranttrestle::transport::http_client::{self, SendError};
 use thiserror::Error;
-use trillium_client::{Client, Conn, Error};
-use trillium_smol::ClientConfig;
+use trillium_client::{Client, Conn};
 
 pub use answer::{Answer, Problem};
 pub use caller::{CallRequest, Called, Interrupted};
 pub use operator::{OperatorClient, Reply, RouterStatus, ask_all, first_reply, poll_until};
 
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT_MS: u64 = 2_000;
+
 /// Why an exchange gave no answer.
 #[derive(Clone, Debug, Error)]
 pub enum ClientError {
     /// No connection was made, so nothing was sent.
-    #[error("{address}: {reason}")]
+    #[error("{address}: cannot connect")]
     NotReachable {
         /// Where.
         address: SocketAddr,
-        /// Why.
-        reason: String,
     },
     /// No answer came in time.
     #[error("{address}: no answer within {timeout_ms} ms")]
@@ -50,47 +47,21 @@
 
 /// A client that opens a connection for each request and repeats none.
 fn http() -> Client {
-    Client::new(ClientConfig::new().with_nodelay(true))
+    http_client::fresh_connections(CONNECT_TIMEOUT_MS)
 }
 
 /// Sends a request and waits for the head of the answer.
 async fn send(conn: Conn, address: SocketAddr, timeout_ms: u64) -> Result<Conn, ClientError> {
-    let sent = within(timeout_ms, conn.into_future()).await;
-    let sent = sent.ok_or(ClientError::TimedOut {
-        address,
-        timeout_ms,
-    })?;
-    sent.map_err(|error| {
-        let reason = error.to_string();
-        if is_connect_failure(&error) {
-            ClientError::NotReachable { address, reason }
-        } else {
-            ClientError::Broken { address, reason }
-        }
+    let sent = http_client::send(conn, timeout_ms).await;
+    sent.map_err(|error| match error {
+        SendError::NotSent => ClientError::NotReachable { address },
+        SendError::TimedOut => ClientError::TimedOut {
+            address,
+            timeout_ms,
+        },
+        SendError::ConnectionLost => ClientError::Broken {
+            address,
+            reason: "the connection was lost".to_owned(),
+        },
     })
 }
-
-/// Awaits a future for at most `timeout_ms`.
-async fn within<F: Future>(timeout_ms: u64, future: F) -> Option<F::Output> {
-    let finished = async { Some(future.await) };
-    let timed_out = async {
-        Timer::after(Duration::from_millis(timeout_ms)).await;
-        None
-    };
-    finished.or(timed_out).await
-}
-
-/// Whether the error can only come from opening the connection.
-fn is_connect_failure(error: &Error) -> bool {
-    use std::io::ErrorKind;
-    let Error::Io(error) = error else {
-        return false;
-    };
-    matches!(
-        error.kind(),
-        ErrorKind::ConnectionRefused
-            | ErrorKind::HostUnreachable
-            | ErrorKind::NetworkUnreachable
-            | ErrorKind::AddrNotAvailable
-    )
-}
--- a/crates/curranttrestle-cli/src/client/operator.rs
+++ b/crates/curranttrestle-cli/src/client/operator.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use curranttrestle::transport::http_client::within;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 use trillium_client::{Conn, KnownHeaderName};
 
-use super::{ClientError, http, send, within};
+use super::{ClientError, http, send};
 use crate::error::CliError;
 
 /// The longest answer that is read.
@@ -213,7 +214,6 @@
     answer.unwrap_or_else(|| {
         Err(ClientError::NotReachable {
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
-            reason: "no router is named".to_owned(),
         })
     })
 }
--- a/crates/curranttrestle/src/coordination/config/object_watch.rs
+++ b/crates/curranttrestle/src/coordination/config/object_watch.rs
@@ -53,13 +53,14 @@
         if self.called_ms.is_some() || now.steady_ms < self.not_before_ms {
             return None;
         }
+        let pause_ms = backoff::spread_ms(me.as_str().as_bytes(), self.calls, pause_ms);
+        if self.answered && now.since_ms(self.answered_ms) < pause_ms {
+            return None;
+        }
         let name = self.object.name().to_owned();
-        let call = if self.answered {
-            let pause_ms = backoff::spread_ms(me.as_str().as_bytes(), self.calls, pause_ms);
-            if now.since_ms(self.answered_ms) < pause_ms {
-                return None;
-            }
-            let after = self.version;
+        let after = self.version;
+        // A watch may take longer than a read, so that it succeeds at a slow store too.
+        let call = if self.answered || self.failures > 0 {
             StoreCall::Watch { name, after }
         } else {
             StoreCall::Read { name }
--- a/crates/curranttrestle/src/transport/http_client.rs
+++ b/crates/curranttrestle/src/transport/http_client.rs
@@ -1,4 +1,4 @@
-//! What the HTTP clients of this layer share.
+//! What all HTTP clients share: those of this layer and those of the command-line tool.
 
 use std::future::Future;
 use std::io;
@@ -41,7 +41,7 @@
 
 /// Why a request got no response head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SendError {
+pub enum SendError {
     /// No connection was made: surely nothing was sent.
     NotSent,
     /// The connection broke after the request may have been sent.
@@ -51,7 +51,8 @@
 }
 
 /// Returns a client that opens a fresh connection for each request.
-pub(crate) fn fresh_connections(connect_timeout_ms: u64) -> Client {
+#[must_use]
+pub fn fresh_connections(connect_timeout_ms: u64) -> Client {
     Client::new(TimedConnector { connect_timeout_ms })
 }
 
@@ -61,7 +62,18 @@
 }
 
 /// Builds the URL of a path given as segments, each of which is percent-encoded.
-pub(crate) fn url(address: SocketAddr, segments: &[&str]) -> Url {
+///
+/// ```
+/// use curranttrestle::transport::http_client::url;
+/// let url = url("127.0.0.1:80".parse().unwrap(), &["v1", "a/b"]);
+/// assert_eq!(url.as_str(), "http://127.0.0.1/v1/a%2Fb");
+/// ```
+///
+/// # Panics
+///
+/// Never: a socket address makes a valid URL.
+#[must_use]
+pub fn url(address: SocketAddr, segments: &[&str]) -> Url {
     let mut url: Url = format!("http://{address}/")
         .parse()
         .expect("a socket address makes a valid URL");
@@ -73,7 +85,12 @@
 }
 
 /// Sends a request and waits for the head of the response.
-pub(crate) async fn send(conn: Conn, timeout_ms: u64) -> Result<Conn, SendError> {
+///
+/// # Errors
+///
+/// Returns an error when no head came within `timeout_ms`. It tells whether anything can
+/// have been sent.
+pub async fn send(conn: Conn, timeout_ms: u64) -> Result<Conn, SendError> {
     match within(timeout_ms, conn.into_future()).await {
         Some(Ok(conn)) => Ok(conn),
         Some(Err(trillium_client::Error::Io(error))) if is_connect_failure(&error) => {
@@ -85,7 +102,7 @@
 }
 
 /// Awaits a future for at most `timeout_ms`.
-pub(crate) async fn within<F: Future>(timeout_ms: u64, future: F) -> Option<F::Output> {
+pub async fn within<F: Future>(timeout_ms: u64, future: F) -> Option<F::Output> {
     let finished = async { Some(future.await) };
     let timed_out = async {
         Timer::after(Duration::from_millis(timeout_ms)).await;
--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -3,6 +3,6 @@
 pub mod body;
 pub mod endpoint;
 pub mod frames;
-mod http_client;
+pub mod http_client;
 pub mod peer;
 pub mod platform;
--- a/crates/curranttrestle/tests/config_keeper.rs
+++ b/crates/curranttrestle/tests/config_keeper.rs
@@ -151,6 +151,19 @@
     assert_eq!(keeper.numbers().sheet_digest, sheet(3).digest());
 }
 
+#[test]
+fn a_store_too_slow_for_a_read_is_watched() {
+    let mut keeper = keeper("r0");
+    keeper.tick(&view(0, 1), at(0));
+    keeper.store_answer(SHEET, &StoreAnswer::Lost, at(1_000));
+    let effects = keeper.tick(&view(0, 1), at(2_000));
+    let name = SheetObject::NAME.to_owned();
+    let after = Version(0);
+    assert_eq!(calls(&effects), [&StoreCall::Watch { name, after }]);
+    let effects = keeper.store_answer(SHEET, &stored(3), at(9_000));
+    assert_eq!(in_force(&effects), Some(3));
+}
+
 #[test]
 fn exactly_two_routers_of_a_data_centre_watch_without_pause() {
     let keepers: Vec<ConfigKeeper> = (0..9).map(|index| keeper(&format!("r{index}"))).collect();
