--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -3,7 +3,7 @@
 pub mod body;
 pub mod endpoint;
 pub mod frames;
-mod http_client;
+pub mod http_client;
 pub mod peer;
 pub mod platform;
 pub mod sender_limit;
