--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -168,3 +168,13 @@
     let booking = booking.to_owned();
     std::thread::spawn(move || smol::block_on(book(router, &key, &booking, "camera 7")))
 }
+
+/// Puts an instance into the platform's list.
+pub fn put_instance(platform: SocketAddr, status: &serde_json::Value) {
+    let name = status["name"].as_str().unwrap();
+    let conn = client()
+        .put(format!("http://{platform}/instances/{name}").as_str())
+        .with_body(status.to_string());
+    let reply = smol::block_on(exchange(conn));
+    assert_eq!(reply.status / 100, 2, "{reply:?}");
+}
--- a/crates/curranttrestled/tests/support/mod.rs
+++ b/crates/curranttrestled/tests/support/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod client;
 pub mod fleet;
+pub mod load;
 pub mod process;
