--- a/crates/curranttrestle/src/coordination/store_gate.rs
+++ b/crates/curranttrestle/src/coordination/store_gate.rs
@@ -63,7 +63,7 @@
             max_queued: 256,
             max_in_flight: 32,
             first_pause_ms: 100,
-            max_pause_ms: 4_000,
+            max_pause_ms: 2_000,
         }
     }
 }
--- /dev/null
+++ b/crates/curranttrestle/tests/store_gate.rs
@@ -0,0 +1,259 @@
+//! The store gate and the retry budget, against naive versions.
+
+use std::collections::VecDeque;
+
+use curranttrestle::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
+use curranttrestle::coordination::store_gate::{CallPriority, StoreGate, StoreGateOptions};
+use curranttrestle::protocol::platform::{CallId, StoreAnswer, StoreCall, Version};
+use curranttrestle::state::Now;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const GATES: usize = 9;
+const OUTAGE_MS: std::ops::Range<u64> = 5_000..15_000;
+const END_MS: u64 = 30_000;
+const STEP_MS: u64 = 5;
+
+fn at(steady_ms: u64) -> Now {
+    Now {
+        steady_ms,
+        unix_ms: steady_ms,
+    }
+}
+
+fn read(number: u64) -> StoreCall {
+    StoreCall::Read {
+        name: number.to_string(),
+    }
+}
+
+fn runner() -> TestRunner {
+    let config = Config {
+        cases: 128,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+/// Passes every call at once and tries failed ones again after a fixed delay.
+#[derive(Default)]
+struct NaiveGate {
+    waiting: VecDeque<(u64, CallId, StoreCall)>,
+}
+
+impl NaiveGate {
+    const RETRY_MS: u64 = 100;
+
+    fn poll(&mut self, now: Now) -> Vec<(CallId, StoreCall)> {
+        let due = self.waiting.iter().filter(|call| call.0 <= now.steady_ms);
+        let count = due.count();
+        let calls = self.waiting.drain(..count);
+        calls.map(|(_, call, request)| (call, request)).collect()
+    }
+}
+
+/// Calls a second that reach the store, by second, and calls that were answered.
+struct Counts {
+    arrived: Vec<u64>,
+    answered: u64,
+}
+
+/// Nine routers make 20 calls a second each, through an outage of ten seconds. Failed calls
+/// are made again until they are answered.
+fn outage(seed: u64, with_gate: bool) -> Counts {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut gates = vec![StoreGate::new(StoreGateOptions::default()); GATES];
+    let mut naive: Vec<NaiveGate> = (0..GATES).map(|_| NaiveGate::default()).collect();
+    let mut counts = Counts {
+        arrived: vec![0; usize::try_from(END_MS / 1_000).unwrap()],
+        answered: 0,
+    };
+    let mut next = 0;
+    for now_ms in (0..END_MS).step_by(usize::try_from(STEP_MS).unwrap()) {
+        let now = at(now_ms);
+        for router in 0..GATES {
+            if rng.random_bool(0.1) {
+                next += 1;
+                // A full gate refuses: the caller is told at once.
+                let _ = gates[router].submit(CallId(next), read(next), CallPriority::Claims, now);
+                let call = (now_ms, CallId(next), read(next));
+                naive[router].waiting.push_back(call);
+            }
+            let calls = if with_gate {
+                gates[router].poll(now, &mut rng)
+            } else {
+                naive[router].poll(now)
+            };
+            for (call, request) in calls {
+                counts.arrived[usize::try_from(now_ms / 1_000).unwrap()] += 1;
+                let is_down = OUTAGE_MS.contains(&now_ms);
+                let answer = if is_down {
+                    StoreAnswer::Unavailable
+                } else {
+                    StoreAnswer::Absent
+                };
+                counts.answered += u64::from(!is_down);
+                gates[router].answered(call, &answer, now, &mut rng);
+                if is_down {
+                    let _ = gates[router].submit(call, request.clone(), CallPriority::Claims, now);
+                    let retry_ms = now_ms + NaiveGate::RETRY_MS;
+                    naive[router].waiting.push_back((retry_ms, call, request));
+                }
+            }
+        }
+    }
+    counts
+}
+
+#[test]
+fn the_end_of_an_outage_brings_no_rush_of_calls() {
+    let options = StoreGateOptions::default();
+    let limit = (options.rate_per_s + options.burst) * GATES as u64;
+    for seed in 0..20 {
+        let counts = outage(seed, true);
+        let most = counts.arrived.iter().max().unwrap();
+        assert!(*most <= limit, "seed {seed}: {most} calls in a second");
+        // While the store is down each router tries it now and then.
+        let down: u64 = counts.arrived[8..15].iter().sum();
+        assert!(
+            down <= 7 * GATES as u64,
+            "seed {seed}: {down} calls in the outage"
+        );
+        // What waited passes within a few seconds.
+        let after: u64 = counts.arrived[15..24].iter().sum();
+        assert!(
+            after > 9 * 180,
+            "seed {seed}: {after} calls after the outage"
+        );
+    }
+    println!("with the gate: {:?}", outage(0, true).arrived);
+}
+
+#[test]
+fn without_the_gate_an_outage_multiplies_the_calls() {
+    let counts = outage(0, false);
+    println!("without the gate: {:?}", counts.arrived);
+    let options = StoreGateOptions::default();
+    let limit = (options.rate_per_s + options.burst) * GATES as u64;
+    assert!(*counts.arrived.iter().max().unwrap() > 10 * limit);
+}
+
+#[test]
+fn each_call_passes_once_in_the_order_of_its_priority_and_within_the_rate() {
+    let call = (0..3_u8, any::<bool>(), 0..40_u64, 0..4_u8);
+    let calls = prop::collection::vec(call, 1..200);
+    runner()
+        .run(&calls, |calls| {
+            let mut rng = ChaCha8Rng::seed_from_u64(7);
+            let options = StoreGateOptions {
+                rate_per_s: 100,
+                burst: 5,
+                ..StoreGateOptions::default()
+            };
+            let mut gate = StoreGate::new(options.clone());
+            let mut waiting: [VecDeque<CallId>; 3] = Default::default();
+            let mut passed = Vec::new();
+            let mut now_ms = 0;
+            for (number, (priority, is_watch, step_ms, failure)) in calls.iter().enumerate() {
+                now_ms += step_ms;
+                let id = CallId(number as u64);
+                let request = if *is_watch {
+                    let name = id.0.to_string();
+                    let after = Version(0);
+                    StoreCall::Watch { name, after }
+                } else {
+                    read(id.0)
+                };
+                let class = [
+                    CallPriority::Claims,
+                    CallPriority::Config,
+                    CallPriority::Background,
+                ][usize::from(*priority)];
+                gate.submit(id, request, class, at(now_ms)).unwrap();
+                waiting[usize::from(*priority)].push_back(id);
+                let was_up = gate.is_up();
+                for (id, _) in gate.poll(at(now_ms), &mut rng) {
+                    // Nothing more urgent waits, and calls of one priority keep their order.
+                    let queue = waiting.iter_mut().find(|queue| !queue.is_empty()).unwrap();
+                    if was_up {
+                        prop_assert_eq!(queue.pop_front(), Some(id));
+                    } else {
+                        let queue = waiting.iter_mut().find(|queue| queue.contains(&id));
+                        queue.unwrap().retain(|other| *other != id);
+                    }
+                    prop_assert!(!passed.iter().any(|(_, other)| *other == id));
+                    passed.push((now_ms, id));
+                    let answer = match failure {
+                        0 => StoreAnswer::Unavailable,
+                        1 => StoreAnswer::Lost,
+                        _ => StoreAnswer::Absent,
+                    };
+                    gate.answered(id, &answer, at(now_ms), &mut rng);
+                }
+            }
+            // No span of time sees more calls than its length allows.
+            for (first, (from_ms, _)) in passed.iter().enumerate() {
+                for (last, (to_ms, _)) in passed.iter().enumerate().skip(first) {
+                    let allowed =
+                        options.burst + (to_ms - from_ms) * options.rate_per_s / 1_000 + 1;
+                    prop_assert!((last - first + 1) as u64 <= allowed);
+                }
+            }
+            // Everything passes in the end.
+            for _ in 0..10_000 {
+                now_ms += 10;
+                for (id, _) in gate.poll(at(now_ms), &mut rng) {
+                    for queue in &mut waiting {
+                        queue.retain(|other| *other != id);
+                    }
+                    gate.answered(id, &StoreAnswer::Absent, at(now_ms), &mut rng);
+                }
+            }
+            prop_assert!(waiting.iter().all(VecDeque::is_empty));
+            prop_assert_eq!(gate.next_wake_ms(at(now_ms)), None);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn extra_attempts_stay_below_the_ratio_in_each_window() {
+    let steps = prop::collection::vec((any::<bool>(), 0..300_u64), 1..400);
+    runner()
+        .run(&steps, |steps| {
+            let options = RetryBudgetOptions::default();
+            let mut budget = RetryBudget::new(options.clone());
+            // The naive version remembers each attempt of the last window.
+            let mut firsts: Vec<u64> = Vec::new();
+            let mut extras: Vec<u64> = Vec::new();
+            let mut now_ms = 0;
+            for (is_first, step_ms) in steps {
+                now_ms += step_ms;
+                if is_first {
+                    budget.record_first(at(now_ms));
+                    firsts.push(now_ms);
+                    continue;
+                }
+                if !budget.try_take(at(now_ms)) {
+                    continue;
+                }
+                extras.push(now_ms);
+                let within = |times: &[u64], span_ms: u64| {
+                    let recent = times.iter().filter(|time| *time + span_ms > now_ms);
+                    u32::try_from(recent.count()).unwrap()
+                };
+                // The budget counts in slices of a tenth of the window.
+                let slice_ms = options.window_ms / 10;
+                let firsts_at_most = f64::from(within(&firsts, options.window_ms));
+                let extras_at_least = f64::from(within(&extras, options.window_ms - slice_ms));
+                let floor = f64::from(u32::try_from(options.floor).unwrap());
+                prop_assert!(extras_at_least <= floor.max(options.ratio * firsts_at_most));
+            }
+            prop_assert_eq!(budget.granted(), extras.len() as u64);
+            Ok(())
+        })
+        .unwrap();
+}
