--- a/crates/curranttrestle/src/coordination/drain/endpoint.rs
+++ b/crates/curranttrestle/src/coordination/drain/endpoint.rs
@@ -99,7 +99,9 @@
             self.observe_run(run);
         }
         self.leaving_run = self.leaving_run.max(notice.leaving_run);
-        self.listed = self.listed.max(notice.listed);
+        if let Some(listed) = notice.listed {
+            self.set_listed(listed);
+        }
         self.is_news |= self.concerns_others() && old != self.essence();
     }
 
@@ -131,15 +133,20 @@
 
     /// Takes what the platform's list says.
     pub(super) fn list(&mut self, leaving: bool, now: Now) {
-        let was_leaving = self.listed.is_some_and(|listed| listed.leaving);
-        let read = Listed {
+        let old = self.essence();
+        self.set_listed(Listed {
             read_unix_ms: now.unix_ms,
             leaving,
-        };
-        self.listed = self.listed.max(Some(read));
-        self.is_news |= leaving != was_leaving;
+        });
+        self.is_news |= old != self.essence();
+    }
+
+    /// Takes what a list said, unless a later one is known.
+    fn set_listed(&mut self, listed: Listed) {
+        let was_leaving = self.listed.is_some_and(|listed| listed.leaving);
+        self.listed = self.listed.max(Some(listed));
         // The list lags: only its change tells of the present run.
-        if !leaving || was_leaving {
+        if was_leaving || !self.listed.is_some_and(|listed| listed.leaving) {
             return;
         }
         match self.run {
--- a/crates/curranttrestle/src/coordination/drain/options.rs
+++ b/crates/curranttrestle/src/coordination/drain/options.rs
@@ -38,7 +38,7 @@
             clock_margin_ms: 1_000,
             report_spacing_ms: 500,
             empty_reports: 2,
-            busy_hold_ms: 4_000,
+            busy_hold_ms: 10_000,
             order_valid_ms: 1_000,
             order_interval_ms: 2_000,
             notice_interval_ms: 1_000,
