Wait for the result of a booking that is still running elsewhere

Cause: a booking's answer reaches its caller a few milliseconds before its result is on record, so that a repeat through another data centre read the claim without a result and was told 'unknown' although the booking had been answered. Ruled out: writing the result before answering, which would hold every answer for a store call. Change: a claim without a result gives the reason 'still running'; the router looks again every 150 ms for at most 3 s before it answers 'unknown'.

--- a/crates/curranttrestle/src/coordination/claims/mod.rs
+++ b/crates/curranttrestle/src/coordination/claims/mod.rs
@@ -6,8 +6,8 @@
 //! never ran. No lease and no timeout guards a claim, so that a paused holder is harmless.
 //!
 //! A request whose key is in use on the same router waits for that result until its own
-//! deadline. On another router it gets [`ClaimVerdict::Unknown`] at once when the claim has
-//! no result, or the recorded answer.
+//! deadline. On another router it gets the recorded answer, or [`ClaimVerdict::Unknown`] when
+//! the claim has no result, with the reason "still running" while one may yet be recorded.
 
 mod effect;
 mod entry;
--- a/crates/curranttrestle/src/coordination/claims/resolve.rs
+++ b/crates/curranttrestle/src/coordination/claims/resolve.rs
@@ -23,10 +23,20 @@
 
 /// A verdict that an earlier request with the same key may have run.
 pub(super) fn unknown(request: RequestId) -> ClaimEffect {
-    let detail = "the key was claimed by an earlier request whose result is not recorded";
+    let detail = "the key was claimed by an earlier request whose result is not known";
+    claimed_before(request, RefusalReason::ClaimedBefore, detail)
+}
+
+/// A verdict that an earlier request with the same key has no result on record yet.
+fn still_running(request: RequestId) -> ClaimEffect {
+    let detail = "the key was claimed by an earlier request that has no result yet";
+    claimed_before(request, RefusalReason::StillRunning, detail)
+}
+
+fn claimed_before(request: RequestId, reason: RefusalReason, detail: &str) -> ClaimEffect {
     let refusal = Refusal {
         retry_after_ms: Some(UNKNOWN_RETRY_AFTER_MS),
-        ..Refusal::unknown(RefusalReason::ClaimedBefore, detail)
+        ..Refusal::unknown(reason, detail)
     };
     let verdict = ClaimVerdict::Unknown(refusal);
     ClaimEffect::Resolved { request, verdict }
@@ -197,12 +207,18 @@
                 .map(|intent| not_run(intent.request, RefusalReason::KeyReused))
                 .collect();
         }
+        let mut requests = vec![entry.intent];
+        requests.extend(entry.waiters);
         let result = match record.result {
             Some(ClaimResult::Answered(answer)) => ClaimResult::Answered(answer),
-            Some(ClaimResult::NotRun | ClaimResult::Unknown) | None => ClaimResult::Unknown,
+            Some(ClaimResult::NotRun | ClaimResult::Unknown) => ClaimResult::Unknown,
+            None => {
+                return requests
+                    .iter()
+                    .map(|intent| still_running(intent.request))
+                    .collect();
+            }
         };
-        let mut requests = vec![entry.intent];
-        requests.extend(entry.waiters);
         self.resolve_waiters(requests, &result, now)
     }
 
--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -63,6 +63,9 @@
     pub stage: Stage,
     /// The attempt that holds the claim of its key.
     pub claim: Option<AttemptId>,
+    /// When to look again for the result of an earlier request with the same key, in
+    /// steady time.
+    pub claim_again_ms: Option<u64>,
     /// The attempts that run.
     pub running: Vec<AttemptId>,
     /// Endpoints that should not be tried again.
--- a/crates/curranttrestle/src/coordination/router/claims.rs
+++ b/crates/curranttrestle/src/coordination/router/claims.rs
@@ -12,6 +12,11 @@
 
 use super::{Decision, Router};
 
+/// How long a repeat waits for the result of an earlier request with the same key.
+const RESULT_WAIT_MS: u64 = 3_000;
+/// Time between two looks at the record of the earlier request.
+const CLAIM_AGAIN_MS: u64 = 150;
+
 impl Router {
     /// Claims the idempotency key of a request that may not run twice.
     pub(super) fn begin_claim(&mut self, request: RequestId, now: Now) {
@@ -29,6 +34,7 @@
             return;
         };
         active.claim = Some(attempt.clone());
+        active.claim_again_ms = None;
         let effects = self.claims.begin(
             request,
             &active.new.customer,
@@ -95,6 +101,13 @@
                 self.counters.answered += 1;
                 self.decide(request, Decision::Replay(answer));
             }
+            ClaimVerdict::Unknown(refusal)
+                if refusal.reason == RefusalReason::StillRunning
+                    && now.since_ms(active.arrived_ms) < RESULT_WAIT_MS =>
+            {
+                active.claim = None;
+                active.claim_again_ms = Some(now.steady_ms + CLAIM_AGAIN_MS);
+            }
             ClaimVerdict::Unknown(refusal) | ClaimVerdict::NotRun(refusal) => {
                 self.invariants.check(
                     refusal.outcome != Outcome::NotRun || !active.handed_over(),
@@ -111,6 +124,16 @@
     pub(super) fn tick_claims(&mut self, now: Now) {
         let effects = self.claims.tick(now, self.membership.view());
         self.run_claim_effects(effects, now);
+        let due: Vec<RequestId> = self
+            .active
+            .requests
+            .iter()
+            .filter(|(_, active)| active.claim_again_ms.is_some_and(|at| at <= now.steady_ms))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in due {
+            self.begin_claim(request, now);
+        }
     }
 
     /// Passes a store call to the gate; a call that finds it full counts as not made.
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -84,6 +84,7 @@
             arrived_ms: now.steady_ms,
             stage: Stage::Claiming,
             claim: None,
+            claim_again_ms: None,
             running: Vec::new(),
             avoid: Vec::new(),
             lost: false,
--- a/crates/curranttrestle/src/protocol/outcome.rs
+++ b/crates/curranttrestle/src/protocol/outcome.rs
@@ -76,8 +76,10 @@
     EndpointRefused,
     /// The attempt was lost after it was handed over.
     AttemptLost,
-    /// The request was claimed before, and its result is not recorded.
+    /// The request was claimed before, and its result is not known.
     ClaimedBefore,
+    /// The request was claimed before, and no result is recorded yet.
+    StillRunning,
     /// The caller went away.
     CallerGone,
 }
@@ -101,7 +103,7 @@
                 503
             }
             Self::AttemptLost => 502,
-            Self::ClaimedBefore => 409,
+            Self::ClaimedBefore | Self::StillRunning => 409,
             Self::CallerGone => 499,
         }
     }
@@ -128,6 +130,7 @@
             Self::EndpointRefused => "endpoint-refused",
             Self::AttemptLost => "attempt-lost",
             Self::ClaimedBefore => "claimed-before",
+            Self::StillRunning => "still-running",
             Self::CallerGone => "caller-gone",
         }
     }
--- a/crates/curranttrestled/tests/bookings.rs
+++ b/crates/curranttrestled/tests/bookings.rs
@@ -40,8 +40,12 @@
         fleet.routers[victim].process.kill();
         assert_told(&first.join().unwrap());
         let others = fleet.routers.iter().enumerate();
-        for (_, router) in others.filter(|(index, _)| *index != victim) {
-            let reply = smol::block_on(book(router.callers(), &key, &booking, "camera 7"));
+        let repeats: Vec<_> = others
+            .filter(|(index, _)| *index != victim)
+            .map(|(_, router)| book_in_background(router.callers(), &key, &booking))
+            .collect();
+        for repeat in repeats {
+            let reply = repeat.join().unwrap();
             assert_told(&reply);
             assert_ne!(reply.outcome, "", "a live router must answer: {reply:?}");
         }
