--- a/crates/curranttrestle-cli/src/client/operator.rs
+++ b/crates/curranttrestle-cli/src/client/operator.rs
@@ -116,7 +116,7 @@
 }
 
 impl OperatorClient {
-    /// Reads `path`.
+    /// Asks for `path`.
     pub async fn get(&self, path: &str) -> Result<Reply, ClientError> {
         let url = format!("http://{}{path}", self.address);
         self.exchange(http().get(url.as_str()), self.timeout_ms)
@@ -137,7 +137,14 @@
 
     /// The state of the router.
     pub async fn status(&self) -> Result<RouterStatus, CliError> {
-        self.get("/v1/status").await?.value()
+        self.read("/v1/status").await
+    }
+
+    /// Reads the value at `path`.
+    pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        let reply = self.get(path).await;
+        let reply = reply.map_err(|error| CliError::NotReachable(error.to_string()))?;
+        reply.value()
     }
 
     async fn exchange(&self, conn: Conn, timeout_ms: u64) -> Result<Reply, ClientError> {
--- a/crates/curranttrestle-cli/src/commands/sheet/mod.rs
+++ b/crates/curranttrestle-cli/src/commands/sheet/mod.rs
@@ -10,7 +10,7 @@
 use clap::{Args, Subcommand};
 use curranttrestle::state::sheet::{Sheet, read_sheet};
 
-use crate::client::{OperatorClient, first_reply};
+use crate::client::OperatorClient;
 use crate::error::CliError;
 
 /// Checks, submits, shows and compares sheets.
@@ -56,8 +56,14 @@
     Ok(read_sheet(&path.display().to_string(), &bytes)?)
 }
 
-/// The sheet in force at the first router that can be reached.
+/// The sheet in force at the first router that answers.
 async fn sheet_in_force(clients: &[OperatorClient]) -> Result<Sheet, CliError> {
-    let reply = first_reply(clients, |client| client.get("/v1/sheet")).await?;
-    reply.value()
+    let mut answer = Err(CliError::NotReachable("no router is named".to_owned()));
+    for client in clients {
+        answer = client.read("/v1/sheet").await;
+        if answer.is_ok() {
+            break;
+        }
+    }
+    answer
 }
--- a/crates/curranttrestle-cli/src/commands/status.rs
+++ b/crates/curranttrestle-cli/src/commands/status.rs
@@ -55,7 +55,7 @@
 }
 
 async fn whole_status(client: &OperatorClient) -> Result<serde_json::Value, CliError> {
-    client.get("/v1/status").await?.value()
+    client.read("/v1/status").await
 }
 
 fn parse(value: &serde_json::Value) -> RouterStatus {
--- a/crates/curranttrestle-cli/src/commands/timeline.rs
+++ b/crates/curranttrestle-cli/src/commands/timeline.rs
@@ -76,7 +76,7 @@
 }
 
 async fn events_of(client: &OperatorClient, path: &str) -> Result<Vec<Event>, CliError> {
-    client.get(path).await?.value()
+    client.read(path).await
 }
 
 fn report_failures(answers: &[Result<Vec<Event>, CliError>]) -> usize {
--- a/crates/curranttrestle-cli/src/error.rs
+++ b/crates/curranttrestle-cli/src/error.rs
@@ -43,7 +43,7 @@
     #[error("{0}")]
     Failed(String),
     /// No router could be reached.
-    #[error("no router could be reached: {0}")]
+    #[error("not reached: {0}")]
     NotReachable(String),
     /// Another submission came first.
     #[error(
