--- a/crates/curranttrestle/tests/settings.rs
+++ b/crates/curranttrestle/tests/settings.rs
@@ -97,6 +97,23 @@
     assert_eq!(found.len(), expected.len() + 1);
 }
 
+#[test]
+fn addresses_in_place_of_announced_ones_are_read_by_name() {
+    let with_via = |via: &str| WHOLE.replace("[operators]", &format!("via = {via}\n[operators]"));
+    let settings = Settings::parse("router.toml", &with_via("{ r2 = \"127.0.0.1:9\" }")).unwrap();
+    assert_eq!(settings.fleet.via.values().next().unwrap().port(), 9);
+    let found = findings(&with_via("{ r2 = \"nine\" }"));
+    assert!(
+        found.len() == 1 && found[0].starts_with("router.toml:15:"),
+        "{found:?}"
+    );
+    let found = findings(&with_via("3"));
+    assert!(
+        found.len() == 1 && found[0].starts_with("router.toml:15:"),
+        "{found:?}"
+    );
+}
+
 #[test]
 fn syntax_errors_do_not_make_keys_seem_missing() {
     let found = findings("[instance\nname = \"a\"\n[listen]\ncallers = 5\n");
