--- a/crates/curranttrestle-standins/src/engine/mod.rs
+++ b/crates/curranttrestle-standins/src/engine/mod.rs
@@ -17,7 +17,7 @@
 use curranttrestle::state::Now;
 use smol::Timer;
 
-use crate::endpoint::{Leaving, LoadLog, OrderLog, STOP_LINGER_MS};
+use crate::endpoint::{Leaving, LoadLog, OrderLog};
 use crate::server::{
     Handle, Listen, Reopen, Reply, Request, Result, ServerControl, StandIn, milliseconds, unix_ms,
 };
@@ -80,6 +80,12 @@
     })?;
     let engine = Arc::clone(handle.stand_in());
     let control = Arc::clone(&engine.control);
+    log::info!(
+        "event=engine-start endpoint={} data_centre={} address={}",
+        engine.options.name,
+        engine.options.data_centre,
+        handle.address()
+    );
     control.spawn_detached(run_batch(engine, woken));
     Ok(handle)
 }
@@ -172,6 +178,9 @@
 
     /// Ends the run: all streams die, and the next run begins after the restart time.
     fn crash(self: &Arc<Self>, state: &mut State, now: Now) {
+        if state.orders.is_stopped() || !self.control.is_listening() {
+            return;
+        }
         log::info!(
             "event=engine-crash endpoint={} incarnation={}",
             self.options.name,
@@ -202,12 +211,7 @@
             "event=engine-stop endpoint={} cut_streams={cut}",
             self.options.name
         );
-        let control = Arc::clone(&self.control);
-        self.control.spawn_detached(async move {
-            Timer::after(Duration::from_millis(STOP_LINGER_MS)).await;
-            control.stop_listening();
-            control.close_connections();
-        });
+        self.control.shut_soon();
     }
 }
 
