--- a/crates/curranttrestle-cli/tests/commands/main.rs
+++ b/crates/curranttrestle-cli/tests/commands/main.rs
@@ -3,3 +3,4 @@
 mod callers;
 mod operators;
 mod support;
+mod trial;
