--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -20,6 +20,9 @@
 /// How many dead endpoints get a request refused.
 const REFUSED_DEATHS: usize = 2;
 
+/// The most sightings of deaths that are kept of one request; the latest stay.
+const MAX_DEATHS: usize = 16;
+
 /// How suspects are treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineOptions {
@@ -29,6 +32,8 @@
     pub finished_memory_ms: u64,
     /// Deaths of one endpoint that are seen within this time are the same one.
     pub same_death_ms: u64,
+    /// How long after a death a suspect waits, so that the news reaches every router first.
+    pub settle_ms: u64,
     /// The time between two messages that repeat what is known.
     pub gossip_interval_ms: u64,
     /// The most suspects in one repeated message.
@@ -45,6 +50,7 @@
             refuse_ms: 600_000,
             finished_memory_ms: 600_000,
             same_death_ms: 2_000,
+            settle_ms: 250,
             gossip_interval_ms: 1_000,
             max_gossip: 32,
             max_suspects: 1_024,
@@ -67,6 +73,7 @@
 /// What is known of one suspect.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
+    /// The sightings of deaths, sorted by time.
     deaths: Vec<EndpointDeath>,
     cleared_unix_ms: u64,
     finished_unix_ms: u64,
@@ -74,18 +81,38 @@
 
 impl Suspect {
     /// Adds a death, unless it is known already; true when it is new.
-    fn add(&mut self, death: &EndpointDeath, same_death_ms: u64) -> bool {
-        let known = self.deaths.iter_mut().find(|known| {
-            known.endpoint == death.endpoint
-                && known.seen_unix_ms.abs_diff(death.seen_unix_ms) <= same_death_ms
-        });
-        let Some(known) = known else {
-            self.deaths.push(death.clone());
-            return true;
+    fn add(&mut self, death: &EndpointDeath) -> bool {
+        let Err(place) = self.deaths.binary_search(death) else {
+            return false;
         };
-        let is_new = death.alone && !known.alone;
-        known.alone |= death.alone;
-        is_new
+        self.deaths.insert(place, death.clone());
+        if self.deaths.len() > MAX_DEATHS {
+            self.deaths.remove(0);
+        }
+        true
+    }
+
+    /// The number of deaths that still count, and whether the request was alone in one.
+    fn count(&self, now: Now, options: &QuarantineOptions) -> (usize, bool) {
+        let counted = self
+            .deaths
+            .iter()
+            .filter(|death| death.seen_unix_ms > self.cleared_unix_ms)
+            .filter(|death| now.unix_ms < death.seen_unix_ms + options.refuse_ms);
+        let mut firsts: IndexMap<&EndpointId, Vec<u64>> = IndexMap::new();
+        let mut died_alone = false;
+        for death in counted {
+            died_alone |= death.alone;
+            let seen = firsts.entry(&death.endpoint).or_default();
+            // Several routers see the same death, each at its own time.
+            let is_same = seen
+                .last()
+                .is_some_and(|first| death.seen_unix_ms <= first + options.same_death_ms);
+            if !is_same {
+                seen.push(death.seen_unix_ms);
+            }
+        }
+        (firsts.values().map(Vec::len).sum(), died_alone)
     }
 
     /// When the last death was seen; zero for none.
@@ -95,15 +122,9 @@
     }
 
     fn admission(&self, now: Now, options: &QuarantineOptions) -> Admission {
-        let counted: Vec<&EndpointDeath> = self
-            .deaths
-            .iter()
-            .filter(|death| death.seen_unix_ms > self.cleared_unix_ms)
-            .filter(|death| now.unix_ms < death.seen_unix_ms + options.refuse_ms)
-            .collect();
-        let died_alone = counted.iter().any(|death| death.alone);
+        let (deaths, died_alone) = self.count(now, options);
         let has_finished = now.unix_ms < self.finished_unix_ms + options.finished_memory_ms;
-        match counted.len() {
+        match deaths {
             0 => Admission::Free,
             _ if died_alone => Admission::Refused,
             1 if has_finished => Admission::Free,
@@ -163,6 +184,23 @@
             })
     }
 
+    /// Whether a request may be handed to an endpoint now; `alone` when nothing else runs on
+    /// that endpoint and nothing else will. Ask right before each dispatch: the request may
+    /// have become a suspect while it waited.
+    #[must_use]
+    pub fn may_start(&self, digest: &RequestDigest, alone: bool, now: Now) -> bool {
+        let Some(suspect) = self.suspects.get(digest) else {
+            return true;
+        };
+        match suspect.admission(now, &self.options) {
+            Admission::Free => true,
+            Admission::Alone => {
+                alone && now.unix_ms >= suspect.last_death_unix_ms() + self.options.settle_ms
+            }
+            Admission::Refused => false,
+        }
+    }
+
     /// An endpoint died while requests of this router ran on it; `alone` when it ran nothing
     /// but the one given. Call [`Self::tick`] next, so that other routers hear of it before
     /// the caller can send its request again.
@@ -182,7 +220,7 @@
             let finished_unix_ms = self.finished.get(digest).copied().unwrap_or_default();
             let suspect = self.suspects.entry(*digest).or_default();
             suspect.finished_unix_ms = suspect.finished_unix_ms.max(finished_unix_ms);
-            if suspect.add(&death, self.options.same_death_ms) {
+            if suspect.add(&death) {
                 self.news.push(*digest);
             }
         }
@@ -215,7 +253,7 @@
             let finished_unix_ms = self.finished.get(&received.digest).copied();
             let suspect = self.suspects.entry(received.digest).or_default();
             for death in &received.deaths {
-                suspect.add(death, self.options.same_death_ms);
+                suspect.add(death);
             }
             suspect.cleared_unix_ms = suspect.cleared_unix_ms.max(received.cleared_unix_ms);
             suspect.finished_unix_ms = suspect
--- a/crates/curranttrestle/src/protocol/peer/quarantine.rs
+++ b/crates/curranttrestle/src/protocol/peer/quarantine.rs
@@ -24,13 +24,13 @@
     pub finished_unix_ms: u64,
 }
 
-/// The death of an endpoint, as one router saw it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The death of an endpoint, as one router saw it. Sightings are ordered by time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointDeath {
-    /// The endpoint.
-    pub endpoint: EndpointId,
     /// When it was seen, by the wall clock of the router that saw it.
     pub seen_unix_ms: u64,
+    /// The endpoint.
+    pub endpoint: EndpointId,
     /// Nothing else ran beside the request.
     pub alone: bool,
 }
