--- /dev/null
+++ b/crates/curranttrestle-standins/src/server/handle.rs
@@ -0,0 +1,148 @@
+//! The handle of a running stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use trillium_http::{Method, Status};
+
+use super::{Port, Reply, Request, Result, Runtime, ServerControl, StandIn};
+
+/// A running stand-in. It stops when the handle is dropped.
+#[derive(Debug)]
+pub struct Handle<S: StandIn> {
+    address: SocketAddr,
+    admin_address: SocketAddr,
+    stand_in: Arc<S>,
+    controls: [Arc<ServerControl>; 2],
+    runtime: Runtime,
+}
+
+/// Where a stand-in listens.
+#[derive(Clone, Debug)]
+pub(crate) struct Listen<'a> {
+    /// The name of its thread.
+    pub(crate) name: &'a str,
+    /// Where it serves.
+    pub(crate) address: SocketAddr,
+    /// Where faults are injected and the truth is read.
+    pub(crate) admin_address: SocketAddr,
+}
+
+/// Lets a stand-in open its listener again.
+#[derive(Debug)]
+pub(crate) struct Reopen {
+    control: Arc<ServerControl>,
+    port: Port,
+}
+
+impl Reopen {
+    /// Accepts connections again at the stand-in's address.
+    pub(crate) async fn open<S: StandIn>(&self, stand_in: Arc<S>) {
+        let listener = self.port.listen_again().await;
+        listen(&self.control, listener, stand_in);
+    }
+}
+
+impl<S: StandIn> Handle<S> {
+    /// Starts a stand-in that `build` makes from the control of its connections.
+    pub(crate) fn start(
+        listen_at: &Listen<'_>,
+        build: impl FnOnce(Arc<ServerControl>, Reopen) -> S,
+    ) -> Result<Self> {
+        let runtime = Runtime::start(listen_at.name)?;
+        let port = Port::reserve(listen_at.address)?;
+        let admin_port = Port::reserve(listen_at.admin_address)?;
+        let (address, admin_address) = (port.address(), admin_port.address());
+        let listener = port.listen()?;
+        let admin_listener = admin_port.listen()?;
+        let control = Arc::new(ServerControl::new(runtime.spawner()));
+        let reopen = Reopen {
+            control: Arc::clone(&control),
+            port,
+        };
+        let stand_in = Arc::new(build(Arc::clone(&control), reopen));
+        listen(&control, listener, Arc::clone(&stand_in));
+        let administered = Arc::clone(&stand_in);
+        let admin_control = Arc::new(ServerControl::new(runtime.spawner()));
+        admin_control.listen(admin_listener, move |request| {
+            let reply = administer(&administered, &request);
+            async move { reply }
+        });
+        Ok(Self {
+            address,
+            admin_address,
+            stand_in,
+            controls: [control, admin_control],
+            runtime,
+        })
+    }
+
+    /// Where the stand-in serves.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where faults are injected by `POST /faults` and the truth is read by `GET /truth`.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Injects a fault, or ends one.
+    pub fn inject(&self, fault: S::Fault) {
+        self.stand_in.inject(fault);
+    }
+
+    /// What really happened so far.
+    #[must_use]
+    pub fn truth(&self) -> S::Truth {
+        self.stand_in.truth()
+    }
+
+    /// The stand-in itself.
+    #[must_use]
+    pub fn stand_in(&self) -> &Arc<S> {
+        &self.stand_in
+    }
+
+    /// Stops the stand-in and closes its connections.
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+impl<S: StandIn> Drop for Handle<S> {
+    fn drop(&mut self) {
+        for control in &self.controls {
+            control.stop_listening();
+        }
+        self.runtime.stop();
+    }
+}
+
+fn listen<S: StandIn>(
+    control: &Arc<ServerControl>,
+    listener: smol::net::TcpListener,
+    stand_in: Arc<S>,
+) {
+    control.listen(listener, move |request| {
+        let stand_in = Arc::clone(&stand_in);
+        async move { stand_in.answer(request).await }
+    });
+}
+
+fn administer<S: StandIn>(stand_in: &Arc<S>, request: &Request) -> Reply {
+    let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
+    match (request.method, segments.as_slice()) {
+        (Method::Get, ["truth"]) => Reply::json(Status::Ok, &stand_in.truth()),
+        (Method::Post, ["faults"]) => match request.json() {
+            Ok(fault) => {
+                stand_in.inject(fault);
+                Reply::empty(Status::NoContent)
+            }
+            Err(reply) => reply,
+        },
+        _ => Reply::empty(Status::NotFound),
+    }
+}
--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod call_ids;
 pub mod claims;
+pub mod config;
 pub mod cost;
 pub mod drain;
 pub mod fair_share;
@@ -11,6 +12,7 @@
 pub mod queue;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod router;
 pub mod slots;
 pub mod speed;
 pub mod store_gate;
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -18,7 +18,7 @@
 use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, EndpointId, InstanceId, Now, PoolId};
 
-use super::{Effect, Policy, Router};
+use super::{Effect, Policy, PollPurpose, Router};
 
 /// How long an endpoint that refused a connection gets no work from this router.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
@@ -36,6 +36,8 @@
     avoid_until_ms: u64,
     /// When its load was last asked for, in steady time.
     polled_ms: Option<u64>,
+    /// Its run, by its last load report.
+    incarnation: Option<u64>,
 }
 
 /// What a router knows of all endpoints, and which it owns.
@@ -60,6 +62,11 @@
         self.states.entry(endpoint.clone()).or_default()
     }
 
+    /// The run of an endpoint, by its last load report.
+    pub fn incarnation(&self, endpoint: &EndpointId) -> Option<u64> {
+        self.states.get(endpoint)?.incarnation
+    }
+
     fn is_down(&self, endpoint: &EndpointId) -> bool {
         self.states
             .get(endpoint)
@@ -102,7 +109,7 @@
         );
         self.sheet = sheet.clone();
         self.fair.apply_sheet(&sheet);
-        let effects = self.drain.apply_sheet(&sheet, now, self.membership.view());
+        let effects = self.drain.apply_sheet(&sheet, now);
         self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
         self.effects.push(Effect::SheetInForce(sheet));
@@ -117,13 +124,15 @@
 
     /// Puts marks in force.
     pub(super) fn marks_in_force(&mut self, version: Version, now: Now) {
-        let members = self.membership.view();
-        let effects = self
-            .drain
-            .apply_marks(version, self.config.marks(), now, members);
+        let effects = self.drain.apply_marks(self.config.marks(), version, now);
         self.run_drain_effects(effects, now);
         self.endpoints.assign_again();
-        self.emit(now, EventKind::MarksInForce, None, &[("version", &version.0)]);
+        self.emit(
+            now,
+            EventKind::MarksInForce,
+            None,
+            &[("version", &version.0)],
+        );
     }
 
     /// Finds out which endpoints this router owns and who owns the others.
@@ -138,20 +147,20 @@
         let mut by_endpoint: IndexMap<EndpointId, InstanceId> = IndexMap::new();
         for (id, row) in &self.sheet.endpoints {
             let members = view.in_data_centre(&row.data_centre);
-            let Some(owner) = rendezvous::best(id.as_str(), members) else {
+            let Some(best) = rendezvous::best(id.as_str(), members) else {
                 continue;
             };
-            by_endpoint.insert(id.clone(), owner.instance.clone());
+            by_endpoint.insert(id.clone(), best.instance.clone());
             let lists = by_pool.entry(row.pool.clone()).or_default();
             let list = if row.data_centre == self.me.data_centre {
                 &mut lists.local
             } else {
                 &mut lists.remote
             };
-            if !list.contains(&owner.instance) {
-                list.push(owner.instance.clone());
+            if !list.contains(&best.instance) {
+                list.push(best.instance.clone());
             }
-            if owner.instance == self.me.instance {
+            if best.instance == self.me.instance {
                 owned.push(id.clone());
             }
         }
@@ -198,8 +207,7 @@
             let lease = &assignment.lease;
             let usable = self.drain.is_usable(&lease.endpoint)
                 && !self.endpoints.is_avoided(&lease.endpoint, now);
-            let dispatched =
-                usable && self.dispatch(request, &lease.endpoint, Some(lease), now);
+            let dispatched = usable && self.dispatch(request, &lease.endpoint, Some(lease), now);
             if !dispatched {
                 self.holder.release(&lease.id, now);
                 if !usable {
@@ -211,9 +219,7 @@
             }
         }
         let owners = &self.endpoints.owners_by_pool;
-        let messages = self
-            .holder
-            .bids(&self.queues, &self.fair, owners, now, rng);
+        let messages = self.holder.bids(&self.queues, &self.fair, owners, now, rng);
         self.send_all(messages, now);
         let messages = self.holder.returns(now);
         self.send_all(messages, now);
@@ -252,15 +258,15 @@
     }
 
     /// Takes a slot that an owner lends.
-    pub(super) fn slot_lent(&mut self, from: &InstanceId, lend: Lend, now: Now) {
-        let endpoint = lend.lease.endpoint.clone();
+    pub(super) fn slot_lent(&mut self, from: &InstanceId, lend: &Lend, now: Now) {
+        let endpoint = &lend.lease.endpoint;
         self.emit(
             now,
             EventKind::SlotLent,
             None,
-            &[("endpoint", &endpoint), ("owner", from)],
+            &[("endpoint", endpoint), ("owner", from)],
         );
-        self.holder.receive_lend(from, &lend, now);
+        self.holder.receive_lend(from, lend, now);
     }
 
     /// Spreads the service given.
@@ -276,12 +282,12 @@
         self.poll_loads(now);
         self.poll_instances(now);
         self.repeat_slowness(now);
-        let effects = self.drain.tick(now, self.membership.view());
+        let members = self.membership.view();
+        let effects = self.drain.tick(&self.endpoints.owned, members, now);
         self.run_drain_effects(effects, now);
         self.update_owned(now);
-        for (to, message) in self.quarantine.tick(self.membership.view(), now) {
-            self.send(&to, message, now);
-        }
+        let messages = self.quarantine.tick(self.membership.view(), now);
+        self.send_all(messages, now);
     }
 
     fn poll_loads(&mut self, now: Now) {
@@ -298,6 +304,7 @@
                 state.polled_ms = Some(now.steady_ms);
                 self.effects.push(Effect::PollLoad {
                     endpoint: id,
+                    purpose: PollPurpose::Load,
                     address,
                 });
             }
@@ -323,8 +330,13 @@
         let StoreAnswer::Instances(instances) = answer else {
             return;
         };
-        let members = self.membership.view();
-        let effects = self.drain.apply_instances(&instances, now, members);
+        let leaving: Vec<EndpointId> = instances
+            .iter()
+            .filter(|instance| instance.leaving)
+            .map(|instance| EndpointId::new(&instance.name))
+            .filter(|endpoint| self.sheet.endpoints.contains_key(endpoint))
+            .collect();
+        let effects = self.drain.platform_says_leaving(&leaving, now);
         self.run_drain_effects(effects, now);
     }
 
@@ -338,7 +350,10 @@
         let was_down = self.endpoints.is_down(endpoint);
         let state = self.endpoints.state(endpoint);
         match report {
-            Some(_) => state.missed_reports = 0,
+            Some(report) => {
+                state.missed_reports = 0;
+                state.incarnation = Some(report.incarnation);
+            }
             None => state.missed_reports = state.missed_reports.saturating_add(1),
         }
         let is_down = self.endpoints.is_down(endpoint);
@@ -360,7 +375,7 @@
             taken_ms: steady_of_unix(report.taken_unix_ms, now),
         };
         self.owner.observe_report(endpoint, slot_report, None, now);
-        let effects = self.drain.load_reported(report, now, self.membership.view());
+        let effects = self.drain.load_reported(endpoint, report, now);
         self.run_drain_effects(effects, now);
     }
 
@@ -371,8 +386,7 @@
         answer: Option<&OrderAnswer>,
         now: Now,
     ) {
-        let members = self.membership.view();
-        let effects = self.drain.order_answered(endpoint, answer, now, members);
+        let effects = self.drain.order_answered(endpoint, answer, now);
         self.run_drain_effects(effects, now);
     }
 
@@ -386,19 +400,14 @@
                     valid_until_ms,
                 } => self.send_order(endpoint, order, valid_until_ms, now),
                 DrainEffect::Notify { to, message } => self.send(&to, message, now),
-                DrainEffect::Leaving { endpoint } => {
+                DrainEffect::Leaving { endpoint, source } => {
                     self.holder.drop_endpoint(&endpoint);
                     self.endpoints.assign_again();
-                    let details: [(&str, &dyn Display); 1] = [("endpoint", &endpoint)];
+                    let source = source.as_str();
+                    let details: [(&str, &dyn Display); 2] =
+                        [("endpoint", &endpoint), ("source", &source)];
                     self.emit(now, EventKind::EndpointLeaving, None, &details);
                 }
-                DrainEffect::Emit { kind, details } => {
-                    let details: Vec<(&str, &dyn Display)> = details
-                        .iter()
-                        .map(|(key, value)| (*key, value as &dyn Display))
-                        .collect();
-                    self.emit(now, kind, None, &details);
-                }
             }
         }
     }
@@ -428,18 +437,6 @@
         self.holder.drop_endpoint(endpoint);
     }
 
-    /// Makes suspects of all requests that ran on an endpoint that died.
-    pub(super) fn endpoint_died(&mut self, endpoint: &EndpointId, digests: &[[u8; 16]], now: Now) {
-        self.quarantine.endpoint_died(endpoint, digests, now);
-        self.endpoint_unreachable(endpoint, now);
-        self.emit(
-            now,
-            EventKind::Quarantine,
-            None,
-            &[("endpoint", endpoint), ("suspects", &digests.len())],
-        );
-    }
-
     /// Judges an endpoint by the time one of its units took.
     pub(super) fn observe_speed(
         &mut self,
@@ -500,7 +497,7 @@
         self.send(&owner, message, now);
     }
 
-    fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
+    pub(super) fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         self.sheet.endpoints.get(endpoint).map(|row| row.address)
     }
 }
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -6,6 +6,7 @@
 mod active;
 mod capacity;
 mod claims;
+mod deaths;
 mod hedges;
 mod input;
 mod naive;
@@ -20,8 +21,8 @@
 use indexmap::IndexMap;
 use rand_chacha::ChaCha8Rng;
 
-use crate::coordination::claims::ClaimBook;
 use crate::coordination::call_ids::{CallIds, CallOwner};
+use crate::coordination::claims::ClaimBook;
 use crate::coordination::config::{ConfigKeeper, ConfigPurpose};
 use crate::coordination::cost::CostEstimator;
 use crate::coordination::drain::Drain;
@@ -43,7 +44,9 @@
 use active::ActiveRequests;
 use naive::NaiveDispatcher;
 
-pub use input::{AttemptResult, Decision, Dispatch, Effect, Input, NewRequest, RequestDigest};
+pub use input::{
+    AttemptResult, Decision, Dispatch, Effect, Input, NewRequest, PollPurpose, RequestDigest,
+};
 pub use options::{Policy, RouterOptions};
 pub use status::{EndpointStatus, MemberLine, QueueStatus, RouterStatus};
 
@@ -89,6 +92,7 @@
     retries: RetryBudget,
     active: ActiveRequests,
     endpoints: capacity::EndpointTable,
+    death_checks: Vec<deaths::DeathCheck>,
     instances: capacity::InstancePoll,
     invariants: Invariants,
     reported_violations: u64,
@@ -106,10 +110,11 @@
         let instance = &me.instance;
         let incarnation = me.incarnation;
         let mut router = Self {
-            membership: Membership::new(me.clone(), options.seeds.clone(), options.membership),
+            membership: Membership::new(me.clone(), options.seeds.clone(), options.membership)
+                .with_via(options.via.clone()),
             config: ConfigKeeper::new(instance.clone(), options.config.clone(), now),
-            claims: ClaimBook::new(instance, incarnation, options.claims),
-            store: StoreGate::new(options.store_gate),
+            claims: ClaimBook::new(instance, incarnation, options.claims.clone()),
+            store: StoreGate::new(options.store_gate.clone()),
             fair: FairShare::new(options.fair_share.clone(), me.clone()),
             queues: Queues::new(options.queue.clone()),
             owner: SlotOwner::new(instance.clone(), incarnation, options.slots.clone()),
@@ -121,9 +126,10 @@
             hedge_budget: options.hedge_budget.clone(),
             drain: Drain::new(instance, options.drain),
             quarantine: Quarantine::new(options.quarantine),
-            retries: RetryBudget::new(options.retries),
+            retries: RetryBudget::new(options.retries.clone()),
             active: ActiveRequests::default(),
             endpoints: capacity::EndpointTable::default(),
+            death_checks: Vec::new(),
             instances: capacity::InstancePoll::default(),
             invariants: Invariants::new(options.fatal_invariants),
             reported_violations: 0,
@@ -140,7 +146,12 @@
             options,
         };
         let data_centre = router.me.data_centre.clone();
-        router.emit(now, EventKind::Started, None, &[("data_centre", &data_centre)]);
+        router.emit(
+            now,
+            EventKind::Started,
+            None,
+            &[("data_centre", &data_centre)],
+        );
         router
     }
 
@@ -154,9 +165,16 @@
             Input::Progress { attempt, units } => self.attempt_progressed(&attempt, units, now),
             Input::Ended { attempt, result } => self.attempt_ended(&attempt, result, now),
             Input::StoreAnswered { call, answer } => self.store_answered(call, answer, now, rng),
-            Input::LoadReport { endpoint, report } => {
-                self.load_reported(&endpoint, report.as_ref(), now);
-            }
+            Input::LoadReport {
+                endpoint,
+                purpose: PollPurpose::Load,
+                report,
+            } => self.load_reported(&endpoint, report.as_ref(), now),
+            Input::LoadReport {
+                endpoint,
+                purpose: PollPurpose::DeathCheck,
+                report,
+            } => self.death_checked(&endpoint, report.as_ref(), now),
             Input::OrderAnswered { endpoint, answer } => {
                 self.order_answered(&endpoint, answer.as_ref(), now);
             }
@@ -296,6 +314,11 @@
         self.reported_violations = total;
         let names: Vec<&str> = self.invariant_violations().map(|(name, _)| name).collect();
         let names = names.join(",");
-        self.emit(now, EventKind::Invariant, None, &[("names", &names), ("total", &total)]);
+        self.emit(
+            now,
+            EventKind::Invariant,
+            None,
+            &[("names", &names), ("total", &total)],
+        );
     }
 }
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -49,9 +49,10 @@
                 self.send_all(messages, now);
             }
             PeerMessage::Renewed(renewed) => self.holder.receive_renewed(from, &renewed, now),
-            PeerMessage::Lend(lend) => self.slot_lent(from, lend, now),
+            PeerMessage::Lend(lend) => self.slot_lent(from, &lend, now),
             PeerMessage::Recall(recall) => self.holder.receive_recall(from, &recall, now),
             PeerMessage::Slowness(slowness) => self.owner.receive_slowness(from, &slowness, now),
+            PeerMessage::Suspicions(suspicions) => self.quarantine.receive(&suspicions, now),
             PeerMessage::ServiceReport(report) => {
                 self.fair.receive_report(from, incarnation, &report, now);
             }
@@ -76,17 +77,13 @@
                 self.run_config_effects(effects, now);
             }
             PeerMessage::ConfigUpdate(update) => {
-                let effects = self.config.handle_update(from, update, now);
+                let effects = self.config.handle_update(from, *update, now);
                 self.run_config_effects(effects, now);
             }
             PeerMessage::EndpointNotices(notices) => {
-                let members = self.membership.view();
-                let effects = self.drain.receive_notices(from, &notices, now, members);
+                let effects = self.drain.receive_notices(from, &notices, now);
                 self.run_drain_effects(effects, now);
             }
-            PeerMessage::Suspicions(suspicions) => {
-                self.quarantine.receive(&suspicions, now);
-            }
         }
     }
 
@@ -101,7 +98,8 @@
             match effect {
                 MembershipEffect::Send { address, message } => {
                     let time = self.clock.tick(now);
-                    let with_numbers = matches!(message, PeerMessage::Ping(_) | PeerMessage::Ack(_));
+                    let with_numbers =
+                        matches!(message, PeerMessage::Ping(_) | PeerMessage::Ack(_));
                     self.effects.push(Effect::Send {
                         address,
                         time,
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -1,8 +1,8 @@
 //! The life of a request: arrival, claim, queue, attempts, outcome.
 
 use crate::coordination::cost::{Charge, CostHints};
-use crate::coordination::queue::Waiting;
 use crate::coordination::quarantine::Admission;
+use crate::coordination::queue::Waiting;
 use crate::protocol::outcome::{Outcome, Refusal, RefusalReason};
 use crate::protocol::peer::{ClaimResult, Lease, StoredAnswer};
 use crate::state::event::EventKind;
@@ -21,8 +21,8 @@
         let request = new.request;
         let active = match self.admit(new, now) {
             Ok(active) => active,
-            Err((new, refusal)) => {
-                self.decide_refusal(new.request, refusal, now);
+            Err(refusal) => {
+                self.decide_refusal(request, refusal, now);
                 return;
             }
         };
@@ -46,27 +46,23 @@
     }
 
     /// Checks a request against the sheet in force.
-    fn admit(
-        &mut self,
-        new: NewRequest,
-        now: Now,
-    ) -> Result<ActiveRequest, (NewRequest, Refusal)> {
-        let refused = |new, reason, detail: &str| Err((new, Refusal::not_run(reason, detail)));
+    fn admit(&mut self, new: NewRequest, now: Now) -> Result<ActiveRequest, Refusal> {
+        let refused = |reason, detail: &str| Err(Refusal::not_run(reason, detail));
         if self.stopping || self.sheet.number == 0 {
-            return refused(new, RefusalReason::NotReady, "this router takes no requests");
+            return refused(RefusalReason::NotReady, "this router takes no requests");
         }
         let Some(operation) = self.sheet.operations.get(&new.operation) else {
-            return refused(new, RefusalReason::NoSuchOperation, "no such operation");
+            return refused(RefusalReason::NoSuchOperation, "no such operation");
         };
         if !self.sheet.customers.contains_key(&new.customer) {
-            return refused(new, RefusalReason::Unauthorized, "no such customer");
+            return refused(RefusalReason::Unauthorized, "no such customer");
         }
         if self.quarantine.admission(&new.digest, now) == Admission::Refused {
             let detail = "endpoints crashed while they ran this request";
-            return refused(new, RefusalReason::Quarantined, detail);
+            return refused(RefusalReason::Quarantined, detail);
         }
         let Some(kind) = self.pool_kind(&operation.pool) else {
-            return refused(new, RefusalReason::NoEndpoint, "the pool has no endpoint");
+            return refused(RefusalReason::NoEndpoint, "the pool has no endpoint");
         };
         let hints = CostHints {
             prior: operation.expected_cost,
@@ -129,7 +125,12 @@
             self.end_refused(request, refusal, now);
             return;
         }
-        self.emit(now, EventKind::Queued, Some(request), &[("pool", &account.pool)]);
+        self.emit(
+            now,
+            EventKind::Queued,
+            Some(request),
+            &[("pool", &account.pool)],
+        );
     }
 
     /// Hands a request that waited to an endpoint.
@@ -222,12 +223,7 @@
     }
 
     /// Charges what an attempt has cost beyond its estimate.
-    pub(super) fn attempt_progressed(
-        &mut self,
-        attempt: &AttemptId,
-        units: f64,
-        now: Now,
-    ) {
+    pub(super) fn attempt_progressed(&mut self, attempt: &AttemptId, units: f64, now: Now) {
         let Some(running) = self.active.attempts.get_mut(attempt) else {
             return;
         };
@@ -255,21 +251,14 @@
     }
 
     /// Ends an attempt and decides what becomes of its request.
-    pub(super) fn attempt_ended(
-        &mut self,
-        attempt: &AttemptId,
-        result: AttemptResult,
-        now: Now,
-    ) {
+    pub(super) fn attempt_ended(&mut self, attempt: &AttemptId, result: AttemptResult, now: Now) {
         let elapsed_ms = self.active.age_ms(attempt, now);
-        let digests = match &result {
-            AttemptResult::Interrupted { broken: true, .. } => self
-                .active
-                .attempts
-                .get(attempt)
-                .map(|running| self.active.digests_on(&running.endpoint)),
-            _ => None,
-        };
+        let digests = self
+            .active
+            .attempts
+            .get(attempt)
+            .map(|running| self.active.digests_on(&running.endpoint))
+            .unwrap_or_default();
         let Some(running) = self.active.remove_attempt(attempt) else {
             return;
         };
@@ -287,9 +276,6 @@
                 ("elapsed_ms", &elapsed_ms),
             ],
         );
-        if let Some(digests) = digests {
-            self.endpoint_died(&running.endpoint, &digests, now);
-        }
         match result {
             AttemptResult::Answered { units, stored } => {
                 self.attempt_answered(&running, units, stored, elapsed_ms, now);
@@ -303,6 +289,12 @@
                 }
                 self.attempt_not_run(&running, &detail, now);
             }
+            AttemptResult::Interrupted {
+                detail,
+                broken: true,
+                incarnation,
+                ..
+            } => self.check_death(running, digests, incarnation, detail, now),
             AttemptResult::Interrupted { detail, .. } => {
                 self.attempt_interrupted(&running, &detail, now);
             }
@@ -352,9 +344,8 @@
             self.hedging.observe(pool, elapsed_ms);
         }
         self.observe_speed(pool, &running.endpoint, units, elapsed_ms, now);
-        if running.exclusive {
-            self.quarantine.finished_alone(&active.new.digest, now);
-        }
+        let digest = active.new.digest;
+        self.quarantine.finished(&digest, running.exclusive, now);
         if let Some(claim) = &active.claim {
             let result = stored.map_or(ClaimResult::Unknown, ClaimResult::Answered);
             let effects = self.claims.finish(claim, result, now);
@@ -381,7 +372,8 @@
     fn cancel_others(&mut self, active: &ActiveRequest, now: Now) {
         for attempt in &active.running {
             if let Some(other) = self.active.attempts.swap_remove(attempt) {
-                self.fair.charge(&active.account, -other.charge.charged(), now);
+                self.fair
+                    .charge(&active.account, -other.charge.charged(), now);
                 self.release_slot(&other, now);
                 self.drain.attempt_ended(&other.endpoint, attempt);
             }
@@ -419,7 +411,7 @@
     }
 
     /// Tries an idempotent request again whose attempt was lost; ends any other.
-    fn attempt_interrupted(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
+    pub(super) fn attempt_interrupted(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
         let Some(active) = self.active.requests.get_mut(&running.request) else {
             return;
         };
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -111,6 +111,8 @@
         first: Option<Chunk>,
     ) -> Passed {
         let mut replay = Replay::new(self.sent_bytes);
+        // The control thread learns of the first part at once.
+        self.last_progress = Now::default();
         let mut tokens = 0;
         let mut next = first;
         let mut resumes = 0;
@@ -128,17 +130,21 @@
                 }
                 self.report_progress(dispatch, tokens).await;
             }
-            match stream.next().await {
+            let deadline_ms = self.caller.new.deadline_ms;
+            let Some(received) = until(&self.shared, deadline_ms, stream.next()).await else {
+                return self.expired(dispatch, &stream, tokens).await;
+            };
+            match received {
                 Ok(Some(chunk)) => next = Some(chunk),
                 Ok(None) => return self.finish(dispatch, &stream).await,
                 Err(error) if resumes < RESUME_ATTEMPTS => {
                     resumes += 1;
                     match self.resume(dispatch, &stream).await {
-                        Ok(resumed) => stream = resumed,
-                        Err(_) => return self.lost(dispatch, &error, tokens).await,
+                        Ok(new_stream) => stream = new_stream,
+                        Err(_) => return self.lost(dispatch, &stream, &error, tokens).await,
                     }
                 }
-                Err(error) => return self.lost(dispatch, &error, tokens).await,
+                Err(error) => return self.lost(dispatch, &stream, &error, tokens).await,
             }
         }
     }
@@ -208,10 +214,15 @@
         Passed::Whole
     }
 
-    async fn lost(&self, dispatch: &Dispatch, error: &AttemptError, tokens: u64) -> Passed {
-        self.attempts
-            .report(dispatch, failed(error, units(tokens)))
-            .await;
+    async fn lost(
+        &self,
+        dispatch: &Dispatch,
+        stream: &FrameStream,
+        error: &AttemptError,
+        tokens: u64,
+    ) -> Passed {
+        let result = failed(error, units(tokens), Some(stream.incarnation()));
+        self.attempts.report(dispatch, result).await;
         Passed::Lost
     }
 
@@ -223,6 +234,22 @@
         Passed::Ended
     }
 
+    /// Ends an answer whose caller's deadline has passed.
+    async fn expired(&self, dispatch: &Dispatch, stream: &FrameStream, tokens: u64) -> Passed {
+        let endpoints = &self.shared.endpoints;
+        let _ = endpoints
+            .cancel_stream(dispatch.address, stream.stream())
+            .await;
+        let result = AttemptResult::CallerGone {
+            units: units(tokens),
+        };
+        self.attempts.report(dispatch, result).await;
+        let detail = "the deadline passed while the answer was streamed";
+        let refusal = Refusal::unknown(RefusalReason::DeadlinePassed, detail);
+        let _ = self.chunks.send(sse::error(&refusal)).await;
+        Passed::Ended
+    }
+
     /// Ends an answer whose new attempt does not begin with the bytes already passed on.
     async fn differs(&self, dispatch: &Dispatch, tokens: u64) -> Passed {
         let result = AttemptResult::CallerGone {
@@ -309,7 +336,11 @@
         loop {
             match stream.next().await {
                 Ok(Some(chunk)) => {
-                    if chunks.send(sse::part(chunk.offset, &chunk.text)).await.is_err() {
+                    if chunks
+                        .send(sse::part(chunk.offset, &chunk.text))
+                        .await
+                        .is_err()
+                    {
                         return;
                     }
                 }
@@ -318,8 +349,7 @@
                     return;
                 }
                 Err(error) => {
-                    let refusal =
-                        Refusal::unknown(RefusalReason::AttemptLost, error.to_string());
+                    let refusal = Refusal::unknown(RefusalReason::AttemptLost, error.to_string());
                     let _ = chunks.send(sse::error(&refusal)).await;
                     return;
                 }
--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use curranttrestle::transport::body::read_whole;
 use futures_lite::FutureExt;
 use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
 
 /// The longest that any exchange may take.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(60);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// The largest body that is read.
+const MAX_BODY_BYTES: u64 = 16 << 20;
 
 /// A reply to an HTTP request.
 #[derive(Clone, Debug, Default)]
@@ -44,7 +48,9 @@
             .get_str("Outcome")
             .unwrap_or_default()
             .to_owned();
-        let bytes = conn.response_body().read_bytes().await.unwrap_or_default();
+        let bytes = read_whole(conn.response_body(), MAX_BODY_BYTES)
+            .await
+            .unwrap_or_default();
         let body = String::from_utf8_lossy(&bytes).into_owned();
         Some(Reply {
             status,
@@ -106,14 +112,21 @@
         }
         let json: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
         match name {
-            "start" => answer.resume_token = json["resume_token"].as_str().unwrap().to_owned(),
+            "start" => {
+                let token = json["resume_token"].as_str().unwrap();
+                token.clone_into(&mut answer.resume_token);
+            }
             "done" => {
                 answer.done = true;
                 assert_eq!(json["length"], answer.text.len());
             }
             "error" => answer.error = Some(data.to_owned()),
             _ if json.is_object() => {
-                assert_eq!(json["offset"], answer.text.len(), "a part is missing or repeated");
+                assert_eq!(
+                    json["offset"],
+                    answer.text.len(),
+                    "a part is missing or repeated"
+                );
                 answer.text.push_str(json["text"].as_str().unwrap());
             }
             _ => {}
@@ -138,3 +151,30 @@
         .with_body(body.to_owned());
     exchange(conn).await
 }
+
+/// Makes a booking with an idempotency key.
+pub async fn book(router: SocketAddr, key: &str, booking: &str, body: &str) -> Reply {
+    let headers = [("Idempotency-Key", booking.to_owned())];
+    call(router, key, "book-camera", &headers, body).await
+}
+
+/// Makes a booking in a thread of its own.
+pub fn book_in_background(
+    router: SocketAddr,
+    key: &str,
+    booking: &str,
+) -> std::thread::JoinHandle<Reply> {
+    let key = key.to_owned();
+    let booking = booking.to_owned();
+    std::thread::spawn(move || smol::block_on(book(router, &key, &booking, "camera 7")))
+}
+
+/// Puts an instance into the platform's list.
+pub fn put_instance(platform: SocketAddr, status: &serde_json::Value) {
+    let name = status["name"].as_str().unwrap();
+    let conn = client()
+        .put(format!("http://{platform}/instances/{name}").as_str())
+        .with_body(status.to_string());
+    let reply = smol::block_on(exchange(conn));
+    assert_eq!(reply.status / 100, 2, "{reply:?}");
+}
