--- a/crates/curranttrestle/src/coordination/claims/key.rs
+++ b/crates/curranttrestle/src/coordination/claims/key.rs
@@ -52,14 +52,20 @@
     format!("{CLAIM_PREFIX}{bucket:012}/{shard:03}")
 }
 
-/// Whether the object `name` belongs to a bucket that no router can use any more.
+/// The objects among `names` whose keys are all out of use.
+///
+/// Time is also taken from the newest object: a router whose clock is far ahead must not
+/// delete claims that are still needed.
 #[must_use]
-pub(super) fn is_expired(name: &str, unix_ms: u64, options: &ClaimOptions) -> bool {
-    let Some(bucket) = bucket_of(name) else {
-        return false;
-    };
-    let bucket_end_ms = (bucket + 1) * options.bucket_ms;
-    unix_ms > bucket_end_ms + options.retention_ms + options.deletion_margin_ms
+pub(super) fn expired(names: Vec<String>, unix_ms: u64, options: &ClaimOptions) -> Vec<String> {
+    let bucket_end_ms = |name: &str| Some((bucket_of(name)? + 1) * options.bucket_ms);
+    let newest_ms = names.iter().filter_map(|name| bucket_end_ms(name)).max();
+    let unix_ms = unix_ms.min(newest_ms.unwrap_or_default());
+    let kept_ms = options.retention_ms + options.deletion_margin_ms;
+    names
+        .into_iter()
+        .filter(|name| bucket_end_ms(name).is_some_and(|end_ms| unix_ms > end_ms + kept_ms))
+        .collect()
 }
 
 fn bucket_of(name: &str) -> Option<u64> {
--- a/crates/curranttrestle/src/coordination/claims/sweep.rs
+++ b/crates/curranttrestle/src/coordination/claims/sweep.rs
@@ -4,7 +4,7 @@
 use crate::protocol::platform::{CallId, StoreAnswer, StoreCall};
 use crate::state::{MemberView, Now};
 
-use super::key::{CLAIM_PREFIX, is_expired};
+use super::key::{CLAIM_PREFIX, expired};
 use super::{ClaimBook, ClaimEffect};
 
 /// The removal of expired objects.
@@ -60,10 +60,7 @@
             && let StoreAnswer::Names(names) = answer
             && self.is_sweeper(members)
         {
-            self.sweep.expired = names
-                .into_iter()
-                .filter(|name| is_expired(name, now.unix_ms, &self.options))
-                .collect();
+            self.sweep.expired = expired(names, now.unix_ms, &self.options);
         }
         self.delete_expired(now)
     }
--- a/crates/curranttrestle/src/coordination/claims/timer.rs
+++ b/crates/curranttrestle/src/coordination/claims/timer.rs
@@ -98,7 +98,12 @@
     fn pump_all(&mut self, now: Now) -> Vec<ClaimEffect> {
         let mut effects = Vec::new();
         let foreign_ms = self.options.writer_wait_ms * FOREIGN_WAITS;
-        let names: Vec<String> = self.pages.keys().cloned().collect();
+        let names: Vec<String> = self
+            .pages
+            .iter()
+            .filter(|(_, page)| !page.pending.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in names {
             let Some(page) = self.pages.get_mut(&name) else {
                 continue;
--- a/crates/curranttrestle/tests/claims_naive.rs
+++ b/crates/curranttrestle/tests/claims_naive.rs
@@ -278,3 +278,46 @@
     assert!(refused > 0);
     assert!(pair.store.largest_bytes() <= 20_000);
 }
+
+/// The objects that a sweep deletes when the router's clock is `ahead_ms` ahead.
+fn swept(names: &[String], ahead_ms: u64) -> Vec<String> {
+    let options = ClaimOptions::default();
+    let mut members = members(0);
+    members.live.truncate(1);
+    let mut book = ClaimBook::new(&InstanceId::new("r0"), Incarnation(1), options.clone());
+    let now = |steady_ms| Now {
+        steady_ms,
+        unix_ms: NOW.unix_ms + ahead_ms,
+    };
+    book.tick(now(0), &members);
+    let listing = book.tick(now(options.sweep_interval_ms), &members);
+    let [ClaimEffect::Store { call, .. }] = &listing[..] else {
+        panic!("{listing:?}");
+    };
+    let answer = StoreAnswer::Names(names.to_vec());
+    let effects = book.store_answered(*call, answer, now(options.sweep_interval_ms), &members);
+    effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            ClaimEffect::Store {
+                request: StoreCall::Delete { name },
+                ..
+            } => Some(name),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_clock_far_ahead_deletes_no_claim_that_is_needed() {
+    let options = ClaimOptions::default();
+    let object = |age_ms| {
+        let bucket = (NOW.unix_ms - age_ms) / options.bucket_ms;
+        format!("claims/{bucket:012}/001")
+    };
+    let kept_ms = options.retention_ms + options.deletion_margin_ms;
+    let (old, needed, present) = (object(2 * kept_ms), object(kept_ms / 2), object(0));
+    let names = [needed, old.clone(), present];
+    assert_eq!(swept(&names, 0), std::slice::from_ref(&old));
+    assert_eq!(swept(&names, 100 * kept_ms), [old]);
+}
