--- a/crates/curranttrestle/tests/claims.rs
+++ b/crates/curranttrestle/tests/claims.rs
@@ -2,6 +2,8 @@
 
 #[path = "claims_support/mod.rs"]
 mod claims_support;
+#[path = "support/mod.rs"]
+mod support;
 
 use claims_support::{Fault, Report, run};
 
--- a/crates/curranttrestle/tests/claims_naive.rs
+++ b/crates/curranttrestle/tests/claims_naive.rs
@@ -2,22 +2,20 @@
 
 #[path = "claims_support/store.rs"]
 mod store;
-
-use std::net::SocketAddr;
+#[path = "support/mod.rs"]
+mod support;
 
 use curranttrestle::coordination::claims::{ClaimBook, ClaimEffect, ClaimOptions, ClaimVerdict};
 use curranttrestle::protocol::RefusalReason;
 use curranttrestle::protocol::peer::{ClaimResult, PeerMessage, StoredAnswer, StoredBody};
 use curranttrestle::protocol::platform::{StoreAnswer, StoreCall};
-use curranttrestle::state::{
-    AttemptId, CustomerId, Incarnation, InstanceId, Member, MemberView, Now, RequestId,
-};
+use curranttrestle::state::{AttemptId, CustomerId, Incarnation, Now, RequestId};
 use indexmap::IndexMap;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use uuid::Uuid;
 
 use store::FakeStore;
+use support::{members, router_name, runner};
 
 const NOW: Now = Now {
     steady_ms: 1_000,
@@ -34,9 +32,9 @@
 
 impl Pair {
     fn new(options: &ClaimOptions) -> Self {
-        let book = |name| ClaimBook::new(&InstanceId::new(name), Incarnation(1), options.clone());
+        let book = |router| ClaimBook::new(&router_name(router), Incarnation(1), options.clone());
         Self {
-            books: [book("r0"), book("r1")],
+            books: [book(0), book(1)],
             store: FakeStore::new(false),
             updates: 0,
             next: 0,
@@ -46,7 +44,7 @@
     fn attempt(&mut self, router: usize) -> AttemptId {
         self.next += 1;
         AttemptId {
-            instance: InstanceId::new(["r0", "r1"][router]),
+            instance: router_name(router),
             incarnation: Incarnation(1),
             sequence: self.next,
         }
@@ -70,7 +68,7 @@
             attempt.clone(),
             NOW.steady_ms + 1_000,
             NOW,
-            &members(router),
+            &members(router, 0..2),
         );
         let verdicts = self.settle(router, effects);
         (attempt, verdicts[&request].clone())
@@ -98,10 +96,13 @@
                     let is_update = matches!(request, StoreCall::Update { .. });
                     self.updates += u32::from(is_update && answer != StoreAnswer::Conflict);
                     let book = &mut self.books[at];
-                    (at, book.store_answered(call, answer, NOW, &members(at)))
+                    (
+                        at,
+                        book.store_answered(call, answer, NOW, &members(at, 0..2)),
+                    )
                 }
                 ClaimEffect::Send { message, .. } => {
-                    let from = InstanceId::new(["r0", "r1"][at]);
+                    let from = router_name(at);
                     let book = &mut self.books[1 - at];
                     let effects = match message {
                         PeerMessage::ClaimRequest(request) => {
@@ -126,20 +127,6 @@
     }
 }
 
-fn members(me: usize) -> MemberView {
-    let member = |name: &str| Member {
-        instance: InstanceId::new(name),
-        incarnation: Incarnation(1),
-        data_centre: "brest".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-    };
-    let live = vec![member("r0"), member("r1")];
-    MemberView {
-        me: live[me].clone(),
-        live,
-    }
-}
-
 fn key(number: u8) -> Uuid {
     uuid::Builder::from_unix_timestamp_millis(NOW.unix_ms, &[number; 10]).into_uuid()
 }
@@ -162,16 +149,9 @@
 
 #[test]
 fn verdicts_match_a_naive_table() {
-    let config = Config {
-        cases: 256,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
     let step = (0..2_usize, 0..2_u8, 0..3_u8, 0..2_u8, result());
     let steps = prop::collection::vec(step, 1..30);
-    runner
+    runner(256)
         .run(&steps, |steps| {
             let mut pair = Pair::new(&ClaimOptions::default());
             let mut table: IndexMap<(u8, u8), (u8, ClaimResult)> = IndexMap::new();
@@ -214,8 +194,7 @@
         ..ClaimOptions::default()
     };
     let mut pair = Pair::new(&options);
-    let mut members = members(0);
-    members.live.truncate(1);
+    let members = members(0, [0]);
     let mut effects = Vec::new();
     for number in 0..100 {
         let attempt = pair.attempt(0);
@@ -282,9 +261,8 @@
 /// The objects that a sweep deletes when the router's clock is `ahead_ms` ahead.
 fn swept(names: &[String], ahead_ms: u64) -> Vec<String> {
     let options = ClaimOptions::default();
-    let mut members = members(0);
-    members.live.truncate(1);
-    let mut book = ClaimBook::new(&InstanceId::new("r0"), Incarnation(1), options.clone());
+    let members = members(0, [0]);
+    let mut book = ClaimBook::new(&router_name(0), Incarnation(1), options.clone());
     let now = |steady_ms| Now {
         steady_ms,
         unix_ms: NOW.unix_ms + ahead_ms,
--- a/crates/curranttrestle/tests/claims_support/mod.rs
+++ b/crates/curranttrestle/tests/claims_support/mod.rs
@@ -1,25 +1,28 @@
 //! Routers, a faulty store and callers that repeat their bookings, in simulated time.
 
+mod effects;
+mod plan;
+mod report;
 mod store;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::ops::Range;
 
-use curranttrestle::coordination::claims::{ClaimBook, ClaimEffect, ClaimOptions, ClaimVerdict};
+use curranttrestle::coordination::claims::{ClaimBook, ClaimEffect, ClaimOptions};
 use curranttrestle::protocol::peer::{ClaimResult, PeerMessage, StoredAnswer, StoredBody};
-use curranttrestle::protocol::platform::{CallId, StoreAnswer, StoreCall, Version};
+use curranttrestle::protocol::platform::{CallId, StoreAnswer, StoreCall};
 use curranttrestle::state::{
-    AttemptId, CustomerId, Incarnation, InstanceId, Member, MemberView, Now, RequestId,
+    AttemptId, CustomerId, Incarnation, InstanceId, MemberView, Now, RequestId,
 };
 use indexmap::IndexMap;
-use rand::{Rng, SeedableRng};
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use uuid::Uuid;
 
+use crate::support::{START_UNIX_MS, Schedule, members, router_name};
 use store::FakeStore;
 
+pub use report::{Fault, Report};
+
 const ROUTERS: usize = 3;
 const KEYS: usize = 12;
 const REPEATS: usize = 5;
@@ -29,71 +32,11 @@
 const ARRIVALS_MS: u64 = 30_000;
 /// Virtual time at which a run ends.
 const END_MS: u64 = 90_000;
-const START_UNIX_MS: u64 = 1_700_000_000_000;
 const TICK_MS: u64 = 20;
 const RETENTION_MS: u64 = 10_000;
 /// How long a router keeps the wall clock it read before a freeze.
 const STALE_MS: u64 = 500;
 
-/// A mechanism that is switched off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// All mechanisms are on.
-    None,
-    /// The key's age is checked against a wall clock read before a freeze.
-    StaleClock,
-    /// A lost answer is taken for success, instead of being read back.
-    TrustLostAnswers,
-    /// The store ignores what an update expects.
-    UnconditionalUpdates,
-}
-
-/// What a run showed.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub requests: u64,
-    pub dispatches: u64,
-    pub max_dispatches: u64,
-    pub answered: u64,
-    pub unknown: u64,
-    pub not_run: u64,
-    pub lost_to_restarts: u64,
-    pub false_not_run: u64,
-    pub wrong_answers: u64,
-    pub without_verdict: u64,
-    pub doubled_verdicts: u64,
-    pub violations: u64,
-    pub store_calls: u64,
-    pub deleted_objects: u64,
-}
-
-impl Report {
-    /// Whether each booking ran at most once and each caller got one true outcome.
-    pub fn is_sound(&self) -> bool {
-        let faults = [
-            self.false_not_run,
-            self.wrong_answers,
-            self.without_verdict,
-            self.doubled_verdicts,
-            self.violations,
-        ];
-        self.max_dispatches <= 1 && faults.iter().all(|count| *count == 0)
-    }
-
-    /// Adds the counts of another run.
-    pub fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.dispatches += other.dispatches;
-        self.max_dispatches = self.max_dispatches.max(other.max_dispatches);
-        self.answered += other.answered;
-        self.unknown += other.unknown;
-        self.not_run += other.not_run;
-        self.lost_to_restarts += other.lost_to_restarts;
-        self.store_calls += other.store_calls;
-        self.deleted_objects += other.deleted_objects;
-    }
-}
-
 /// What a router is told.
 #[derive(Clone, Debug)]
 enum Input {
@@ -141,8 +84,7 @@
     rng: ChaCha8Rng,
     fault: Fault,
     now_ms: u64,
-    events: BinaryHeap<Reverse<(u64, u64, usize)>>,
-    bodies: Vec<Option<Event>>,
+    events: Schedule<Event>,
     routers: Vec<Router>,
     store: FakeStore,
     requests: Vec<Request>,
@@ -157,14 +99,9 @@
 pub fn run(seed: u64, fault: Fault) -> Report {
     let mut world = World::new(seed, fault);
     world.plan();
-    while let Some(Reverse((at_ms, _, body))) = world.events.pop() {
-        if at_ms > END_MS {
-            break;
-        }
+    while let Some((at_ms, event)) = world.events.pop(END_MS) {
         world.now_ms = at_ms;
-        if let Some(event) = world.bodies[body].take() {
-            world.handle(event);
-        }
+        world.handle(event);
     }
     world.finish()
 }
@@ -184,10 +121,6 @@
     }
 }
 
-fn name(router: usize) -> InstanceId {
-    InstanceId::new(&format!("r{router}"))
-}
-
 fn answer_of(key: usize, attempt: &AttemptId) -> StoredAnswer {
     StoredAnswer {
         status: 201,
@@ -197,105 +130,6 @@
 }
 
 impl World {
-    fn new(seed: u64, fault: Fault) -> Self {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let routers = (0..ROUTERS)
-            .map(|router| Router {
-                book: ClaimBook::new(&name(router), Incarnation(1), options()),
-                run: 1,
-                frozen_until_ms: 0,
-                stale_until_ms: 0,
-                stale_unix_ms: 0,
-                clock_offset_ms: rng.random_range(0..1_000),
-                next_attempt: 0,
-            })
-            .collect();
-        Self {
-            rng,
-            fault,
-            now_ms: 0,
-            events: BinaryHeap::new(),
-            bodies: Vec::new(),
-            routers,
-            store: FakeStore::new(fault == Fault::UnconditionalUpdates),
-            requests: Vec::new(),
-            keys: Vec::new(),
-            cuts: vec![0..0; ROUTERS],
-            dispatches: IndexMap::new(),
-            report: Report::default(),
-        }
-    }
-
-    /// Plans the arrivals, the outages and the restarts.
-    fn plan(&mut self) {
-        for _ in 0..KEYS {
-            let made_ms = self.rng.random_range(0..ARRIVALS_MS / 2);
-            let key = self.make_key(made_ms);
-            for _ in 0..REPEATS {
-                let spread_ms = if self.rng.random_bool(0.7) {
-                    100
-                } else {
-                    14_000
-                };
-                let at_ms = made_ms + self.rng.random_range(0..spread_ms);
-                self.plan_request(key, at_ms);
-            }
-        }
-        // Bookings go on, so that the objects of the earlier ones expire.
-        for made_ms in (ARRIVALS_MS / 2..END_MS - 10_000).step_by(LATER_STEP_MS) {
-            let key = self.make_key(made_ms);
-            self.plan_request(key, made_ms);
-        }
-        for router in 0..ROUTERS {
-            self.push(0, Event::Router(router, 1, Input::Tick));
-            if self.rng.random_bool(0.5) {
-                let at_ms = self.rng.random_range(0..ARRIVALS_MS);
-                self.push(at_ms, Event::Restart(router));
-            }
-        }
-        for router in 0..ROUTERS {
-            if self.rng.random_bool(0.3) {
-                let from_ms = self.rng.random_range(0..ARRIVALS_MS);
-                let length_ms = self.rng.random_range(100..10_000);
-                self.cuts[router] = from_ms..from_ms + length_ms;
-            }
-        }
-        if self.rng.random_bool(0.5) {
-            let from_ms = self.rng.random_range(0..ARRIVALS_MS / 2);
-            let length_ms = self.rng.random_range(100..4_000);
-            self.store.down = from_ms..from_ms + length_ms;
-        }
-    }
-
-    /// Makes the key of a booking.
-    fn make_key(&mut self, made_ms: u64) -> usize {
-        let noise: [u8; 10] = self.rng.random();
-        let builder = uuid::Builder::from_unix_timestamp_millis(START_UNIX_MS + made_ms, &noise);
-        self.keys.push(builder.into_uuid());
-        self.keys.len() - 1
-    }
-
-    fn plan_request(&mut self, key: usize, at_ms: u64) {
-        let router = self.rng.random_range(0..ROUTERS);
-        self.requests.push(Request {
-            key,
-            router,
-            run: 0,
-            attempt: None,
-            dispatched: false,
-            verdicts: 0,
-            ended: false,
-        });
-        let request = self.requests.len() - 1;
-        self.push(at_ms, Event::Arrival(router, request));
-    }
-
-    fn push(&mut self, at_ms: u64, event: Event) {
-        let body = self.bodies.len();
-        self.bodies.push(Some(event));
-        self.events.push(Reverse((at_ms, body as u64, body)));
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Store(router, run, call, request) => {
@@ -317,7 +151,8 @@
         }
         let frozen_until_ms = self.routers[router].frozen_until_ms;
         if self.now_ms < frozen_until_ms {
-            self.push(frozen_until_ms, Event::Router(router, run, input));
+            self.events
+                .push(frozen_until_ms, Event::Router(router, run, input));
             return;
         }
         let now = self.clock(router);
@@ -353,10 +188,7 @@
     /// The members as a router sees them: those that are cut off are missing.
     fn members(&self, me: usize) -> MemberView {
         let is_seen = |other: &usize| *other == me || (!self.is_cut(me) && !self.is_cut(*other));
-        MemberView {
-            me: member(me),
-            live: (0..ROUTERS).filter(is_seen).map(member).collect(),
-        }
+        members(me, (0..ROUTERS).filter(is_seen))
     }
 
     fn clock(&self, router: usize) -> Now {
@@ -380,7 +212,7 @@
         now: Now,
         members: &MemberView,
     ) -> Vec<ClaimEffect> {
-        self.push(
+        self.events.push(
             self.now_ms + TICK_MS,
             Event::Router(router, run, Input::Tick),
         );
@@ -402,7 +234,7 @@
     fn begin(&mut self, request: usize, now: Now, members: &MemberView) -> Vec<ClaimEffect> {
         let (key, router) = (self.requests[request].key, self.requests[request].router);
         let attempt = AttemptId {
-            instance: name(router),
+            instance: router_name(router),
             incarnation: Incarnation(self.routers[router].run),
             sequence: self.routers[router].next_attempt,
         };
@@ -443,7 +275,7 @@
         let end_ms = self.now_ms + self.rng.random_range(1..400);
         let run = self.routers[router].run;
         let input = Input::RunEnded(attempt, result);
-        self.push(end_ms, Event::Router(router, run, input));
+        self.events.push(end_ms, Event::Router(router, run, input));
         Vec::new()
     }
 
@@ -453,97 +285,13 @@
         self.report.false_not_run += u64::from(self.requests[request].dispatched);
     }
 
-    fn perform(&mut self, router: usize, effects: Vec<ClaimEffect>) {
-        let run = self.routers[router].run;
-        for effect in effects {
-            match effect {
-                ClaimEffect::Store { call, request } => {
-                    self.report.store_calls += 1;
-                    let at_ms = self.now_ms + self.delay_ms();
-                    self.push(at_ms, Event::Store(router, run, call, request));
-                }
-                ClaimEffect::Send { to, message } => {
-                    let receiver = (0..ROUTERS).find(|other| name(*other) == to).unwrap();
-                    let is_cut = self.is_cut(router) || self.is_cut(receiver);
-                    if !is_cut && self.rng.random_bool(0.9) {
-                        let at_ms = self.now_ms + self.delay_ms();
-                        let input = Input::Peer(name(router), message);
-                        let receiver_run = self.routers[receiver].run;
-                        self.push(at_ms, Event::Router(receiver, receiver_run, input));
-                    }
-                }
-                ClaimEffect::Resolved { request, verdict } => {
-                    let index = usize::try_from(request.0.as_u128()).unwrap();
-                    self.resolved(router, index, verdict);
-                }
-                ClaimEffect::Emit { .. } => {}
-            }
-        }
-    }
-
-    fn resolved(&mut self, router: usize, request: usize, verdict: ClaimVerdict) {
-        self.requests[request].verdicts += 1;
-        match verdict {
-            ClaimVerdict::Dispatch => {
-                let wait_ms = if self.rng.random_bool(0.5) { 0 } else { 300 };
-                let run = self.routers[router].run;
-                let input = Input::SlotReady(request);
-                self.push(self.now_ms + wait_ms, Event::Router(router, run, input));
-            }
-            ClaimVerdict::Answered(answer) => {
-                self.report.answered += 1;
-                self.requests[request].ended = true;
-                let key = self.requests[request].key;
-                let is_own = self.requests.iter().any(|other| {
-                    other.key == key
-                        && other.dispatched
-                        && other
-                            .attempt
-                            .as_ref()
-                            .is_some_and(|attempt| answer_of(key, attempt) == answer)
-                });
-                self.report.wrong_answers += u64::from(!is_own);
-            }
-            ClaimVerdict::Unknown(_) => {
-                self.report.unknown += 1;
-                self.requests[request].ended = true;
-            }
-            ClaimVerdict::NotRun(_) => self.end_not_run(request),
-        }
-    }
-
-    /// Mostly a few milliseconds; now and then longer than the retention of keys.
-    fn delay_ms(&mut self) -> u64 {
-        match self.rng.random_range(0..100) {
-            0..90 => self.rng.random_range(1..5),
-            90..97 => self.rng.random_range(5..1_000),
-            _ => self.rng.random_range(1_000..25_000),
-        }
-    }
-
-    fn call_arrived(&mut self, router: usize, run: u64, call: CallId, request: &StoreCall) {
-        let mut answer = self.store.call(request, self.now_ms);
-        if self.rng.random_bool(0.1) && answer != StoreAnswer::Unavailable {
-            answer = StoreAnswer::Lost;
-        }
-        let is_update = matches!(request, StoreCall::Update { .. });
-        if self.fault == Fault::TrustLostAnswers && is_update && answer == StoreAnswer::Lost {
-            answer = StoreAnswer::Updated(Version(u64::MAX));
-        }
-        let at_ms = self.now_ms + self.delay_ms();
-        self.push(
-            at_ms,
-            Event::Router(router, run, Input::Store(call, answer)),
-        );
-    }
-
     /// The router loses its memory; its callers lose their connections.
     fn restart(&mut self, router: usize) {
         let ended = &mut self.routers[router];
         self.report.violations += ended.book.invariants().total();
         ended.run += 1;
         ended.frozen_until_ms = 0;
-        ended.book = ClaimBook::new(&name(router), Incarnation(ended.run), options());
+        ended.book = ClaimBook::new(&router_name(router), Incarnation(ended.run), options());
         let run = ended.run;
         for request in &mut self.requests {
             if request.router == router && request.run > 0 && !request.ended {
@@ -552,7 +300,8 @@
                 self.report.lost_to_restarts += 1;
             }
         }
-        self.push(self.now_ms, Event::Router(router, run, Input::Tick));
+        self.events
+            .push(self.now_ms, Event::Router(router, run, Input::Tick));
     }
 
     fn finish(mut self) -> Report {
@@ -576,12 +325,3 @@
 fn request_id(request: usize) -> RequestId {
     RequestId(Uuid::from_u128(request as u128))
 }
-
-fn member(router: usize) -> Member {
-    Member {
-        instance: name(router),
-        incarnation: Incarnation(1),
-        data_centre: "rennes".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-    }
-}
--- /dev/null
+++ b/crates/curranttrestle/tests/claims_support/plan.rs
@@ -0,0 +1,108 @@
+//! What happens in a run, as its seed decides.
+
+use curranttrestle::coordination::claims::ClaimBook;
+use curranttrestle::state::Incarnation;
+use indexmap::IndexMap;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::store::FakeStore;
+use super::{
+    ARRIVALS_MS, END_MS, Event, Fault, Input, KEYS, LATER_STEP_MS, REPEATS, ROUTERS, Report,
+    Request, Router, World, options,
+};
+use crate::support::{START_UNIX_MS, Schedule, router_name};
+
+impl World {
+    pub(super) fn new(seed: u64, fault: Fault) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let routers = (0..ROUTERS)
+            .map(|router| Router {
+                book: ClaimBook::new(&router_name(router), Incarnation(1), options()),
+                run: 1,
+                frozen_until_ms: 0,
+                stale_until_ms: 0,
+                stale_unix_ms: 0,
+                clock_offset_ms: rng.random_range(0..1_000),
+                next_attempt: 0,
+            })
+            .collect();
+        Self {
+            rng,
+            fault,
+            now_ms: 0,
+            events: Schedule::new(),
+            routers,
+            store: FakeStore::new(fault == Fault::UnconditionalUpdates),
+            requests: Vec::new(),
+            keys: Vec::new(),
+            cuts: vec![0..0; ROUTERS],
+            dispatches: IndexMap::new(),
+            report: Report::default(),
+        }
+    }
+
+    /// Plans the arrivals, the outages and the restarts.
+    pub(super) fn plan(&mut self) {
+        for _ in 0..KEYS {
+            let made_ms = self.rng.random_range(0..ARRIVALS_MS / 2);
+            let key = self.make_key(made_ms);
+            for _ in 0..REPEATS {
+                let spread_ms = if self.rng.random_bool(0.7) {
+                    100
+                } else {
+                    14_000
+                };
+                let at_ms = made_ms + self.rng.random_range(0..spread_ms);
+                self.plan_request(key, at_ms);
+            }
+        }
+        // Bookings go on, so that the objects of the earlier ones expire.
+        for made_ms in (ARRIVALS_MS / 2..END_MS - 10_000).step_by(LATER_STEP_MS) {
+            let key = self.make_key(made_ms);
+            self.plan_request(key, made_ms);
+        }
+        for router in 0..ROUTERS {
+            self.events.push(0, Event::Router(router, 1, Input::Tick));
+            if self.rng.random_bool(0.5) {
+                let at_ms = self.rng.random_range(0..ARRIVALS_MS);
+                self.events.push(at_ms, Event::Restart(router));
+            }
+        }
+        for router in 0..ROUTERS {
+            if self.rng.random_bool(0.3) {
+                let from_ms = self.rng.random_range(0..ARRIVALS_MS);
+                let length_ms = self.rng.random_range(100..10_000);
+                self.cuts[router] = from_ms..from_ms + length_ms;
+            }
+        }
+        if self.rng.random_bool(0.5) {
+            let from_ms = self.rng.random_range(0..ARRIVALS_MS / 2);
+            let length_ms = self.rng.random_range(100..4_000);
+            self.store.down = from_ms..from_ms + length_ms;
+        }
+    }
+
+    /// Makes the key of a booking.
+    fn make_key(&mut self, made_ms: u64) -> usize {
+        let noise: [u8; 10] = self.rng.random();
+        let builder = uuid::Builder::from_unix_timestamp_millis(START_UNIX_MS + made_ms, &noise);
+        self.keys.push(builder.into_uuid());
+        self.keys.len() - 1
+    }
+
+    fn plan_request(&mut self, key: usize, at_ms: u64) {
+        let router = self.rng.random_range(0..ROUTERS);
+        self.requests.push(Request {
+            key,
+            router,
+            run: 0,
+            attempt: None,
+            dispatched: false,
+            verdicts: 0,
+            ended: false,
+        });
+        let request = self.requests.len() - 1;
+        self.events.push(at_ms, Event::Arrival(router, request));
+    }
+}
--- a/crates/curranttrestle/tests/drain.rs
+++ b/crates/curranttrestle/tests/drain.rs
@@ -1,306 +1,24 @@
-//! The leaving and stopping of endpoints: routers, one endpoint and its lagging reports.
+//! The leaving and stopping of endpoints.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-use std::net::SocketAddr;
+#[path = "drain_support/mod.rs"]
+mod drain_support;
+#[path = "support/mod.rs"]
+mod support;
 
-use curranttrestle::coordination::drain::{DesiredState, Drain, DrainEffect, DrainOptions};
-use curranttrestle::coordination::rendezvous;
-use curranttrestle::protocol::endpoint::{LoadReport, Order, OrderAnswer, OrderKind};
-use curranttrestle::protocol::peer::{EndpointNotices, PeerMessage};
+use curranttrestle::coordination::drain::{DesiredState, Drain, DrainEffect};
+use curranttrestle::protocol::endpoint::{Order, OrderAnswer, OrderKind};
+use curranttrestle::protocol::peer::PeerMessage;
 use curranttrestle::protocol::platform::Version;
-use curranttrestle::state::marks::{Mark, MarkEntry, Marks};
-use curranttrestle::state::sheet::{Endpoint, EndpointKind, Sheet};
-use curranttrestle::state::{
-    AttemptId, EndpointId, Incarnation, InstanceId, Member, MemberView, Now,
-};
+use curranttrestle::state::Now;
+use curranttrestle::state::marks::Mark;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const ROUTERS: usize = 4;
-const START_UNIX_MS: u64 = 1_700_000_000_000;
-const MARK_MS: u64 = 10_000;
-const END_MS: u64 = 90_000;
-const RUN: u64 = 5;
-
-fn options() -> DrainOptions {
-    DrainOptions {
-        fatal_invariants: true,
-        ..DrainOptions::default()
-    }
-}
-
-fn at(steady_ms: u64) -> Now {
-    Now {
-        steady_ms,
-        unix_ms: START_UNIX_MS + steady_ms,
-    }
-}
-
-fn endpoint() -> EndpointId {
-    EndpointId::new("m1")
-}
-
-fn name(router: usize) -> InstanceId {
-    InstanceId::new(&format!("r{router}"))
-}
-
-fn members(me: usize) -> MemberView {
-    let member = |router| Member {
-        instance: name(router),
-        incarnation: Incarnation(1),
-        data_centre: "vannes".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-    };
-    MemberView {
-        me: member(me),
-        live: (0..ROUTERS).map(member).collect(),
-    }
-}
-
-fn sheet() -> Sheet {
-    let row = Endpoint {
-        pool: "drafts".into(),
-        kind: EndpointKind::Model,
-        data_centre: "vannes".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
-        slots: 8,
-        checks_fencing: false,
-        leaving: false,
-    };
-    Sheet {
-        number: 1,
-        endpoints: [(endpoint(), row)].into_iter().collect(),
-        ..Sheet::default()
-    }
-}
-
-fn marks(incarnation: Option<u64>, mark: Mark) -> Marks {
-    let entry = MarkEntry {
-        endpoint: endpoint(),
-        incarnation,
-        mark,
-        unix_ms: START_UNIX_MS,
-        by: String::from("operator"),
-    };
-    Marks {
-        entries: vec![entry],
-    }
-}
-
-fn report(run: u64, taken_unix_ms: u64, running: &[String]) -> LoadReport {
-    LoadReport {
-        endpoint: endpoint(),
-        incarnation: run,
-        taken_unix_ms,
-        running: running.to_vec(),
-        running_digest: 0,
-        slots: 8,
-        draining: false,
-        model: String::from("drafts"),
-        role: String::from("serve"),
-    }
-}
-
-/// When the slot owner sends the stop order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StopRule {
-    Drain,
-    /// As soon as a report after the mark shows nothing running.
-    FirstEmptyReport,
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Step,
-    Marked(usize),
-    Message(usize, InstanceId, EndpointNotices),
-    Arrived(usize, AttemptId),
-    Ended(usize, AttemptId),
-    Reported(LoadReport),
-    Ordered(Order),
-}
-
-#[derive(Debug, Default)]
-struct Outcome {
-    cut: usize,
-    arrived_late: usize,
-    stopped_ms: Option<u64>,
-}
-
-struct World {
-    rng: ChaCha8Rng,
-    rule: StopRule,
-    reports_lie: bool,
-    now_ms: u64,
-    events: BinaryHeap<Reverse<(u64, usize)>>,
-    bodies: Vec<Event>,
-    drains: Vec<Drain>,
-    owner: usize,
-    running: Vec<AttemptId>,
-    /// What ran at each step, from which lagging reports are taken.
-    history: Vec<(u64, Vec<String>)>,
-    outcome: Outcome,
-}
-
-fn run(seed: u64, rule: StopRule, reports_lie: bool) -> Outcome {
-    let view = members(0);
-    let best = rendezvous::best("m1", &view.live).unwrap();
-    let owner = (0..ROUTERS).find(|router| name(*router) == best.instance);
-    let mut world = World {
-        rng: ChaCha8Rng::seed_from_u64(seed),
-        rule,
-        reports_lie,
-        now_ms: 0,
-        events: BinaryHeap::new(),
-        bodies: Vec::new(),
-        drains: (0..ROUTERS)
-            .map(|router| Drain::new(&name(router), options()))
-            .collect(),
-        owner: owner.unwrap(),
-        running: Vec::new(),
-        history: Vec::new(),
-        outcome: Outcome::default(),
-    };
-    for router in 0..ROUTERS {
-        world.drains[router].apply_sheet(&sheet(), at(0));
-        // The configuration reaches each router within the time that the options allow.
-        let spread_ms = world.rng.random_range(0..options().spread_ms);
-        world.push(MARK_MS + spread_ms, Event::Marked(router));
-    }
-    world.push(0, Event::Step);
-    while let Some(Reverse((at_ms, body))) = world.events.pop() {
-        if at_ms > END_MS || world.outcome.stopped_ms.is_some() {
-            break;
-        }
-        world.now_ms = at_ms;
-        let event = world.bodies[body].clone();
-        world.handle(event);
-    }
-    world.outcome
-}
-
-impl World {
-    fn push(&mut self, at_ms: u64, event: Event) {
-        self.bodies.push(event);
-        self.events.push(Reverse((at_ms, self.bodies.len() - 1)));
-    }
-
-    fn handle(&mut self, event: Event) {
-        let now = at(self.now_ms);
-        match event {
-            Event::Step => self.step(now),
-            Event::Marked(router) => {
-                let marks = marks(Some(RUN), Mark::Stop);
-                let effects = self.drains[router].apply_marks(&marks, Version(70), now);
-                self.perform(router, effects);
-            }
-            Event::Message(router, from, notices) => {
-                let effects = self.drains[router].receive_notices(&from, &notices, now);
-                self.perform(router, effects);
-            }
-            Event::Arrived(router, attempt) => {
-                let bound_ms = MARK_MS + options().spread_ms + 1_000;
-                self.outcome.arrived_late += usize::from(self.now_ms > bound_ms);
-                self.running.push(attempt.clone());
-                // A few requests are stragglers.
-                let longest_ms = if self.rng.random_bool(0.2) {
-                    25_000
-                } else {
-                    1_000
-                };
-                let end_ms = self.now_ms + self.rng.random_range(10..longest_ms);
-                self.push(end_ms, Event::Ended(router, attempt));
-            }
-            Event::Ended(router, attempt) => {
-                self.running.retain(|other| *other != attempt);
-                self.drains[router].attempt_ended(&endpoint(), &attempt);
-            }
-            Event::Reported(report) => {
-                let owner = self.owner;
-                let effects = self.drains[owner].load_reported(&endpoint(), &report, now);
-                match self.rule {
-                    StopRule::Drain => self.perform(owner, effects),
-                    StopRule::FirstEmptyReport => self.stop_naively(&report),
-                }
-            }
-            Event::Ordered(order) => {
-                assert_eq!((order.incarnation, order.fencing), (RUN, 70));
-                self.outcome.stopped_ms = Some(self.now_ms);
-                self.outcome.cut = self.running.len();
-            }
-        }
-    }
-
-    fn stop_naively(&mut self, report: &LoadReport) {
-        if self.now_ms > MARK_MS && report.running.is_empty() {
-            let order = Order {
-                kind: OrderKind::Stop,
-                fencing: 70,
-                incarnation: RUN,
-            };
-            self.push(self.now_ms + 1, Event::Ordered(order));
-        }
-    }
-
-    /// Every 50 ms: dispatches, ticks and a load report.
-    fn step(&mut self, now: Now) {
-        for router in 0..ROUTERS {
-            let is_usable = self.drains[router].is_usable(&endpoint());
-            if is_usable && self.rng.random_bool(0.05) {
-                let attempt = AttemptId {
-                    instance: name(router),
-                    incarnation: Incarnation(1),
-                    sequence: self.now_ms,
-                };
-                self.drains[router].attempt_started(&endpoint(), &attempt);
-                let arrives_ms = self.now_ms + self.rng.random_range(1..500);
-                self.push(arrives_ms, Event::Arrived(router, attempt));
-            }
-            let owned = [endpoint()];
-            let owned = if router == self.owner {
-                &owned[..]
-            } else {
-                &[]
-            };
-            let effects = self.drains[router].tick(owned, &members(router), now);
-            self.perform(router, effects);
-        }
-        let running = self.running.iter().map(ToString::to_string).collect();
-        self.history.push((self.now_ms, running));
-        // The report lags by up to five seconds, and its clock differs by half a second.
-        let lag = self.rng.random_range(0..100.min(self.history.len()));
-        let (taken_ms, running) = &self.history[self.history.len() - 1 - lag];
-        let running: &[String] = if self.reports_lie { &[] } else { running };
-        let report = report(RUN, START_UNIX_MS + taken_ms + 500, running);
-        self.push(self.now_ms + 1, Event::Reported(report));
-        self.push(self.now_ms + 50, Event::Step);
-    }
-
-    fn perform(&mut self, router: usize, effects: Vec<DrainEffect>) {
-        for effect in effects {
-            match effect {
-                DrainEffect::Order { order, .. } => {
-                    let at_ms = self.now_ms + self.rng.random_range(1..500);
-                    self.push(at_ms, Event::Ordered(order));
-                }
-                DrainEffect::Notify { to, message } => {
-                    let receiver = (0..ROUTERS).find(|other| name(*other) == to).unwrap();
-                    let PeerMessage::EndpointNotices(notices) = message else {
-                        continue;
-                    };
-                    if self.rng.random_bool(0.9) {
-                        let event = Event::Message(receiver, name(router), notices);
-                        self.push(self.now_ms + 2, event);
-                    }
-                }
-                DrainEffect::Leaving { .. } => {}
-            }
-        }
-    }
-}
+use drain_support::{
+    MARK_MS, ROUTERS, RUN, StopRule, endpoint, marks, options, report, run, sheet,
+};
+use support::{START_UNIX_MS, at, members, router_name, router_number, runner};
 
 #[test]
 fn a_planned_stop_cuts_nothing_although_reports_lag() {
@@ -340,9 +58,9 @@
 
 /// A drain that owns the endpoint and was told long ago to stop its run.
 fn owner_of_a_quiet_endpoint(mark: Option<u64>) -> (Drain, Now) {
-    let mut drain = Drain::new(&name(0), options());
+    let mut drain = Drain::new(&router_name(0), options());
     drain.apply_sheet(&sheet(), at(0));
-    drain.tick(&[endpoint()], &members(0), at(0));
+    drain.tick(&[endpoint()], &members(0, 0..ROUTERS), at(0));
     drain.load_reported(&endpoint(), &report(RUN, START_UNIX_MS, &[]), at(0));
     drain.apply_marks(&marks(mark, Mark::Stop), Version(70), at(0));
     (drain, at(60_000))
@@ -449,20 +167,14 @@
 /// Gossip with loss brings all routers to the verdict of one router that saw everything.
 #[test]
 fn all_routers_come_to_agree_with_one_that_saw_everything() {
-    let config = Config {
-        cases: 256,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let facts = prop::collection::vec(fact(), 1..12);
-    TestRunner::new_with_rng(config, rng)
+    runner(256)
         .run(&(facts, any::<u64>()), |(facts, seed)| {
             let mut rng = ChaCha8Rng::seed_from_u64(seed);
             let mut drains: Vec<Drain> = (0..ROUTERS)
-                .map(|router| Drain::new(&name(router), options()))
+                .map(|router| Drain::new(&router_name(router), options()))
                 .collect();
-            let mut seeing = Drain::new(&name(ROUTERS), options());
+            let mut seeing = Drain::new(&router_name(ROUTERS), options());
             let mut now = at(0);
             for (router, fact) in facts {
                 now = now.plus_ms(10);
@@ -497,15 +209,15 @@
 
 fn exchange(drains: &mut [Drain], now: Now, rng: &mut ChaCha8Rng, loss: f64) {
     for router in 0..ROUTERS {
-        for effect in drains[router].tick(&[], &members(router), now) {
+        for effect in drains[router].tick(&[], &members(router, 0..ROUTERS), now) {
             let DrainEffect::Notify { to, message } = effect else {
                 continue;
             };
-            let receiver = (0..ROUTERS).find(|other| name(*other) == to).unwrap();
+            let receiver = router_number(&to);
             if let PeerMessage::EndpointNotices(notices) = message
                 && !rng.random_bool(loss)
             {
-                drains[receiver].receive_notices(&name(router), &notices, now);
+                drains[receiver].receive_notices(&router_name(router), &notices, now);
             }
         }
     }
--- /dev/null
+++ b/crates/curranttrestle/tests/drain_support/mod.rs
@@ -0,0 +1,268 @@
+//! Routers, one endpoint and its lagging reports, in simulated time.
+
+use std::net::SocketAddr;
+
+use curranttrestle::coordination::drain::{Drain, DrainEffect, DrainOptions};
+use curranttrestle::coordination::rendezvous;
+use curranttrestle::protocol::endpoint::{LoadReport, Order, OrderKind};
+use curranttrestle::protocol::peer::{EndpointNotices, PeerMessage};
+use curranttrestle::protocol::platform::Version;
+use curranttrestle::state::marks::{Mark, MarkEntry, Marks};
+use curranttrestle::state::sheet::{Endpoint, EndpointKind, Sheet};
+use curranttrestle::state::{AttemptId, EndpointId, Incarnation, InstanceId, Now};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::support::{START_UNIX_MS, Schedule, at, members, router_name, router_number};
+
+pub const ROUTERS: usize = 4;
+pub const MARK_MS: u64 = 10_000;
+const END_MS: u64 = 90_000;
+pub const RUN: u64 = 5;
+
+pub fn options() -> DrainOptions {
+    DrainOptions {
+        fatal_invariants: true,
+        ..DrainOptions::default()
+    }
+}
+
+pub fn endpoint() -> EndpointId {
+    EndpointId::new("m1")
+}
+
+pub fn sheet() -> Sheet {
+    let row = Endpoint {
+        pool: "drafts".into(),
+        kind: EndpointKind::Model,
+        data_centre: "vannes".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
+        slots: 8,
+        checks_fencing: false,
+        leaving: false,
+    };
+    Sheet {
+        number: 1,
+        endpoints: [(endpoint(), row)].into_iter().collect(),
+        ..Sheet::default()
+    }
+}
+
+pub fn marks(incarnation: Option<u64>, mark: Mark) -> Marks {
+    let entry = MarkEntry {
+        endpoint: endpoint(),
+        incarnation,
+        mark,
+        unix_ms: START_UNIX_MS,
+        by: String::from("operator"),
+    };
+    Marks {
+        entries: vec![entry],
+    }
+}
+
+pub fn report(run: u64, taken_unix_ms: u64, running: &[String]) -> LoadReport {
+    LoadReport {
+        endpoint: endpoint(),
+        incarnation: run,
+        taken_unix_ms,
+        running: running.to_vec(),
+        running_digest: 0,
+        slots: 8,
+        draining: false,
+        model: String::from("drafts"),
+        role: String::from("serve"),
+    }
+}
+
+/// When the slot owner sends the stop order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopRule {
+    Drain,
+    /// As soon as a report after the mark shows nothing running.
+    FirstEmptyReport,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Step,
+    Marked(usize),
+    Message(usize, InstanceId, EndpointNotices),
+    Arrived(usize, AttemptId),
+    Ended(usize, AttemptId),
+    Reported(LoadReport),
+    Ordered(Order),
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub cut: usize,
+    pub arrived_late: usize,
+    pub stopped_ms: Option<u64>,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    rule: StopRule,
+    reports_lie: bool,
+    now_ms: u64,
+    events: Schedule<Event>,
+    drains: Vec<Drain>,
+    owner: usize,
+    running: Vec<AttemptId>,
+    /// What ran at each step, from which lagging reports are taken.
+    history: Vec<(u64, Vec<String>)>,
+    outcome: Outcome,
+}
+
+pub fn run(seed: u64, rule: StopRule, reports_lie: bool) -> Outcome {
+    let view = members(0, 0..ROUTERS);
+    let owner = rendezvous::best("m1", &view.live).unwrap();
+    let mut world = World {
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        rule,
+        reports_lie,
+        now_ms: 0,
+        events: Schedule::new(),
+        drains: (0..ROUTERS)
+            .map(|router| Drain::new(&router_name(router), options()))
+            .collect(),
+        owner: router_number(&owner.instance),
+        running: Vec::new(),
+        history: Vec::new(),
+        outcome: Outcome::default(),
+    };
+    for router in 0..ROUTERS {
+        world.drains[router].apply_sheet(&sheet(), at(0));
+        // The configuration reaches each router within the time that the options allow.
+        let spread_ms = world.rng.random_range(0..options().spread_ms);
+        world
+            .events
+            .push(MARK_MS + spread_ms, Event::Marked(router));
+    }
+    world.events.push(0, Event::Step);
+    while let Some((at_ms, event)) = world.events.pop(END_MS) {
+        world.now_ms = at_ms;
+        world.handle(event);
+        if world.outcome.stopped_ms.is_some() {
+            break;
+        }
+    }
+    world.outcome
+}
+
+impl World {
+    fn handle(&mut self, event: Event) {
+        let now = at(self.now_ms);
+        match event {
+            Event::Step => self.step(now),
+            Event::Marked(router) => {
+                let marks = marks(Some(RUN), Mark::Stop);
+                let effects = self.drains[router].apply_marks(&marks, Version(70), now);
+                self.perform(router, effects);
+            }
+            Event::Message(router, from, notices) => {
+                let effects = self.drains[router].receive_notices(&from, &notices, now);
+                self.perform(router, effects);
+            }
+            Event::Arrived(router, attempt) => {
+                let bound_ms = MARK_MS + options().spread_ms + 1_000;
+                self.outcome.arrived_late += usize::from(self.now_ms > bound_ms);
+                self.running.push(attempt.clone());
+                // A few requests are stragglers.
+                let longest_ms = if self.rng.random_bool(0.2) {
+                    25_000
+                } else {
+                    1_000
+                };
+                let end_ms = self.now_ms + self.rng.random_range(10..longest_ms);
+                self.events.push(end_ms, Event::Ended(router, attempt));
+            }
+            Event::Ended(router, attempt) => {
+                self.running.retain(|other| *other != attempt);
+                self.drains[router].attempt_ended(&endpoint(), &attempt);
+            }
+            Event::Reported(report) => {
+                let owner = self.owner;
+                let effects = self.drains[owner].load_reported(&endpoint(), &report, now);
+                match self.rule {
+                    StopRule::Drain => self.perform(owner, effects),
+                    StopRule::FirstEmptyReport => self.stop_naively(&report),
+                }
+            }
+            Event::Ordered(order) => {
+                assert_eq!((order.incarnation, order.fencing), (RUN, 70));
+                self.outcome.stopped_ms = Some(self.now_ms);
+                self.outcome.cut = self.running.len();
+            }
+        }
+    }
+
+    fn stop_naively(&mut self, report: &LoadReport) {
+        if self.now_ms > MARK_MS && report.running.is_empty() {
+            let order = Order {
+                kind: OrderKind::Stop,
+                fencing: 70,
+                incarnation: RUN,
+            };
+            self.events.push(self.now_ms + 1, Event::Ordered(order));
+        }
+    }
+
+    /// Every 50 ms: dispatches, ticks and a load report.
+    fn step(&mut self, now: Now) {
+        for router in 0..ROUTERS {
+            let is_usable = self.drains[router].is_usable(&endpoint());
+            if is_usable && self.rng.random_bool(0.05) {
+                let attempt = AttemptId {
+                    instance: router_name(router),
+                    incarnation: Incarnation(1),
+                    sequence: self.now_ms,
+                };
+                self.drains[router].attempt_started(&endpoint(), &attempt);
+                let arrives_ms = self.now_ms + self.rng.random_range(1..500);
+                self.events
+                    .push(arrives_ms, Event::Arrived(router, attempt));
+            }
+            let owned = [endpoint()];
+            let owned = if router == self.owner {
+                &owned[..]
+            } else {
+                &[]
+            };
+            let effects = self.drains[router].tick(owned, &members(router, 0..ROUTERS), now);
+            self.perform(router, effects);
+        }
+        let running = self.running.iter().map(ToString::to_string).collect();
+        self.history.push((self.now_ms, running));
+        // The report lags by up to five seconds, and its clock differs by half a second.
+        let lag = self.rng.random_range(0..100.min(self.history.len()));
+        let (taken_ms, running) = &self.history[self.history.len() - 1 - lag];
+        let running: &[String] = if self.reports_lie { &[] } else { running };
+        let report = report(RUN, START_UNIX_MS + taken_ms + 500, running);
+        self.events.push(self.now_ms + 1, Event::Reported(report));
+        self.events.push(self.now_ms + 50, Event::Step);
+    }
+
+    fn perform(&mut self, router: usize, effects: Vec<DrainEffect>) {
+        for effect in effects {
+            match effect {
+                DrainEffect::Order { order, .. } => {
+                    let at_ms = self.now_ms + self.rng.random_range(1..500);
+                    self.events.push(at_ms, Event::Ordered(order));
+                }
+                DrainEffect::Notify { to, message } => {
+                    let receiver = router_number(&to);
+                    let PeerMessage::EndpointNotices(notices) = message else {
+                        continue;
+                    };
+                    if self.rng.random_bool(0.9) {
+                        let event = Event::Message(receiver, router_name(router), notices);
+                        self.events.push(self.now_ms + 2, event);
+                    }
+                }
+                DrainEffect::Leaving { .. } => {}
+            }
+        }
+    }
+}
--- a/crates/curranttrestle/tests/quarantine.rs
+++ b/crates/curranttrestle/tests/quarantine.rs
@@ -1,24 +1,21 @@
 //! Requests that crash endpoints: routers, endpoints and callers that send them again.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-use std::net::SocketAddr;
+#[path = "support/mod.rs"]
+mod support;
 
 use curranttrestle::coordination::quarantine::{
     Admission, Quarantine, QuarantineOptions, RequestDigest,
 };
-use curranttrestle::protocol::peer::{EndpointDeath, PeerMessage, Suspicion, Suspicions};
-use curranttrestle::state::{EndpointId, Incarnation, InstanceId, Member, MemberView, Now};
-use indexmap::IndexMap;
-use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use curranttrestle::protocol::peer::{PeerMessage, Suspicions};
+use curranttrestle::state::EndpointId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use support::{Schedule, at, members, router_number};
+
 const ROUTERS: usize = 6;
 const ENDPOINTS: usize = 12;
 const SLOTS: usize = 4;
-const START_UNIX_MS: u64 = 1_700_000_000_000;
 const ARRIVALS_MS: u64 = 20_000;
 const END_MS: u64 = 60_000;
 /// How long a dead endpoint takes to restart.
@@ -29,34 +26,10 @@
 /// The digest that a third of the innocent requests share.
 const POPULAR: RequestDigest = [254; 16];
 
-fn at(steady_ms: u64) -> Now {
-    Now {
-        steady_ms,
-        unix_ms: START_UNIX_MS + steady_ms,
-    }
-}
-
-fn name(router: usize) -> InstanceId {
-    InstanceId::new(&format!("r{router}"))
-}
-
 fn endpoint(number: usize) -> EndpointId {
     EndpointId::new(&format!("m{number}"))
 }
 
-fn members(me: usize) -> MemberView {
-    let member = |router| Member {
-        instance: name(router),
-        incarnation: Incarnation(1),
-        data_centre: "rennes".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-    };
-    MemberView {
-        me: member(me),
-        live: (0..ROUTERS).map(member).collect(),
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     /// A caller sends its request to a router.
@@ -97,8 +70,7 @@
     rng: ChaCha8Rng,
     with_quarantine: bool,
     now_ms: u64,
-    events: BinaryHeap<Reverse<(u64, usize)>>,
-    bodies: Vec<Event>,
+    events: Schedule<Event>,
     routers: Vec<Quarantine>,
     endpoints: Vec<EndpointState>,
     requests: Vec<Request>,
@@ -111,8 +83,7 @@
         rng: ChaCha8Rng::seed_from_u64(seed),
         with_quarantine,
         now_ms: 0,
-        events: BinaryHeap::new(),
-        bodies: Vec::new(),
+        events: Schedule::new(),
         routers: vec![Quarantine::new(QuarantineOptions::default()); ROUTERS],
         endpoints: vec![EndpointState::default(); ENDPOINTS],
         requests: Vec::new(),
@@ -130,14 +101,10 @@
         world.caller(KILLER, SENDS, at_ms);
     }
     for router in 0..ROUTERS {
-        world.push(0, Event::Tick(router));
+        world.events.push(0, Event::Tick(router));
     }
-    while let Some(Reverse((at_ms, body))) = world.events.pop() {
-        if at_ms > END_MS {
-            break;
-        }
+    while let Some((at_ms, event)) = world.events.pop(END_MS) {
         world.now_ms = at_ms;
-        let event = world.bodies[body].clone();
         world.handle(event);
     }
     let innocents = world
@@ -154,11 +121,6 @@
 }
 
 impl World {
-    fn push(&mut self, at_ms: u64, event: Event) {
-        self.bodies.push(event);
-        self.events.push(Reverse((at_ms, self.bodies.len() - 1)));
-    }
-
     fn caller(&mut self, digest: RequestDigest, sends: u32, at_ms: u64) {
         self.requests.push(Request {
             digest,
@@ -178,31 +140,34 @@
         self.requests[request].sends_left -= 1;
         self.requests[request].retries_left = 1;
         let router = self.rng.random_range(0..ROUTERS);
-        self.push(at_ms, Event::Sent(router, request));
+        self.events.push(at_ms, Event::Sent(router, request));
     }
 
     fn handle(&mut self, event: Event) {
         let now = at(self.now_ms);
         match event {
-            Event::Sent(router, request) => self.push(self.now_ms, Event::Waiting(router, request)),
+            Event::Sent(router, request) => self
+                .events
+                .push(self.now_ms, Event::Waiting(router, request)),
             Event::Waiting(router, request) => self.place(router, request),
             Event::Ended(number, request) => self.ended(number, request),
             Event::Died(number) => self.died(number),
             Event::Message(router, suspicions) => self.routers[router].receive(&suspicions, now),
             Event::Tick(router) => {
                 self.tick(router);
-                self.push(self.now_ms + 50, Event::Tick(router));
+                self.events.push(self.now_ms + 50, Event::Tick(router));
             }
         }
     }
 
     fn tick(&mut self, router: usize) {
-        let messages = self.routers[router].tick(&members(router), at(self.now_ms));
+        let messages = self.routers[router].tick(&members(router, 0..ROUTERS), at(self.now_ms));
         for (to, message) in messages {
-            let receiver = (0..ROUTERS).find(|other| name(*other) == to).unwrap();
+            let receiver = router_number(&to);
             if let PeerMessage::Suspicions(suspicions) = message {
                 let delay_ms = self.rng.random_range(1..4);
-                self.push(self.now_ms + delay_ms, Event::Message(receiver, suspicions));
+                self.events
+                    .push(self.now_ms + delay_ms, Event::Message(receiver, suspicions));
             }
         }
     }
@@ -224,14 +189,16 @@
         let alone = admission == Admission::Alone;
         let now = at(self.now_ms);
         if self.with_quarantine && !self.routers[router].may_start(&digest, alone, now) {
-            self.push(self.now_ms + 10, Event::Waiting(router, request));
+            self.events
+                .push(self.now_ms + 10, Event::Waiting(router, request));
             return;
         }
         let usable: Vec<usize> = (0..ENDPOINTS)
             .filter(|number| self.has_room(*number, alone))
             .collect();
         if usable.is_empty() {
-            self.push(self.now_ms + 10, Event::Waiting(router, request));
+            self.events
+                .push(self.now_ms + 10, Event::Waiting(router, request));
             return;
         }
         let number = usable[self.rng.random_range(0..usable.len())];
@@ -240,9 +207,10 @@
             .push((request, router, alone));
         let run_ms = self.rng.random_range(10..400);
         if digest == KILLER {
-            self.push(self.now_ms + 20, Event::Died(number));
+            self.events.push(self.now_ms + 20, Event::Died(number));
         } else {
-            self.push(self.now_ms + run_ms, Event::Ended(number, request));
+            self.events
+                .push(self.now_ms + run_ms, Event::Ended(number, request));
         }
     }
 
@@ -297,7 +265,8 @@
     fn lost(&mut self, router: usize, request: usize) {
         if self.requests[request].retries_left > 0 {
             self.requests[request].retries_left -= 1;
-            self.push(self.now_ms + 1, Event::Waiting(router, request));
+            self.events
+                .push(self.now_ms + 1, Event::Waiting(router, request));
         } else {
             let again_ms = self.now_ms + self.rng.random_range(5..500);
             self.send(request, again_ms);
@@ -347,103 +316,3 @@
     println!("without the quarantine: {outcome:?}");
     assert_eq!(outcome.lost_endpoints, 2 * u64::from(SENDS));
 }
-
-fn suspicion() -> impl Strategy<Value = Suspicion> {
-    let death =
-        (0..5_000_u64, 0..3_usize, any::<bool>()).prop_map(|(ms, number, alone)| EndpointDeath {
-            seen_unix_ms: START_UNIX_MS + ms,
-            endpoint: endpoint(number),
-            alone,
-        });
-    let deaths = prop::collection::vec(death, 1..5);
-    let time = prop_oneof![Just(0), (0..5_000_u64).prop_map(|ms| START_UNIX_MS + ms)];
-    (0..3_u8, deaths, time.clone(), time).prop_map(|(digest, deaths, cleared, finished)| {
-        Suspicion {
-            digest: [digest; 16],
-            deaths,
-            cleared_unix_ms: cleared,
-            finished_unix_ms: finished,
-        }
-    })
-}
-
-/// The verdict from all that was ever said, read anew each time.
-fn naive_admission(
-    said: &[Suspicion],
-    digest: &RequestDigest,
-    options: &QuarantineOptions,
-) -> Admission {
-    let about: Vec<&Suspicion> = said.iter().filter(|said| said.digest == *digest).collect();
-    let cleared = about
-        .iter()
-        .map(|said| said.cleared_unix_ms)
-        .max()
-        .unwrap_or_default();
-    let has_finished = about.iter().any(|said| said.finished_unix_ms > 0);
-    let mut deaths: Vec<&EndpointDeath> = about.iter().flat_map(|said| &said.deaths).collect();
-    deaths.retain(|death| death.seen_unix_ms > cleared);
-    deaths.sort();
-    let mut counted: IndexMap<&EndpointId, Vec<u64>> = IndexMap::new();
-    for death in &deaths {
-        let seen = counted.entry(&death.endpoint).or_default();
-        if seen
-            .iter()
-            .all(|first| death.seen_unix_ms > first + options.same_death_ms)
-        {
-            seen.push(death.seen_unix_ms);
-        }
-    }
-    let count: usize = counted.values().map(Vec::len).sum();
-    match count {
-        0 => Admission::Free,
-        _ if deaths.iter().any(|death| death.alone) => Admission::Refused,
-        1 if has_finished => Admission::Free,
-        1 => Admission::Alone,
-        _ if has_finished => Admission::Alone,
-        _ => Admission::Refused,
-    }
-}
-
-#[test]
-fn what_is_known_does_not_depend_on_the_order_in_which_it_comes() {
-    let config = Config {
-        cases: 512,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let all = prop::collection::vec(suspicion(), 1..6).prop_shuffle();
-    TestRunner::new_with_rng(config, rng)
-        .run(&all, |said| {
-            let options = QuarantineOptions::default();
-            let now = at(6_000);
-            let mut forward = Quarantine::new(options);
-            let mut backward = Quarantine::new(options);
-            for one in &said {
-                forward.receive(
-                    &Suspicions {
-                        suspects: vec![one.clone()],
-                    },
-                    now,
-                );
-            }
-            for one in said.iter().rev().chain(&said) {
-                backward.receive(
-                    &Suspicions {
-                        suspects: vec![one.clone()],
-                    },
-                    now,
-                );
-            }
-            for digest in [[0; 16], [1; 16], [2; 16]] {
-                let expected = naive_admission(&said, &digest, &options);
-                prop_assert_eq!(forward.admission(&digest, now), expected);
-                prop_assert_eq!(backward.admission(&digest, now), expected);
-                // It is forgotten in the end.
-                let later = now.plus_ms(options.refuse_ms);
-                prop_assert_eq!(forward.admission(&digest, later), Admission::Free);
-            }
-            Ok(())
-        })
-        .unwrap();
-}
--- a/crates/curranttrestle/tests/store_gate.rs
+++ b/crates/curranttrestle/tests/store_gate.rs
@@ -1,5 +1,8 @@
 //! The store gate and the retry budget, against naive versions.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use std::collections::VecDeque;
 
 use curranttrestle::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
@@ -7,37 +10,22 @@
 use curranttrestle::protocol::platform::{CallId, StoreAnswer, StoreCall, Version};
 use curranttrestle::state::Now;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use support::{at, runner};
+
 const GATES: usize = 9;
 const OUTAGE_MS: std::ops::Range<u64> = 5_000..15_000;
 const END_MS: u64 = 30_000;
 const STEP_MS: u64 = 5;
 
-fn at(steady_ms: u64) -> Now {
-    Now {
-        steady_ms,
-        unix_ms: steady_ms,
-    }
-}
-
 fn read(number: u64) -> StoreCall {
     StoreCall::Read {
         name: number.to_string(),
     }
 }
 
-fn runner() -> TestRunner {
-    let config = Config {
-        cases: 128,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
-}
-
 /// Passes every call at once and tries failed ones again after a fixed delay.
 #[derive(Default)]
 struct NaiveGate {
@@ -145,7 +133,7 @@
 fn each_call_passes_once_in_the_order_of_its_priority_and_within_the_rate() {
     let call = (0..3_u8, any::<bool>(), 0..40_u64, 0..4_u8);
     let calls = prop::collection::vec(call, 1..200);
-    runner()
+    runner(128)
         .run(&calls, |calls| {
             let mut rng = ChaCha8Rng::seed_from_u64(7);
             let options = StoreGateOptions {
@@ -222,7 +210,7 @@
 #[test]
 fn extra_attempts_stay_below_the_ratio_in_each_window() {
     let steps = prop::collection::vec((any::<bool>(), 0..300_u64), 1..400);
-    runner()
+    runner(128)
         .run(&steps, |steps| {
             let options = RetryBudgetOptions::default();
             let mut budget = RetryBudget::new(options.clone());
