--- /dev/null
+++ b/crates/curranttrestle-experiments/src/experiments/mod.rs
@@ -0,0 +1,44 @@
+//! The experiments, a file each.
+
+mod compare;
+mod fairness;
+
+use crate::report::Report;
+use crate::{ExperimentName, ExperimentOptions, Result};
+
+/// Runs one experiment, or all of them, and writes their tables and plots.
+///
+/// # Errors
+///
+/// Returns an error when a fleet can't be started or a file can't be written.
+pub fn run(name: ExperimentName, seed: u64, options: &ExperimentOptions) -> Result<Vec<Report>> {
+    start_traffic_threads(options);
+    let names = match name {
+        ExperimentName::All => ExperimentName::EACH.to_vec(),
+        one => vec![one],
+    };
+    let mut reports = Vec::new();
+    for name in names {
+        let report = run_one(name, seed, options)?;
+        report.write_to(&options.output)?;
+        println!("{report}");
+        reports.push(report);
+    }
+    Ok(reports)
+}
+
+fn run_one(name: ExperimentName, seed: u64, options: &ExperimentOptions) -> Result<Report> {
+    match name {
+        ExperimentName::Fairness => fairness::run(seed, options),
+        _ => Ok(Report::new(name.as_str(), seed)),
+    }
+}
+
+/// Gives the executors that carry the routers' traffic their threads.
+fn start_traffic_threads(options: &ExperimentOptions) {
+    let threads = options.traffic_threads.max(1);
+    let config = trillium_smol::async_global_executor::GlobalExecutorConfig::default()
+        .with_min_threads(threads)
+        .with_max_threads(threads);
+    trillium_smol::async_global_executor::init_with_config(config);
+}
--- /dev/null
+++ b/crates/curranttrestle-experiments/src/fleet/routers.rs
@@ -0,0 +1,115 @@
+//! The routers of a fleet.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use curranttrestled::daemon::Daemon;
+
+use super::metrics::{Metrics, read_metrics};
+use super::{FleetPlan, OPERATORS_TOKEN, settings};
+use crate::load::exchange;
+use crate::{Error, Result};
+
+/// The longest that a fleet may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// The interval between two looks at whether it is.
+const READY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which owners that are new to their endpoints lend slots.
+const CAUTION: Duration = Duration::from_millis(2_500);
+/// The longest that the end of a router is waited for.
+const STOP_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The routers of a fleet.
+pub struct Routers {
+    daemons: Vec<Daemon>,
+}
+
+impl Routers {
+    /// Starts the routers; each may join at those before it.
+    pub fn start(plan: &FleetPlan, platform: SocketAddr) -> Result<Self> {
+        let mut daemons: Vec<Daemon> = Vec::new();
+        for data_centre in plan.data_centres() {
+            for number in 0..plan.routers {
+                let name = format!("router-{data_centre}-{number}");
+                let mut settings = settings(plan, &name, &data_centre, platform);
+                settings.fleet.seeds = daemons.iter().map(Daemon::peers).collect();
+                daemons.push(Daemon::start(&settings)?);
+            }
+        }
+        Ok(Self { daemons })
+    }
+
+    /// Where callers are served.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(Daemon::callers).collect()
+    }
+
+    /// The metrics of all routers.
+    pub fn metrics(&self) -> Vec<Metrics> {
+        let read = |daemon: &Daemon| read_metrics(daemon.operators(), OPERATORS_TOKEN);
+        self.daemons.iter().map(read).collect()
+    }
+
+    /// Submits a sheet at the first router.
+    pub fn submit(&self, sheet: &str) -> Result<()> {
+        let Some(first) = self.daemons.first() else {
+            return Ok(());
+        };
+        let url = format!("http://{}/v1/sheets", first.operators());
+        let conn = trillium_client::Client::new(trillium_smol::ClientConfig::default())
+            .post(url.as_str())
+            .with_request_header("Authorization", format!("Bearer {OPERATORS_TOKEN}"))
+            .with_body(sheet.to_owned());
+        let (status, detail) = smol::block_on(exchange(conn));
+        if status == 200 {
+            return Ok(());
+        }
+        Err(Error::Sheet { status, detail })
+    }
+
+    /// Waits until all routers know each other and the sheet, and slots may be lent.
+    pub fn wait_ready(&self) -> Result<()> {
+        let started = Instant::now();
+        let others = crate::statistics::float(self.daemons.len() as u64 - 1);
+        loop {
+            let ready = self.metrics().iter().all(|metrics| {
+                metrics.value("curranttrestle_sheet_number", "") >= 1.0
+                    && metrics.value("curranttrestle_state", "members") >= others
+            });
+            if ready {
+                std::thread::sleep(CAUTION);
+                return Ok(());
+            }
+            if started.elapsed() > READY_TIMEOUT {
+                let waited_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+                return Err(Error::NotReady { waited_ms });
+            }
+            std::thread::sleep(READY_INTERVAL);
+        }
+    }
+
+    /// Stops all routers and waits for them, up to a limit.
+    pub fn stop(self) {
+        let (ended, all_ended) = async_channel::bounded::<()>(self.daemons.len().max(1));
+        let count = self.daemons.len();
+        for daemon in self.daemons {
+            daemon.stop();
+            let ended = ended.clone();
+            let join = move || {
+                daemon.join();
+                let _ = ended.send_blocking(());
+            };
+            let _ = std::thread::Builder::new().name("join".into()).spawn(join);
+        }
+        let wait = async {
+            for _ in 0..count {
+                let _ = all_ended.recv().await;
+            }
+        };
+        let expired = async {
+            smol::Timer::after(STOP_TIMEOUT).await;
+            log::warn!("event=routers-still-stopping");
+        };
+        smol::block_on(futures_lite::FutureExt::or(wait, expired));
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-experiments/src/fleet/truth.rs
@@ -0,0 +1,108 @@
+//! What the engines really did, sampled over time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use curranttrestle::state::CustomerId;
+use curranttrestle_standins::engine::Engine;
+use curranttrestle_standins::server::StandIn;
+use indexmap::IndexMap;
+
+use super::Fleet;
+use crate::load::Outstanding;
+
+/// The interval between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What all engines did up to a moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TruthSample {
+    /// The moment, since the load began.
+    pub at_ms: f64,
+    /// Streams that run.
+    pub running: u64,
+    /// Slots that are busy; streams beyond an engine's slots are not counted.
+    pub busy_slots: u64,
+    /// Requests that callers have sent and that have not ended.
+    pub outstanding: u64,
+    /// Tokens made for each customer.
+    pub tokens: IndexMap<CustomerId, u64>,
+}
+
+impl TruthSample {
+    /// Tokens made for a customer.
+    pub fn tokens_of(&self, customer: &str) -> u64 {
+        let customer = CustomerId::new(customer);
+        self.tokens.get(&customer).copied().unwrap_or_default()
+    }
+
+    /// Tokens made for all customers.
+    pub fn total_tokens(&self) -> u64 {
+        self.tokens.values().sum()
+    }
+}
+
+/// Takes samples in a thread of its own.
+pub struct Sampler {
+    ended: Arc<AtomicBool>,
+    thread: JoinHandle<Vec<TruthSample>>,
+}
+
+impl Sampler {
+    /// Samples until [`Sampler::finish`].
+    pub fn start(
+        fleet: &Fleet,
+        outstanding: &Outstanding,
+        began: Instant,
+    ) -> std::io::Result<Self> {
+        let handles = fleet.engines.iter();
+        let engines: Vec<Arc<Engine>> = handles.map(|engine| engine.stand_in().clone()).collect();
+        let slots = u64::from(fleet.plan.slots);
+        let outstanding = outstanding.clone();
+        let ended = Arc::new(AtomicBool::new(false));
+        let is_ended = ended.clone();
+        let sample_all = move || {
+            let mut samples = Vec::new();
+            while !is_ended.load(Ordering::Relaxed) {
+                samples.push(sample(&engines, slots, &outstanding, began));
+                std::thread::sleep(SAMPLE_INTERVAL);
+            }
+            samples.push(sample(&engines, slots, &outstanding, began));
+            samples
+        };
+        let thread = std::thread::Builder::new()
+            .name("truth".into())
+            .spawn(sample_all)?;
+        Ok(Self { ended, thread })
+    }
+
+    /// Ends the sampling and returns the samples.
+    pub fn finish(self) -> Vec<TruthSample> {
+        self.ended.store(true, Ordering::Relaxed);
+        self.thread.join().unwrap_or_default()
+    }
+}
+
+fn sample(
+    engines: &[Arc<Engine>],
+    slots: u64,
+    outstanding: &Outstanding,
+    began: Instant,
+) -> TruthSample {
+    let mut sample = TruthSample {
+        outstanding: outstanding.count(),
+        at_ms: began.elapsed().as_secs_f64() * 1_000.0,
+        ..TruthSample::default()
+    };
+    for engine in engines {
+        let truth = engine.truth();
+        sample.running += truth.running;
+        sample.busy_slots += truth.running.min(slots);
+        for (customer, tokens) in truth.tokens_by_customer {
+            *sample.tokens.entry(customer).or_default() += tokens;
+        }
+    }
+    sample
+}
--- /dev/null
+++ b/crates/curranttrestle-experiments/src/slopes/mod.rs
@@ -0,0 +1,1 @@
+//! The cost of control at several sizes, coordination only.
