--- a/crates/curranttrestle-experiments/src/experiments/fairness.rs
+++ b/crates/curranttrestle-experiments/src/experiments/fairness.rs
@@ -10,8 +10,6 @@
 use crate::statistics::{float, ratio};
 use crate::{ExperimentOptions, Result};
 
-/// The load settles for this time before the gap is measured.
-const WARM_UP_MS: u64 = 3_000;
 /// The sizes of requests in tokens.
 const SIZES: Sizes = Sizes {
     least: 20,
@@ -30,7 +28,7 @@
 pub fn run(seed: u64, options: &ExperimentOptions) -> Result<Report> {
     let plan = FleetPlan::default();
     let workload = workload(&plan, seed);
-    let compared = compare(&plan, &workload, WARM_UP_MS + options.duration_ms)?;
+    let compared = compare(&plan, &workload, options.duration_ms)?;
     let mut report = Report::new("fairness", seed);
     let columns = ["policy", "greatest gap", "end gap", "worst/best", "starved"];
     let mut table = Table::new("service per share, in tokens", &columns);
@@ -41,11 +39,13 @@
     let mut series = Vec::new();
     let mut greatest = Vec::new();
     for (policy, seen) in compared.each() {
-        let gaps = gaps(&plan, seen);
-        let levels = final_levels(&plan, seen);
+        let levels = seen
+            .truth
+            .last()
+            .map_or_else(Vec::new, |last| levels(&plan, last));
         let worst = levels.iter().copied().fold(f64::INFINITY, f64::min);
         let best = levels.iter().copied().fold(0.0, f64::max);
-        let greatest_gap = gaps.iter().map(|(_, gap)| *gap).fold(0.0, f64::max);
+        let greatest_gap = greatest_gap(&plan, seen);
         let starved = levels.iter().filter(|level| **level == 0.0).count();
         table.push([
             policy.to_owned(),
@@ -66,7 +66,7 @@
         greatest.push(greatest_gap);
         series.push(Series {
             name: policy.to_owned(),
-            points: gaps,
+            points: spreads(&plan, seen),
         });
     }
     let bound = bound(&plan);
@@ -89,7 +89,7 @@
 }
 
 /// Each customer keeps more requests outstanding than its fair part of the slots.
-fn workload(plan: &FleetPlan, seed: u64) -> Workload {
+pub fn workload(plan: &FleetPlan, seed: u64) -> Workload {
     let shares: u32 = plan.customers.iter().map(|customer| customer.share).sum();
     let mut callers = Vec::new();
     for (customer, row) in plan.customers.iter().enumerate() {
@@ -124,43 +124,39 @@
     (customer * customer + spread) % routers
 }
 
-/// The gap over time, counted from the end of the warm-up.
-fn gaps(plan: &FleetPlan, seen: &Observations) -> Vec<(f64, f64)> {
-    let Some(base) = base(&seen.truth) else {
-        return Vec::new();
+/// The spread of service per share over time.
+fn spreads(plan: &FleetPlan, seen: &Observations) -> Vec<(f64, f64)> {
+    let spread = |sample: &TruthSample| {
+        let levels = levels(plan, sample);
+        let least = levels.iter().copied().fold(f64::INFINITY, f64::min);
+        let greatest = levels.iter().copied().fold(0.0, f64::max);
+        (sample.at_ms / 1_000.0, greatest - least)
     };
-    let samples = seen.truth.iter().filter(|sample| sample.at_ms > base.at_ms);
-    samples
-        .map(|sample| {
-            let levels = levels(plan, base, sample);
-            let least = levels.iter().copied().fold(f64::INFINITY, f64::min);
-            let greatest = levels.iter().copied().fold(0.0, f64::max);
-            ((sample.at_ms - base.at_ms) / 1_000.0, greatest - least)
-        })
-        .collect()
+    seen.truth.iter().map(spread).collect()
 }
 
-fn final_levels(plan: &FleetPlan, seen: &Observations) -> Vec<f64> {
-    match (base(&seen.truth), seen.truth.last()) {
-        (Some(base), Some(last)) => levels(plan, base, last),
-        _ => Vec::new(),
+/// The greatest gap between two customers over any part of the run: what one gained over the
+/// other from any moment to any later one.
+fn greatest_gap(plan: &FleetPlan, seen: &Observations) -> f64 {
+    let count = plan.customers.len();
+    let mut lowest = vec![0.0_f64; count * count];
+    let mut greatest = 0.0_f64;
+    for sample in &seen.truth {
+        let levels = levels(plan, sample);
+        for (index, lowest) in lowest.iter_mut().enumerate() {
+            let lead = levels[index / count] - levels[index % count];
+            greatest = greatest.max(lead - *lowest);
+            *lowest = lowest.min(lead);
+        }
     }
+    greatest
 }
 
-fn base(truth: &[TruthSample]) -> Option<&TruthSample> {
-    truth
-        .iter()
-        .find(|sample| sample.at_ms >= float(WARM_UP_MS))
-}
-
-/// Tokens per share of each customer between two samples.
-fn levels(plan: &FleetPlan, from: &TruthSample, to: &TruthSample) -> Vec<f64> {
-    plan.customers
-        .iter()
-        .map(|customer| {
-            let tokens = to.tokens_of(&customer.name) - from.tokens_of(&customer.name);
-            float(tokens) / f64::from(customer.share)
-        })
+/// Tokens per share of each customer so far.
+fn levels(plan: &FleetPlan, sample: &TruthSample) -> Vec<f64> {
+    let customers = plan.customers.iter();
+    customers
+        .map(|customer| float(sample.tokens_of(&customer.name)) / f64::from(customer.share))
         .collect()
 }
 
--- a/crates/curranttrestle-experiments/src/experiments/mod.rs
+++ b/crates/curranttrestle-experiments/src/experiments/mod.rs
@@ -1,9 +1,17 @@
 //! The experiments, a file each.
 
 mod compare;
+mod control_traffic;
+mod crest;
 mod fairness;
+mod measures;
+mod short_behind_long;
+mod slow_tail;
+mod utilisation;
+mod water_filling;
 
 use crate::report::Report;
+use crate::slopes;
 use crate::{ExperimentName, ExperimentOptions, Result};
 
 /// Runs one experiment, or all of them, and writes their tables and plots.
@@ -30,6 +38,12 @@
 fn run_one(name: ExperimentName, seed: u64, options: &ExperimentOptions) -> Result<Report> {
     match name {
         ExperimentName::Fairness => fairness::run(seed, options),
+        ExperimentName::Utilisation => utilisation::run(seed, options),
+        ExperimentName::Crest => crest::run(seed, options),
+        ExperimentName::ShortBehindLong => short_behind_long::run(seed, options),
+        ExperimentName::SlowTail => slow_tail::run(seed, options),
+        ExperimentName::ControlTraffic => control_traffic::run(seed, options),
+        ExperimentName::Slopes => Ok(slopes::run(seed)),
         _ => Ok(Report::new(name.as_str(), seed)),
     }
 }
--- a/crates/curranttrestle-experiments/src/load/runner.rs
+++ b/crates/curranttrestle-experiments/src/load/runner.rs
@@ -4,12 +4,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use curranttrestle_standins::engine::Engine;
+use curranttrestle_standins::server::StandIn;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smol::Executor;
 
 use super::client::{Target, call};
-use super::workload::{Arrival, Caller, Class, Sample, Workload};
+use super::workload::{Arrival, Caller, Class, Disturbance, Sample, Workload};
 use crate::fleet::{Fleet, Sampler, TruthSample};
 use crate::{Error, Result};
 
@@ -79,7 +81,9 @@
     let executor = Arc::new(Executor::new());
     load.start_callers(&executor, &workload.callers);
     let threads = start_threads(&executor, began + Duration::from_millis(duration_ms))?;
+    let disturbing = start_disturbances(fleet, &workload.disturbances, began)?;
     load.send_arrivals(&executor, &workload.arrivals, began);
+    let _ = disturbing.join();
     for thread in threads {
         let _ = thread.join();
     }
@@ -115,6 +119,30 @@
     (0..CALLER_THREADS).map(start).collect()
 }
 
+/// Injects faults at their times, in a thread of its own.
+fn start_disturbances(
+    fleet: &Fleet,
+    disturbances: &[Disturbance],
+    began: Instant,
+) -> Result<std::thread::JoinHandle<()>> {
+    let engines: Vec<Arc<Engine>> = disturbances
+        .iter()
+        .map(|disturbance| fleet.engines[disturbance.engine].stand_in().clone())
+        .collect();
+    let disturbances = disturbances.to_vec();
+    let inject = move || {
+        for (engine, disturbance) in engines.iter().zip(disturbances) {
+            let at = began + Duration::from_millis(disturbance.at_ms);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            engine.inject(disturbance.fault);
+        }
+    };
+    std::thread::Builder::new()
+        .name("faults".into())
+        .spawn(inject)
+        .map_err(Error::Thread)
+}
+
 impl Load {
     fn start_callers(&self, executor: &Executor<'static>, callers: &[Caller]) {
         for caller in callers {
--- a/crates/curranttrestle-experiments/src/load/workload.rs
+++ b/crates/curranttrestle-experiments/src/load/workload.rs
@@ -1,5 +1,6 @@
 //! What callers ask for and what they saw.
 
+use curranttrestle_standins::engine::EngineFault;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -63,6 +64,17 @@
     pub seed: u64,
 }
 
+/// A fault of an engine at a moment of the load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Disturbance {
+    /// When, since the load began.
+    pub at_ms: u64,
+    /// The index of the engine.
+    pub engine: usize,
+    /// The fault.
+    pub fault: EngineFault,
+}
+
 /// All that callers ask for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Workload {
@@ -70,6 +82,8 @@
     pub arrivals: Vec<Arrival>,
     /// Callers that always have a request outstanding.
     pub callers: Vec<Caller>,
+    /// Faults of engines, in the order of their times.
+    pub disturbances: Vec<Disturbance>,
     /// How long a caller waits for an answer.
     pub deadline_ms: u64,
 }
--- /dev/null
+++ b/crates/curranttrestle-experiments/src/slopes/demand.rs
@@ -0,0 +1,111 @@
+//! The requests of a cell.
+
+use curranttrestle::coordination::router::NewRequest;
+use curranttrestle::state::{Now, RequestId};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use uuid::{Builder, Uuid};
+
+use super::cell::CellPlan;
+use super::sheet::{BOOK, DRAFT, customer_name};
+
+/// Requests of a backlogged customer that wait at each router it calls.
+const BACKLOG: u32 = 6;
+/// How long a caller waits.
+const DEADLINE_MS: u64 = 120_000;
+/// The part of the capacity that customers without a backlog ask for.
+const STEADY_LOAD: f64 = 0.7;
+
+/// Draws the requests of a cell.
+pub struct Demand {
+    rng: ChaCha8Rng,
+    /// Requests of backlogged customers that wait, by router.
+    waiting: Vec<Vec<u32>>,
+}
+
+/// A request that reaches a router.
+pub struct Arrival {
+    /// The index of the router.
+    pub node: usize,
+    /// The request.
+    pub request: NewRequest,
+    /// The index of its customer when that is backlogged.
+    pub backlogged: Option<usize>,
+}
+
+impl Demand {
+    /// No requests so far.
+    pub fn new(plan: &CellPlan, rng: ChaCha8Rng) -> Self {
+        Self {
+            rng,
+            waiting: vec![vec![0; plan.backlogged]; plan.routers],
+        }
+    }
+
+    /// The requests of the next `step_ms`.
+    pub fn draw(&mut self, plan: &CellPlan, step_ms: u64, now: Now) -> Vec<Arrival> {
+        let mut arrivals = Vec::new();
+        let step_s = crate::statistics::float(step_ms) / 1_000.0;
+        let slots = plan.slots_per_router();
+        let steady_per_s = STEADY_LOAD * slots * 1_000.0 / plan.mean_ms();
+        for node in 0..plan.routers {
+            if plan.customers > plan.backlogged && self.happens(steady_per_s * step_s) {
+                let customer = self.rng.random_range(plan.backlogged..plan.customers);
+                arrivals.push(self.arrival(node, customer, DRAFT, now));
+            }
+            if self.happens(plan.bookings_per_s * step_s) {
+                let customer = self.rng.random_range(0..plan.customers);
+                arrivals.push(self.arrival(node, customer, BOOK, now));
+            }
+            self.top_up(plan, node, now, &mut arrivals);
+        }
+        arrivals
+    }
+
+    /// Each backlogged customer calls a part of the routers and always has requests waiting.
+    fn top_up(&mut self, plan: &CellPlan, node: usize, now: Now, arrivals: &mut Vec<Arrival>) {
+        for customer in 0..plan.backlogged {
+            if !(node + customer).is_multiple_of(plan.backlog_spread) {
+                continue;
+            }
+            while self.waiting[node][customer] < BACKLOG {
+                self.waiting[node][customer] += 1;
+                let mut arrival = self.arrival(node, customer, DRAFT, now);
+                arrival.backlogged = Some(customer);
+                arrivals.push(arrival);
+            }
+        }
+    }
+
+    /// Notes that a request of a backlogged customer waits no longer.
+    pub fn left_queue(&mut self, node: usize, customer: usize) {
+        let waiting = &mut self.waiting[node][customer];
+        *waiting = waiting.saturating_sub(1);
+    }
+
+    fn happens(&mut self, probability: f64) -> bool {
+        self.rng.random::<f64>() < probability
+    }
+
+    fn arrival(&mut self, node: usize, customer: usize, operation: &str, now: Now) -> Arrival {
+        let key = (operation == BOOK).then(|| self.uuid(now));
+        let request = NewRequest {
+            request: RequestId(self.uuid(now)),
+            customer: customer_name(customer),
+            operation: operation.to_owned(),
+            key,
+            digest: self.rng.random(),
+            hint_units: None,
+            deadline_ms: now.steady_ms + DEADLINE_MS,
+        };
+        Arrival {
+            node,
+            request,
+            backlogged: None,
+        }
+    }
+
+    fn uuid(&mut self, now: Now) -> Uuid {
+        Builder::from_unix_timestamp_millis(now.unix_ms, &self.rng.random()).into_uuid()
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-experiments/src/slopes/grid.rs
@@ -0,0 +1,176 @@
+//! The sizes that are measured, and their table.
+
+use super::cell::{Cell, CellPlan};
+use super::counts::Counts;
+use super::memory::resident_bytes;
+use crate::report::{Report, Table};
+use crate::statistics::{float, ratio};
+
+/// Time in which the routers find each other and the sheet.
+const SETTLE_MS: u64 = 8_000;
+/// Time that is measured without load.
+const QUIET_MS: u64 = 10_000;
+/// Time under load before it is measured.
+const WARM_UP_MS: u64 = 6_000;
+/// Time that is measured under load.
+const LOADED_MS: u64 = 5_000;
+/// Bytes in a kilobyte, as the budget counts them.
+const BYTES_PER_KB: f64 = 1_000.0;
+
+/// Measures all sizes.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("slopes", seed);
+    let columns = [
+        "routers",
+        "endpoints",
+        "customers",
+        "backlogged",
+        "bookings/s",
+        "phase",
+        "KB/s",
+        "messages/s",
+        "envelopes/s",
+        "busy %",
+        "inputs/s",
+        "requests/s",
+        "refused/s",
+        "store reads/s",
+        "store writes/s",
+        "MB/node",
+        "violations",
+    ];
+    let mut table = Table::new("per node", &columns);
+    let mut kinds = Table::new(
+        "bytes and messages per node and second by kind",
+        &[
+            "routers",
+            "endpoints",
+            "customers",
+            "bookings/s",
+            "phase",
+            "kind",
+            "messages/s",
+            "bytes/s",
+        ],
+    );
+    let before_bytes = resident_bytes();
+    for plan in plans() {
+        measure(&plan, seed, before_bytes, &mut table, &mut kinds);
+        eprintln!("{table}");
+    }
+    report.tables = vec![table, kinds];
+    report
+}
+
+/// The least sizes first, so that the memory of a cell is not that of a larger one before.
+fn plans() -> Vec<CellPlan> {
+    let target_like = |routers: usize, endpoints_per_router: usize, customers: usize| CellPlan {
+        routers,
+        data_centres: 3,
+        endpoints: routers * endpoints_per_router,
+        slots: 12,
+        customers,
+        backlogged: (customers / 10).max(2),
+        backlog_spread: 6,
+        mean_tokens: 353.0,
+        token_ms: 31.0,
+        bookings_per_s: 0.0,
+    };
+    let mut plans = vec![
+        target_like(6, 8, 16),
+        target_like(6, 16, 16),
+        target_like(6, 22, 16),
+        target_like(6, 22, 60),
+        target_like(6, 22, 240),
+        target_like(12, 22, 16),
+        target_like(12, 22, 240),
+    ];
+    plans.push(CellPlan {
+        bookings_per_s: 1.2,
+        ..target_like(12, 22, 240)
+    });
+    plans.push(target_like(24, 22, 16));
+    plans.push(target_like(24, 22, 240));
+    plans.push(target_like(48, 10, 240));
+    plans
+}
+
+fn measure(plan: &CellPlan, seed: u64, before_bytes: u64, table: &mut Table, kinds: &mut Table) {
+    let mut cell = Cell::new(plan, seed);
+    cell.run(SETTLE_MS);
+    cell.clear_counts();
+    cell.run(QUIET_MS);
+    add_rows(plan, &cell, ("quiet", QUIET_MS), before_bytes, table, kinds);
+    cell.begin_load();
+    cell.run(WARM_UP_MS);
+    cell.clear_counts();
+    cell.run(LOADED_MS);
+    add_rows(
+        plan,
+        &cell,
+        ("loaded", LOADED_MS),
+        before_bytes,
+        table,
+        kinds,
+    );
+}
+
+fn add_rows(
+    plan: &CellPlan,
+    cell: &Cell,
+    (phase, duration_ms): (&str, u64),
+    before_bytes: u64,
+    table: &mut Table,
+    kinds: &mut Table,
+) {
+    let mut all = Counts::default();
+    let mut violations = 0;
+    for node in &cell.nodes {
+        all.add(&node.counts);
+        violations += node.violations();
+    }
+    let nodes = float(plan.routers as u64);
+    let node_s = nodes * float(duration_ms) / 1_000.0;
+    let per_s = |count: u64| float(count) / node_s;
+    let resident = resident_bytes().saturating_sub(before_bytes);
+    let known = cell
+        .nodes
+        .iter()
+        .filter(|node| node.known_members(cell.now()) + 1 == plan.routers)
+        .count();
+    if known < plan.routers {
+        eprintln!("only {known} of {} routers know all others", plan.routers);
+    }
+    table.push([
+        plan.routers.to_string(),
+        plan.endpoints.to_string(),
+        plan.customers.to_string(),
+        plan.backlogged.to_string(),
+        format!("{:.1}", plan.bookings_per_s),
+        phase.to_owned(),
+        format!("{:.2}", per_s(all.bytes()) / BYTES_PER_KB),
+        format!("{:.1}", per_s(all.messages())),
+        format!("{:.1}", per_s(all.envelopes)),
+        format!("{:.2}", ratio(all.busy.as_secs_f64(), node_s) * 100.0),
+        format!("{:.0}", per_s(all.inputs)),
+        format!("{:.1}", per_s(all.dispatched)),
+        format!("{:.2}", per_s(all.refused)),
+        format!("{:.2}", per_s(all.store_reads)),
+        format!("{:.2}", per_s(all.store_writes)),
+        format!("{:.2}", float(resident) / nodes / 1e6),
+        violations.to_string(),
+    ]);
+    all.kinds.sort_keys();
+    for (kind, count) in &all.kinds {
+        kinds.push([
+            plan.routers.to_string(),
+            plan.endpoints.to_string(),
+            plan.customers.to_string(),
+            format!("{:.1}", plan.bookings_per_s),
+            phase.to_owned(),
+            (*kind).to_owned(),
+            format!("{:.2}", per_s(count.messages)),
+            format!("{:.1}", per_s(count.bytes)),
+        ]);
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-experiments/src/slopes/node.rs
@@ -0,0 +1,111 @@
+//! One router of a cell.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use curranttrestle::coordination::router::{Effect, Input, Router};
+use curranttrestle::protocol::peer::{Envelope, PeerMessage};
+use curranttrestle::protocol::platform::StoreCall;
+use curranttrestle::state::event::HybridTime;
+use curranttrestle::state::{Member, Now};
+use indexmap::IndexMap;
+use rand_chacha::ChaCha8Rng;
+
+use super::counts::Counts;
+
+/// One router, with what it sent and did.
+pub struct Node {
+    /// Who it is.
+    pub member: Member,
+    /// What it sent and did.
+    pub counts: Counts,
+    /// Whether its clock runs; a router that is cut off handles nothing.
+    pub alive: bool,
+    router: Router,
+    rng: ChaCha8Rng,
+    outbox: IndexMap<SocketAddr, (HybridTime, Vec<PeerMessage>)>,
+}
+
+impl Node {
+    /// A router that has handled nothing.
+    pub fn new(member: Member, router: Router, rng: ChaCha8Rng) -> Self {
+        Self {
+            member,
+            counts: Counts::default(),
+            alive: true,
+            router,
+            rng,
+            outbox: IndexMap::new(),
+        }
+    }
+
+    /// Handles an input; messages to other routers are kept for [`Node::take_envelopes`].
+    pub fn handle(&mut self, input: Input, now: Now) -> Vec<Effect> {
+        if !self.alive {
+            return Vec::new();
+        }
+        let began = Instant::now();
+        let effects = self.router.handle(input, now, &mut self.rng);
+        self.counts.busy += began.elapsed();
+        self.counts.inputs += 1;
+        effects
+            .into_iter()
+            .filter_map(|effect| self.keep_message(effect))
+            .collect()
+    }
+
+    fn keep_message(&mut self, effect: Effect) -> Option<Effect> {
+        match effect {
+            Effect::Send {
+                address,
+                time,
+                message,
+            } => {
+                self.counts.add_message(&message);
+                let (last, messages) = self.outbox.entry(address).or_default();
+                *last = time;
+                messages.push(message);
+                None
+            }
+            Effect::Store { call, request } => {
+                let is_write =
+                    matches!(request, StoreCall::Update { .. } | StoreCall::Delete { .. });
+                self.counts.store_writes += u64::from(is_write);
+                self.counts.store_reads += u64::from(!is_write);
+                Some(Effect::Store { call, request })
+            }
+            other => Some(other),
+        }
+    }
+
+    /// The messages to other routers, one envelope for each receiver.
+    pub fn take_envelopes(&mut self) -> Vec<(SocketAddr, Envelope)> {
+        let outbox = std::mem::take(&mut self.outbox);
+        self.counts.envelopes += outbox.len() as u64;
+        outbox
+            .into_iter()
+            .map(|(address, (time, messages))| {
+                let envelope = Envelope {
+                    from: self.member.instance.clone(),
+                    incarnation: self.member.incarnation,
+                    time,
+                    messages,
+                };
+                (address, envelope)
+            })
+            .collect()
+    }
+
+    /// How many other members it knows.
+    pub fn known_members(&self, now: Now) -> usize {
+        self.router.status(now).members.len()
+    }
+
+    /// Invariants that did not hold.
+    pub fn violations(&self) -> u64 {
+        self.router
+            .invariant_violations()
+            .map(|(_, count)| count)
+            .sum()
+    }
+}
--- a/crates/curranttrestled/src/lib.rs
+++ b/crates/curranttrestled/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod daemon;
 pub mod front;
 pub mod operators;
-mod router_options;
+pub mod router_options;
 pub mod shared;
 
 pub use daemon::{Daemon, DaemonError};
