--- a/crates/curranttrestle-experiments/src/experiments/crest.rs
+++ b/crates/curranttrestle-experiments/src/experiments/crest.rs
@@ -11,8 +11,8 @@
 
 /// The sizes of short requests in tokens.
 const SHORT: Sizes = Sizes {
-    least: 20,
-    greatest: 40,
+    least: 10,
+    greatest: 30,
 };
 /// The sizes of long requests in tokens.
 const LONG: Sizes = Sizes {
@@ -20,7 +20,7 @@
     greatest: 160,
 };
 /// The fraction of requests that are long.
-const LONG_FRACTION: f64 = 0.2;
+const LONG_FRACTION: f64 = 0.3;
 /// Hints are wrong by up to this factor.
 const HINT_ERROR: f64 = 2.0;
 /// When the swing begins, and when it is at its height.
--- a/crates/curranttrestle-experiments/src/experiments/mod.rs
+++ b/crates/curranttrestle-experiments/src/experiments/mod.rs
@@ -4,9 +4,12 @@
 mod control_traffic;
 mod crest;
 mod fairness;
+mod load_reports;
 mod measures;
+mod overhead;
 mod short_behind_long;
 mod slow_tail;
+mod threads;
 mod utilisation;
 mod water_filling;
 
@@ -43,8 +46,10 @@
         ExperimentName::ShortBehindLong => short_behind_long::run(seed, options),
         ExperimentName::SlowTail => slow_tail::run(seed, options),
         ExperimentName::ControlTraffic => control_traffic::run(seed, options),
+        ExperimentName::Overhead => overhead::run(seed, options),
+        ExperimentName::LoadReports => Ok(load_reports::run(seed)),
         ExperimentName::Slopes => Ok(slopes::run(seed)),
-        _ => Ok(Report::new(name.as_str(), seed)),
+        ExperimentName::All => Ok(Report::new(name.as_str(), seed)),
     }
 }
 
--- a/crates/curranttrestle-experiments/src/slopes/cell.rs
+++ b/crates/curranttrestle-experiments/src/slopes/cell.rs
@@ -7,23 +7,23 @@
 use curranttrestle::coordination::router::{
     AttemptResult, Decision, Dispatch, Effect, Input, Router,
 };
-use curranttrestle::protocol::endpoint::{LoadReport, running_digest};
 use curranttrestle::protocol::peer::{StoredAnswer, StoredBody};
 use curranttrestle::protocol::platform::StoreAnswer;
-use curranttrestle::state::settings::Settings;
+use curranttrestle::state::settings::{LoadReports, Settings};
 use curranttrestle::state::sheet::{EndpointKind, SheetObject};
 use curranttrestle::state::{
     AttemptId, EndpointId, Incarnation, InstanceId, Member, Now, RequestId,
 };
 use curranttrestled::router_options;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::counts::Counts;
 use super::demand::Demand;
+use super::endpoints::Endpoints;
 use super::node::Node;
-use super::sheet::{BOOKING_MS, MODEL_POOL, data_centre_name, object_text};
+use super::sheet::{BOOKING_MS, data_centre_name, endpoint_name, object_text};
 use super::store::Store;
 
 /// One step: also the time that a message takes.
@@ -110,13 +110,20 @@
     later: IndexMap<u64, Vec<Later>>,
     due: BinaryHeap<Reverse<u64>>,
     running: IndexMap<String, Running>,
-    on_endpoint: IndexMap<EndpointId, IndexSet<String>>,
+    endpoints: Endpoints,
     backlogged: IndexMap<RequestId, usize>,
 }
 
 impl Cell {
     /// A cell whose routers know nothing yet.
     pub fn new(plan: &CellPlan, seed: u64) -> Self {
+        Self::with_reports(plan, seed, LoadReports::default(), 0)
+    }
+
+    /// A cell with a way to treat load reports, which show the state of some time ago.
+    pub fn with_reports(plan: &CellPlan, seed: u64, mode: LoadReports, lag_ms: u64) -> Self {
+        let mut settings = Settings::default();
+        settings.policy.load_reports = mode;
         let members: Vec<Member> = (0..plan.routers).map(|index| member(plan, index)).collect();
         let seeds: Vec<SocketAddr> = members
             .iter()
@@ -127,7 +134,7 @@
         let mut nodes = Vec::new();
         for (index, member) in members.into_iter().enumerate() {
             by_address.insert(member.address, index);
-            let mut options = router_options::from_settings(&Settings::default());
+            let mut options = router_options::from_settings(&settings);
             options.seeds.clone_from(&seeds);
             let router = Router::new(member.clone(), options, BEGIN);
             let rng = ChaCha8Rng::seed_from_u64(seed + index as u64);
@@ -145,7 +152,7 @@
             later: IndexMap::new(),
             due: BinaryHeap::new(),
             running: IndexMap::new(),
-            on_endpoint: IndexMap::new(),
+            endpoints: Endpoints::with_lag(lag_ms),
             backlogged: IndexMap::new(),
         }
     }
@@ -155,6 +162,20 @@
         self.loaded = true;
     }
 
+    /// Ends a router at once. What it had begun goes on at the endpoints.
+    pub fn lose_router(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+    }
+
+    /// The slots of each model engine and the attempts that run on it.
+    pub fn model_endpoints(&self) -> impl Iterator<Item = (u64, u64)> {
+        let slots = u64::from(self.plan.slots);
+        (0..self.plan.endpoints).map(move |index| {
+            let running = self.endpoints.running(&endpoint_name(index));
+            (slots, running.len() as u64)
+        })
+    }
+
     /// The present time.
     pub fn now(&self) -> Now {
         self.now
@@ -211,10 +232,8 @@
     fn run_later(&mut self, later: Later) {
         if let Input::Ended { attempt, .. } = &later.input {
             let attempt = attempt.to_string();
-            if let Some(ended) = self.running.swap_remove(&attempt)
-                && let Some(running) = self.on_endpoint.get_mut(&ended.endpoint)
-            {
-                running.swap_remove(&attempt);
+            if let Some(ended) = self.running.swap_remove(&attempt) {
+                self.endpoints.end(&ended.endpoint, &attempt, self.now);
             }
         }
         if let Input::Progress { attempt, .. } = &later.input {
@@ -269,7 +288,7 @@
                 self.plan(after_ms, node, Input::StoreAnswered { call, answer });
             }
             Effect::PollLoad { endpoint, .. } => {
-                let report = Some(self.load_report(&endpoint));
+                let report = Some(self.endpoints.report(&endpoint, self.plan.slots, self.now));
                 self.plan(STEP_MS, node, Input::LoadReport { endpoint, report });
             }
             Effect::Send { .. }
@@ -296,10 +315,7 @@
             begun_ms: self.now.steady_ms,
             end_ms: self.now.steady_ms + duration_ms,
         };
-        self.on_endpoint
-            .entry(running.endpoint.clone())
-            .or_default()
-            .insert(attempt.clone());
+        self.endpoints.begin(&running.endpoint, &attempt, self.now);
         self.running.insert(attempt, running);
         if dispatch.kind == EndpointKind::Model {
             self.plan_progress(node, &dispatch.attempt);
@@ -328,25 +344,6 @@
         };
         self.plan(PROGRESS_MS, node, progress);
     }
-
-    fn load_report(&self, endpoint: &EndpointId) -> LoadReport {
-        let running: Vec<String> = self
-            .on_endpoint
-            .get(endpoint)
-            .map(|running| running.iter().cloned().collect())
-            .unwrap_or_default();
-        LoadReport {
-            endpoint: endpoint.clone(),
-            incarnation: 1,
-            taken_unix_ms: self.now.unix_ms,
-            running_digest: running_digest(running.iter().map(String::as_str)),
-            running,
-            slots: self.plan.slots,
-            draining: false,
-            model: MODEL_POOL.into(),
-            role: String::new(),
-        }
-    }
 }
 
 fn member(plan: &CellPlan, index: usize) -> Member {
--- a/crates/curranttrestle-experiments/src/slopes/mod.rs
+++ b/crates/curranttrestle-experiments/src/slopes/mod.rs
@@ -6,11 +6,13 @@
 mod cell;
 mod counts;
 mod demand;
+mod endpoints;
 mod grid;
 mod memory;
 mod node;
 mod sheet;
 mod store;
 
+pub use cell::{Cell, CellPlan};
 pub use grid::run;
 pub use memory::resident_bytes;
--- a/crates/curranttrestle-experiments/src/slopes/sheet.rs
+++ b/crates/curranttrestle-experiments/src/slopes/sheet.rs
@@ -35,6 +35,11 @@
     DataCentreId::new(&format!("dc{index}"))
 }
 
+/// The name of an endpoint.
+pub fn endpoint_name(index: usize) -> EndpointId {
+    EndpointId::new(&format!("endpoint-{index:04}"))
+}
+
 /// The text of the store's object with the sheet of a cell.
 pub fn object_text(plan: &CellPlan) -> String {
     let object = SheetObject {
@@ -106,6 +111,5 @@
         checks_fencing: true,
         leaving: false,
     };
-    let name = EndpointId::new(&format!("endpoint-{index:04}"));
-    sheet.endpoints.insert(name, endpoint);
+    sheet.endpoints.insert(endpoint_name(index), endpoint);
 }
