--- a/crates/curranttrestle-experiments/src/slopes/cell.rs
+++ b/crates/curranttrestle-experiments/src/slopes/cell.rs
@@ -287,9 +287,16 @@
                 };
                 self.plan(after_ms, node, Input::StoreAnswered { call, answer });
             }
-            Effect::PollLoad { endpoint, .. } => {
+            Effect::PollLoad {
+                endpoint, purpose, ..
+            } => {
                 let report = Some(self.endpoints.report(&endpoint, self.plan.slots, self.now));
-                self.plan(STEP_MS, node, Input::LoadReport { endpoint, report });
+                let input = Input::LoadReport {
+                    endpoint,
+                    purpose,
+                    report,
+                };
+                self.plan(STEP_MS, node, input);
             }
             Effect::Send { .. }
             | Effect::SendOrder { .. }
