--- a/crates/curranttrestle/src/coordination/cost.rs
+++ b/crates/curranttrestle/src/coordination/cost.rs
@@ -202,31 +202,41 @@
 
 /// What one attempt was charged so far.
 ///
-/// The expected cost is charged when the attempt begins, more when it uses more, and the
-/// difference to the true cost when it ends.
+/// An attempt is charged for what it used and for a part of what it is expected to use
+/// still: the next `ahead` units. So a customer gets no burst before its requests end, and
+/// one that runs a long request is not held to have been served already.
 ///
 /// ```
 /// use curranttrestle::coordination::cost::Charge;
-/// let mut charge = Charge::default();
-/// assert_eq!(charge.begin(100.0), 100.0);
-/// assert_eq!(charge.progress(80.0), 0.0);
+/// let mut charge = Charge::new(100.0, 40.0);
+/// assert_eq!(charge.charged(), 40.0);
+/// assert_eq!(charge.progress(30.0), 30.0);
+/// assert_eq!(charge.progress(80.0), 30.0);
 /// assert_eq!(charge.progress(130.0), 30.0);
 /// assert_eq!(charge.finish(120.0), -10.0);
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Charge {
+    expected_cost: f64,
+    ahead: f64,
     charged: f64,
 }
 
 impl Charge {
-    /// The units to charge when the attempt begins.
-    pub fn begin(&mut self, expected_cost: f64) -> f64 {
-        self.settle(expected_cost)
+    /// The charge of an attempt that begins. The first units are [`Charge::charged`].
+    #[must_use]
+    pub fn new(expected_cost: f64, ahead: f64) -> Self {
+        Self {
+            expected_cost,
+            ahead,
+            charged: expected_cost.min(ahead),
+        }
     }
 
     /// The units to charge besides when `used` units were used so far.
     pub fn progress(&mut self, used: f64) -> f64 {
-        self.settle(used.max(self.charged))
+        let ahead = self.expected_cost.min(used + self.ahead);
+        self.settle(ahead.max(used))
     }
 
     /// The units to charge when the attempt ends, negative when it was charged too much.
--- a/crates/curranttrestle/src/coordination/fair_share/account.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/account.rs
@@ -24,7 +24,11 @@
     /// The value of `own` and `below` where the link to the parent began.
     pub(super) link_start: i64,
     pub(super) lift_milliunits: u64,
+    /// The lift was not sent since it changed.
+    pub(super) lift_unsent: bool,
     pub(super) backlogged_here: bool,
+    /// The last report or totals said that it is backlogged.
+    pub(super) backlog_sent: bool,
     /// How many children report a backlog.
     pub(super) backlogged_below: u32,
     pub(super) totals: IndexMap<DataCentreId, Total>,
@@ -60,10 +64,34 @@
     pub(super) fn lift_to(&mut self, level: f64) -> bool {
         let wanted = ((level - self.unlifted_level()) * 1_000.0).floor() as u64;
         let raised = wanted > self.lift_milliunits;
-        self.lift_milliunits = self.lift_milliunits.max(wanted);
+        self.merge_lift(Some(wanted));
         raised
     }
 
+    /// Takes the greater one of two lifts.
+    pub(super) fn merge_lift(&mut self, lift_milliunits: Option<u64>) {
+        if let Some(lift) = lift_milliunits.filter(|lift| *lift > self.lift_milliunits) {
+            self.lift_milliunits = lift;
+            self.lift_unsent = true;
+        }
+    }
+
+    /// The lift, if it was not sent since it changed.
+    pub(super) fn take_unsent_lift(&mut self) -> Option<u64> {
+        std::mem::take(&mut self.lift_unsent).then_some(self.lift_milliunits)
+    }
+
+    /// Adds what is new in the subtree of a root to the total of its data centre.
+    pub(super) fn add_to_total(&mut self, home: &DataCentreId) {
+        let subtree = self.subtree();
+        let backlogged = self.backlogged_in_subtree();
+        let total = self.totals.entry(home.clone()).or_default();
+        total.units += subtree - self.reflected;
+        total.backlogged = backlogged;
+        self.reflected = subtree;
+        self.backlog_sent = backlogged;
+    }
+
     /// Whether requests wait in the subtree of this router.
     pub(super) fn backlogged_in_subtree(&self) -> bool {
         self.backlogged_here || self.backlogged_below > 0
--- a/crates/curranttrestle/src/coordination/fair_share/bound.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/bound.rs
@@ -11,6 +11,8 @@
     pub units_per_slot_s: f64,
     /// The period of the exchange of service figures.
     pub exchange_period_ms: f64,
+    /// How much earlier each level of the tree sends its reports.
+    pub hop_ms: f64,
     /// The number of links from a leaf of the tree to its root.
     pub depth: f64,
     /// The longest time of one message.
@@ -27,9 +29,9 @@
 /// Each slot is given to the least-served customer that its router knows of. Three things
 /// can go wrong, and each adds a term:
 ///
-/// - A figure is old. It travels up `depth` links, between the roots and down `depth`
-///   links. Each link up waits for one period, the rest forward at once:
-///   `age = (depth + 1) * period + (2 * depth + 1) * message`. Within that time all slots
+/// - A figure is old. It waits for the next round, which begins at the leaves `hop` earlier
+///   for each link, and then travels up, between the roots and down:
+///   `age = period + depth * hop + (2 * depth + 1) * message`. Within that time all slots
 ///   may serve one customer: `slots * units_per_slot * age`.
 /// - Each slot was given once more on the old figures, and a request can't be taken back:
 ///   `(slots + 1) * largest_cost`.
@@ -45,16 +47,18 @@
 ///     largest_cost: 100.0,
 ///     units_per_slot_s: 100.0,
 ///     exchange_period_ms: 250.0,
+///     hop_ms: 10.0,
 ///     depth: 1.0,
 ///     message_ms: 0.0,
 ///     least_share: 2.0,
 ///     tolerance_requests: 1.0,
 /// };
-/// assert_eq!(gap_bound(&terms), (10.0 * 100.0 * 0.5 + 1_100.0 + 100.0) / 2.0);
+/// assert_eq!(gap_bound(&terms), (10.0 * 100.0 * 0.26 + 1_100.0 + 100.0) / 2.0);
 /// ```
 #[must_use]
 pub fn gap_bound(terms: &GapTerms) -> f64 {
-    let age_ms = (terms.depth + 1.0) * terms.exchange_period_ms
+    let age_ms = terms.exchange_period_ms
+        + terms.depth * terms.hop_ms
         + (2.0 * terms.depth + 1.0) * terms.message_ms;
     let stale = terms.slots * terms.units_per_slot_s * age_ms / 1_000.0;
     let running = (terms.slots + 1.0) * terms.largest_cost;
--- a/crates/curranttrestle/src/coordination/fair_share/links.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/links.rs
@@ -4,11 +4,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::protocol::peer::{AccountEntry, PeerMessage, ServiceReport};
-use crate::state::{AccountId, Incarnation, InstanceId, Now};
+use crate::protocol::peer::{PeerMessage, ReportId, ServiceReport};
+use crate::state::{AccountId, Incarnation, InstanceId, Member, Now};
 
 use super::FairShare;
-use super::account::Account;
+use super::figures::{Figure, decode, encode};
 use super::tree::Peer;
 
 /// How many reports a router remembers until totals include them.
@@ -17,18 +17,25 @@
 /// The link from a child.
 #[derive(Debug, Default)]
 pub(super) struct Inbound {
-    pub(super) incarnation: Incarnation,
+    incarnation: Incarnation,
     pub(super) link: u64,
     pub(super) round: u64,
     /// The cumulative counters of the link.
     units: IndexMap<AccountId, i64>,
-    pub(super) backlogged: IndexSet<AccountId>,
+    backlogged: IndexSet<AccountId>,
 }
 
 impl Inbound {
     fn is_newer_link(&self, incarnation: Incarnation, link: u64) -> bool {
         (incarnation, link) > (self.incarnation, self.link)
     }
+
+    pub(super) fn last_report(&self) -> ReportId {
+        ReportId {
+            link: self.link,
+            round: self.round,
+        }
+    }
 }
 
 /// A report that the totals may not include yet.
@@ -37,8 +44,8 @@
     round: u64,
     /// The subtree counters it stands for.
     subtree: Vec<(AccountId, i64)>,
-    /// The link and last round of each child that it includes.
-    children: Vec<(InstanceId, u64, u64)>,
+    /// The last report of each child that it includes.
+    children: Vec<(InstanceId, ReportId)>,
 }
 
 /// The link to the parent.
@@ -47,17 +54,9 @@
     parent: Option<Peer>,
     link: u64,
     round: u64,
-    /// Accounts whose figures changed since the last report or totals.
-    pub(super) changed: IndexSet<AccountId>,
     sent: VecDeque<SentReport>,
-    /// The link and last round of each child that the heard totals include.
-    pub(super) reflected_children: IndexMap<InstanceId, (u64, u64)>,
-}
-
-impl Outbound {
-    pub(super) fn repeat_all(&mut self, accounts: &IndexMap<AccountId, Account>) {
-        self.changed.extend(accounts.keys().cloned());
-    }
+    /// The last report of each child that the heard totals include.
+    pub(super) reflected_children: IndexMap<InstanceId, ReportId>,
 }
 
 impl FairShare {
@@ -69,9 +68,10 @@
         report: &ServiceReport,
         _now: Now,
     ) {
-        let Some(names) = self.names_of(report.sheet_number).cloned() else {
+        let Some(names) = self.names_of(report.figures.sheet_number) else {
             return;
         };
+        let figures = decode(names, &report.figures);
         let mut inbound = self.inbound.swap_remove(from).unwrap_or_default();
         if inbound.is_newer_link(incarnation, report.link) {
             self.clear_backlog_of(&inbound);
@@ -84,26 +84,25 @@
         let is_current = inbound.incarnation == incarnation && inbound.link == report.link;
         if is_current && report.round > inbound.round {
             inbound.round = report.round;
-            for entry in &report.entries {
-                if let Some(id) = names.account(entry.pool, entry.customer) {
-                    self.take_entry(&mut inbound, id, entry);
-                }
+            for figure in figures {
+                self.take_figure(&mut inbound, figure);
             }
         }
         self.inbound.insert(from.clone(), inbound);
     }
 
-    fn take_entry(&mut self, inbound: &mut Inbound, id: AccountId, entry: &AccountEntry) {
-        let before = inbound.units.insert(id.clone(), entry.units).unwrap_or(0);
+    fn take_figure(&mut self, inbound: &mut Inbound, figure: Figure) {
+        let id = figure.account;
+        let before = inbound.units.insert(id.clone(), figure.units).unwrap_or(0);
         let account = self.accounts.entry(id.clone()).or_default();
-        account.below += entry.units - before;
-        account.lift_milliunits = account.lift_milliunits.max(entry.lift_milliunits);
-        if entry.backlogged && inbound.backlogged.insert(id.clone()) {
+        account.below += figure.units - before;
+        account.merge_lift(figure.lift_milliunits);
+        if figure.backlogged && inbound.backlogged.insert(id.clone()) {
             account.backlogged_below += 1;
-        } else if !entry.backlogged && inbound.backlogged.swap_remove(&id) {
+        } else if !figure.backlogged && inbound.backlogged.swap_remove(&id) {
             account.backlogged_below = account.backlogged_below.saturating_sub(1);
         }
-        self.outbound.changed.insert(id);
+        self.changed.insert(id);
     }
 
     /// Starts a new link when the parent is another one or another run. Says whether it did.
@@ -115,42 +114,41 @@
         self.outbound.link += 1;
         self.outbound.round = 0;
         self.outbound.sent.clear();
+        // What the heard totals include was carried by the link before.
         for account in self.accounts.values_mut() {
             account.link_start = account.reflected;
         }
-        self.outbound.repeat_all(&self.accounts);
+        self.repeat_all();
         true
     }
 
     /// The report of the changed accounts to the parent.
-    pub(super) fn report(&mut self, parent: &Peer) -> Option<(InstanceId, PeerMessage)> {
-        let sheet_number = self.names.front()?.sheet_number;
-        let changed = std::mem::take(&mut self.outbound.changed);
-        let mut entries = Vec::with_capacity(changed.len());
+    pub(super) fn report(&mut self, parent: &Peer, now: Now) -> Option<(InstanceId, PeerMessage)> {
+        let changed = self.take_changed(now);
+        let mut figures = Vec::with_capacity(changed.len());
         let mut subtree = Vec::with_capacity(changed.len());
-        for (id, pool, customer) in self.spread.indexed(&changed) {
-            let Some(account) = self.accounts.get(&id) else {
+        for id in changed {
+            let Some(account) = self.accounts.get_mut(&id) else {
                 continue;
             };
-            entries.push(AccountEntry {
-                pool,
-                customer,
+            subtree.push((id.clone(), account.subtree()));
+            account.backlog_sent = account.backlogged_in_subtree();
+            figures.push(Figure {
                 units: account.subtree() - account.link_start,
-                lift_milliunits: account.lift_milliunits,
                 backlogged: account.backlogged_in_subtree(),
+                lift_milliunits: account.take_unsent_lift(),
+                account: id,
             });
-            subtree.push((id, account.subtree()));
         }
-        if entries.is_empty() {
+        if figures.is_empty() {
             return None;
         }
         self.outbound.round += 1;
         self.remember_report(subtree);
         let report = ServiceReport {
-            sheet_number,
             link: self.outbound.link,
             round: self.outbound.round,
-            entries,
+            figures: encode(self.names.front()?, &figures),
         };
         Some((parent.instance.clone(), PeerMessage::ServiceReport(report)))
     }
@@ -159,7 +157,7 @@
         let children = self
             .inbound
             .iter()
-            .map(|(child, inbound)| (child.clone(), inbound.link, inbound.round))
+            .map(|(child, inbound)| (child.clone(), inbound.last_report()))
             .collect();
         self.outbound.sent.push_back(SentReport {
             round: self.outbound.round,
@@ -171,29 +169,45 @@
         }
     }
 
-    /// Notes that the totals include all reports on `link` up to `round`.
-    pub(super) fn note_reflected(&mut self, link: u64, round: u64) {
-        if link != self.outbound.link {
+    /// Notes that the totals include all reports up to `last`.
+    pub(super) fn note_reflected(&mut self, last: ReportId) {
+        if last.link != self.outbound.link {
             return;
         }
-        while self
-            .outbound
-            .sent
-            .front()
-            .is_some_and(|sent| sent.round <= round)
-        {
-            let Some(sent) = self.outbound.sent.pop_front() else {
+        while let Some(sent) = self.outbound.sent.pop_front() {
+            if sent.round > last.round {
+                self.outbound.sent.push_front(sent);
                 break;
-            };
+            }
             for (id, subtree) in sent.subtree {
                 if let Some(account) = self.accounts.get_mut(&id) {
                     account.reflected = subtree;
                 }
             }
-            for (child, child_link, child_round) in sent.children {
-                self.outbound
-                    .reflected_children
-                    .insert(child, (child_link, child_round));
+            self.outbound.reflected_children.extend(sent.children);
+        }
+    }
+
+    /// Forgets the links of routers that are gone. What they reported stays counted.
+    pub(super) fn forget_absent_children(&mut self, live: &[Member]) {
+        let gone: Vec<InstanceId> = self
+            .inbound
+            .keys()
+            .filter(|instance| !live.iter().any(|member| member.instance == **instance))
+            .cloned()
+            .collect();
+        for instance in gone {
+            if let Some(link) = self.inbound.swap_remove(&instance) {
+                self.clear_backlog_of(&link);
+            }
+        }
+    }
+
+    fn clear_backlog_of(&mut self, link: &Inbound) {
+        for id in &link.backlogged {
+            if let Some(account) = self.accounts.get_mut(id) {
+                account.backlogged_below = account.backlogged_below.saturating_sub(1);
+                self.changed.insert(id.clone());
             }
         }
     }
--- a/crates/curranttrestle/src/coordination/fair_share/mod.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/mod.rs
@@ -18,9 +18,11 @@
 
 mod account;
 mod bound;
+mod figures;
 mod links;
 mod names;
 mod spread;
+mod totals;
 mod tree;
 
 use std::collections::VecDeque;
@@ -28,13 +30,13 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::state::sheet::Sheet;
-use crate::state::{AccountId, Incarnation, InstanceId, Member, Now, PoolId};
+use crate::state::{AccountId, InstanceId, Member, Now, PoolId};
 
 use account::Account;
 use links::{Inbound, Outbound};
 use names::Names;
 use spread::Spread;
-use tree::Topology;
+use tree::{Topology, depth_of};
 
 pub use bound::{GapTerms, gap_bound};
 
@@ -48,6 +50,10 @@
     pub service_round_ms: u64,
     /// The longest period of the exchange.
     pub longest_round_ms: u64,
+    /// How much earlier a router sends its report than its parent.
+    pub hop_ms: u64,
+    /// The period in which accounts without a backlog are sent.
+    pub idle_round_ms: u64,
     /// How many children a router has in the tree of its data centre.
     pub fan_in: usize,
     /// The bytes that this exchange may send each second.
@@ -70,7 +76,9 @@
         Self {
             service_round_ms: 250,
             longest_round_ms: 2_000,
-            fan_in: 8,
+            hop_ms: 10,
+            idle_round_ms: 2_000,
+            fan_in: 3,
             budget_bytes_per_s: 4_000,
             backlog_timeout_ms: 5_000,
             recovery_ms: 2_000,
@@ -81,10 +89,11 @@
                 largest_cost: 4_000.0,
                 units_per_slot_s: 100.0,
                 exchange_period_ms: 250.0,
+                hop_ms: 10.0,
                 depth: 2.0,
                 message_ms: 5.0,
                 least_share: 1.0,
-                tolerance_requests: 1.0,
+                tolerance_requests: 4.0,
             },
         }
     }
@@ -101,6 +110,9 @@
     pool_slots: IndexMap<PoolId, u32>,
     /// The level that a customer starts at when no other one is backlogged.
     pool_levels: IndexMap<PoolId, f64>,
+    /// Accounts whose figures changed since they were sent.
+    changed: IndexSet<AccountId>,
+    view: Vec<Member>,
     topology: Topology,
     inbound: IndexMap<InstanceId, Inbound>,
     outbound: Outbound,
@@ -118,6 +130,8 @@
             accounts: IndexMap::new(),
             pool_slots: IndexMap::new(),
             pool_levels: IndexMap::new(),
+            changed: IndexSet::new(),
+            view: Vec::new(),
             topology: Topology::default(),
             inbound: IndexMap::new(),
             outbound: Outbound::default(),
@@ -128,9 +142,9 @@
     /// Takes shares, slots and indexes from a sheet that came into force.
     pub fn apply_sheet(&mut self, sheet: &Sheet) {
         let names = Names::of(sheet);
-        for (id, _, _) in names.accounts() {
+        for id in names.accounts() {
             let share = sheet.customers[&id.customer].share;
-            let account = self.accounts.entry(id).or_default();
+            let account = self.accounts.entry(id.clone()).or_default();
             // The level stays as it is when the share changes.
             let level = account.level();
             let changed = account.share != 0 && account.share != share;
@@ -144,12 +158,10 @@
         for endpoint in sheet.endpoints.values() {
             *self.pool_slots.entry(endpoint.pool.clone()).or_default() += endpoint.slots;
         }
-        self.spread.set_names(&names);
         self.names.push_front(names);
         self.names.truncate(KNOWN_SHEETS);
         // Indexes changed, so everything is repeated.
-        self.spread.repeat_all();
-        self.outbound.repeat_all(&self.accounts);
+        self.repeat_all();
     }
 
     /// Charges service; negative units correct an earlier charge.
@@ -159,7 +171,7 @@
         }
         let entry = self.accounts.entry(account.clone()).or_default();
         entry.own += units;
-        self.outbound.changed.insert(account.clone());
+        self.changed.insert(account.clone());
     }
 
     /// Says whether requests of an account wait at this router.
@@ -173,7 +185,7 @@
             self.lift(account, now);
         }
         self.accounts[account].backlogged_here = backlogged;
-        self.outbound.changed.insert(account.clone());
+        self.changed.insert(account.clone());
         if !backlogged && !self.is_backlogged(account, now) {
             self.remember_level(account, now);
         }
@@ -222,7 +234,8 @@
         gap_bound(&GapTerms {
             slots: f64::from(self.pool_slots.get(pool).copied().unwrap_or(0)),
             least_share: f64::from(least_share.unwrap_or(1)),
-            exchange_period_ms: self.spread.period_ms(&self.options),
+            exchange_period_ms: to_f64(self.spread.period_ms(&self.options)),
+            hop_ms: to_f64(self.options.hop_ms),
             depth: self.depth(),
             ..self.options.gap_terms
         })
@@ -276,23 +289,17 @@
             let floor = most.unwrap_or(0.0) - cap;
             for (id, level) in backlogged {
                 if level < floor && self.accounts[&id].lift_to(floor) {
-                    self.outbound.changed.insert(id);
+                    self.changed.insert(id);
                 }
             }
         }
     }
 
-    /// The number of links from a leaf to the root of this data centre.
+    /// The number of links from the deepest leaf to the root of this data centre.
+    #[allow(clippy::cast_precision_loss)]
     fn depth(&self) -> f64 {
-        let mut depth = 0.0;
-        let mut reached = 1;
-        let mut level = 1;
-        while reached < self.topology.size {
-            level *= self.options.fan_in.max(1);
-            reached += level;
-            depth += 1.0;
-        }
-        depth
+        let last = self.topology.size.saturating_sub(1);
+        depth_of(last, self.options.fan_in.max(1)) as f64
     }
 
     fn names_of(&self, sheet_number: u64) -> Option<&Names> {
@@ -300,33 +307,9 @@
             .iter()
             .find(|names| names.sheet_number == sheet_number)
     }
+}
 
-    /// Drops what children reported in an earlier run or while they were children.
-    fn forget_absent_children(&mut self, live: &[Member]) {
-        let gone: Vec<InstanceId> = self
-            .inbound
-            .keys()
-            .filter(|instance| !live.iter().any(|member| member.instance == **instance))
-            .cloned()
-            .collect();
-        for instance in gone {
-            if let Some(link) = self.inbound.swap_remove(&instance) {
-                self.clear_backlog_of(&link);
-            }
-        }
-    }
-
-    fn clear_backlog_of(&mut self, link: &Inbound) {
-        for id in &link.backlogged {
-            if let Some(account) = self.accounts.get_mut(id) {
-                account.backlogged_below = account.backlogged_below.saturating_sub(1);
-                self.outbound.changed.insert(id.clone());
-            }
-        }
-    }
-
-    /// The incarnation of this router.
-    fn incarnation(&self) -> Incarnation {
-        self.me.incarnation
-    }
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(value: u64) -> f64 {
+    value as f64
 }
--- a/crates/curranttrestle/src/coordination/fair_share/names.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/names.rs
@@ -1,48 +1,49 @@
 //! Indexes in place of names, as messages use them.
 
+use indexmap::IndexMap;
+
+use crate::protocol::peer::AccountIndex;
+use crate::state::AccountId;
 use crate::state::sheet::Sheet;
-use crate::state::{AccountId, CustomerId, PoolId};
 
-/// The names of the pools and customers of one sheet, in order.
+/// The accounts of one sheet by index.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Names {
     pub(super) sheet_number: u64,
-    pools: Vec<PoolId>,
-    customers: Vec<CustomerId>,
+    /// Keyed in the order of the indexes.
+    accounts: IndexMap<AccountId, ()>,
 }
 
 impl Names {
     pub(super) fn of(sheet: &Sheet) -> Self {
+        let mut accounts = IndexMap::new();
+        for pool in sheet.pools() {
+            for customer in sheet.customers.keys() {
+                let account = AccountId {
+                    pool: pool.clone(),
+                    customer: customer.clone(),
+                };
+                accounts.insert(account, ());
+            }
+        }
         Self {
             sheet_number: sheet.number,
-            pools: sheet.pools().into_iter().cloned().collect(),
-            customers: sheet.customers.keys().cloned().collect(),
+            accounts,
         }
     }
 
-    pub(super) fn account(&self, pool: u16, customer: u16) -> Option<AccountId> {
-        Some(AccountId {
-            pool: self.pools.get(usize::from(pool))?.clone(),
-            customer: self.customers.get(usize::from(customer))?.clone(),
-        })
+    pub(super) fn account(&self, index: AccountIndex) -> Option<&AccountId> {
+        let place = usize::try_from(index.0).ok()?;
+        self.accounts.get_index(place).map(|(account, ())| account)
+    }
+
+    pub(super) fn index(&self, account: &AccountId) -> Option<AccountIndex> {
+        let place = self.accounts.get_index_of(account)?;
+        u32::try_from(place).ok().map(AccountIndex)
     }
 
-    /// All accounts with their indexes.
-    pub(super) fn accounts(&self) -> impl Iterator<Item = (AccountId, u16, u16)> {
-        self.pools
-            .iter()
-            .zip(0..)
-            .flat_map(move |(pool, pool_index)| {
-                self.customers
-                    .iter()
-                    .zip(0..)
-                    .map(move |(customer, customer_index)| {
-                        let account = AccountId {
-                            pool: pool.clone(),
-                            customer: customer.clone(),
-                        };
-                        (account, pool_index, customer_index)
-                    })
-            })
+    /// All accounts, in the order of the indexes.
+    pub(super) fn accounts(&self) -> impl Iterator<Item = &AccountId> {
+        self.accounts.keys()
     }
 }
--- a/crates/curranttrestle/src/coordination/fair_share/tree.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/tree.rs
@@ -27,6 +27,8 @@
     pub(super) children: Vec<Peer>,
     /// The roots of all other data centres; only a root sends to them.
     pub(super) remote_roots: Vec<Peer>,
+    /// The number of links to the root.
+    pub(super) depth: usize,
     /// How many routers the data centre has.
     pub(super) size: usize,
 }
@@ -39,6 +41,7 @@
     /// weighs more than its children, so that links can't form a cycle even while the
     /// routers see different members.
     pub(super) fn of(view: &MemberView, fan_in: usize) -> Self {
+        let fan_in = fan_in.max(1);
         let home = &view.me.data_centre;
         let order = order(view, home);
         let place = order
@@ -62,11 +65,23 @@
             parent,
             children,
             remote_roots,
+            depth: depth_of(place, fan_in),
             size: order.len(),
         }
     }
 }
 
+/// The number of links from a place to the root.
+pub(super) fn depth_of(place: usize, fan_in: usize) -> usize {
+    let mut depth = 0;
+    let mut above = place;
+    while above > 0 {
+        above = (above - 1) / fan_in;
+        depth += 1;
+    }
+    depth
+}
+
 fn order<'a>(view: &'a MemberView, data_centre: &'a DataCentreId) -> Vec<&'a Member> {
     let key = format!("service-tree/{data_centre}");
     ranked(&key, view.in_data_centre(data_centre))
--- a/crates/curranttrestle/src/coordination/queue/mod.rs
+++ b/crates/curranttrestle/src/coordination/queue/mod.rs
@@ -14,6 +14,7 @@
 
 use indexmap::IndexMap;
 
+use crate::coordination::cost::Charge;
 use crate::protocol::peer::Lease;
 use crate::state::{AccountId, CustomerId, EndpointId, Now, PoolId, RequestId};
 
@@ -32,6 +33,8 @@
     pub cost_limit_ms: u64,
     /// A request is short when its expected cost is at most this multiple of the mean.
     pub short_factor: f64,
+    /// A request is charged at most this multiple of the mean ahead of what it used.
+    pub ahead_factor: f64,
     /// The weight of the newest request in the running mean of a pool.
     pub mean_weight: f64,
 }
@@ -44,6 +47,7 @@
             mean_cost_penalty_ms: 1_000,
             cost_limit_ms: 10_000,
             short_factor: 2.0,
+            ahead_factor: 1.0,
             mean_weight: 0.01,
         }
     }
@@ -211,6 +215,15 @@
         self.mean_costs.get(pool).copied()
     }
 
+    /// The charge of a request that begins to run.
+    #[must_use]
+    pub fn charge(&self, waiting: &Waiting) -> Charge {
+        let mean_cost = self
+            .mean_cost(&waiting.account.pool)
+            .unwrap_or(waiting.expected_cost);
+        Charge::new(waiting.expected_cost, mean_cost * self.options.ahead_factor)
+    }
+
     /// Adds a request.
     ///
     /// # Errors
--- a/crates/curranttrestle/src/coordination/slots/bidding.rs
+++ b/crates/curranttrestle/src/coordination/slots/bidding.rs
@@ -66,8 +66,9 @@
         let mut messages = Vec::new();
         for (pool, pool_owners) in owners {
             let demand = queues.demand(pool, now);
-            let entries = entries(pool, &demand, fair_share);
+            let entries = entries(pool, &demand, queues, fair_share);
             let chosen = self.choose_owners(pool, pool_owners, &demand, now, rng);
+            let entries = split(entries, chosen.len(), self.options.overbidding);
             for owner in chosen {
                 messages.extend(self.bid(owner, pool, &entries, now));
             }
@@ -173,6 +174,19 @@
     }
 }
 
+/// Divides what waits among several owners, rounded up. Together the owners are asked for
+/// `overbidding` times as many slots as are needed.
+fn split(mut entries: Vec<BidEntry>, owners: usize, overbidding: u32) -> Vec<BidEntry> {
+    let owners = u32::try_from(owners.max(1)).unwrap_or(u32::MAX);
+    let part = |count: u32| (count * overbidding).div_ceil(owners).min(count);
+    for entry in &mut entries {
+        entry.waiting = part(entry.waiting);
+        entry.waiting_short = part(entry.waiting_short);
+        entry.waiting_exclusive = part(entry.waiting_exclusive);
+    }
+    entries
+}
+
 fn total(entries: &[BidEntry]) -> u32 {
     entries
         .iter()
@@ -181,7 +195,14 @@
 }
 
 #[allow(clippy::cast_possible_truncation)]
-fn entries(pool: &PoolId, demand: &[Demand], fair_share: &FairShare) -> Vec<BidEntry> {
+fn entries(
+    pool: &PoolId,
+    demand: &[Demand],
+    queues: &Queues,
+    fair_share: &FairShare,
+) -> Vec<BidEntry> {
+    // Level steps count the first charge of a request, which is about the mean at most.
+    let mean_cost = queues.mean_cost(pool).unwrap_or(f64::MAX);
     demand
         .iter()
         .map(|entry| {
@@ -194,7 +215,7 @@
                 waiting: entry.waiting,
                 waiting_short: entry.waiting_short,
                 waiting_exclusive: entry.waiting_exclusive,
-                expected_cost: entry.expected_cost as f32,
+                expected_cost: entry.expected_cost.min(mean_cost) as f32,
                 level: fair_share.level(&account),
             }
         })
--- a/crates/curranttrestle/src/coordination/slots/holder.rs
+++ b/crates/curranttrestle/src/coordination/slots/holder.rs
@@ -204,7 +204,9 @@
     /// Renews the leases held, once a period and owner.
     pub fn renewals(&mut self, now: Now) -> Vec<(InstanceId, PeerMessage)> {
         let mut by_owner: IndexMap<InstanceId, Vec<&Lease>> = IndexMap::new();
-        for slot in self.slots.values().filter(|slot| slot.is_valid(now)) {
+        let running_or_valid =
+            |slot: &&HeldSlot| slot.idle_since_ms.is_none() || slot.is_valid(now);
+        for slot in self.slots.values().filter(running_or_valid) {
             let owner = owner_of(&self.owners, &slot.lease);
             by_owner.entry(owner.clone()).or_default().push(&slot.lease);
         }
@@ -307,7 +309,10 @@
             customer: next.customer.clone(),
         };
         let next_level = next.level.max(fair_share.level(&other));
-        let tolerance = self.options.tolerance_requests * fair_share.level_step(&account, cost);
+        let step = fair_share
+            .level_step(&account, cost)
+            .min(fair_share.level_step(&other, cost));
+        let tolerance = self.options.tolerance_requests * step;
         let is_fair = level <= next_level + tolerance;
         if is_fair || self.options.level_check == LevelCheck::Off || lease.exclusive {
             Decision::Use(account)
@@ -328,6 +333,7 @@
         let waiting = queues.take(account, &usable, now)?;
         slot.idle_since_ms = None;
         Some(Assignment {
+            charge: queues.charge(&waiting),
             waiting,
             lease: slot.lease.clone(),
         })
@@ -368,7 +374,7 @@
 }
 
 /// The least-served customer with a request that may run in the slot: its account, its
-/// level counting what was assigned just now, and the cost of that request.
+/// level counting what was assigned just now, and the first charge of that request.
 fn least_served(
     lease: &Lease,
     queues: &Queues,
@@ -389,7 +395,7 @@
         };
         let level = fair_share.level(&account) + assigned_level(&account, assigned, fair_share);
         if best.as_ref().is_none_or(|(_, known, _)| level < *known) {
-            best = Some((account, level, waiting.expected_cost));
+            best = Some((account, level, queues.charge(waiting).charged()));
         }
     }
     best
@@ -400,7 +406,7 @@
     let cost: f64 = assigned
         .iter()
         .filter(|assignment| assignment.waiting.account == *account)
-        .map(|assignment| assignment.waiting.expected_cost)
+        .map(|assignment| assignment.charge.charged())
         .sum();
     fair_share.level_step(account, cost)
 }
--- a/crates/curranttrestle/src/coordination/slots/mod.rs
+++ b/crates/curranttrestle/src/coordination/slots/mod.rs
@@ -18,6 +18,7 @@
 use crate::protocol::peer::Lease;
 use crate::state::{EndpointId, InstanceId, PoolId};
 
+use super::cost::Charge;
 use super::queue::Waiting;
 
 pub use holder::SlotHolder;
@@ -76,6 +77,8 @@
     pub few_owners: usize,
     /// With more owners, a holder bids at this many, drawn afresh.
     pub drawn_owners: usize,
+    /// How many times the slots that are needed a holder asks for from all owners together.
+    pub overbidding: u32,
     /// A holder bids in other data centres when a request waited for this long.
     pub overflow_wait_ms: u64,
     /// One slot in this many is kept for short requests while some wait; zero for none.
@@ -97,15 +100,16 @@
             lease_margin_ms: 200,
             renewal_ms: 700,
             caution_ms: 1_500,
-            tolerance_requests: 1.0,
+            tolerance_requests: 4.0,
             idle_return_ms: 50,
             bid_refresh_ms: 1_000,
             bid_pause_ms: 20,
-            bid_timeout_ms: 2_500,
+            bid_timeout_ms: 1_200,
             recall_pause_ms: 250,
             next_timeout_ms: 1_500,
             few_owners: 8,
             drawn_owners: 3,
+            overbidding: 2,
             overflow_wait_ms: 300,
             short_slot_ratio: 8,
             orphan_timeout_ms: 10_000,
@@ -156,4 +160,6 @@
     pub waiting: Waiting,
     /// The slot.
     pub lease: Lease,
+    /// Its charge; [`Charge::charged`] is to be charged now.
+    pub charge: Charge,
 }
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -13,7 +13,9 @@
 use crate::state::{Incarnation, InstanceId};
 
 pub use claims::{ClaimAnswer, ClaimRequest};
-pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
+pub use fair_share::{
+    AccountIndex, AccountLift, AccountUnits, ReportId, ServiceFigures, ServiceReport, ServiceTotals,
+};
 pub use slots::{
     Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness,
 };
