--- a/crates/curranttrestle-experiments/src/experiments/fairness.rs
+++ b/crates/curranttrestle-experiments/src/experiments/fairness.rs
@@ -1,6 +1,6 @@
 //! The service gap between customers that are always backlogged, one of which floods.
 
-use curranttrestle::coordination::fair_share::{GapTerms, gap_bound};
+use curranttrestle::coordination::fair_share::{FairShareOptions, GapTerms, gap_bound};
 use curranttrestle::state::settings::Timing;
 
 use super::compare::compare;
@@ -172,6 +172,7 @@
         largest_cost: f64::from(SIZES.greatest),
         units_per_slot_s: 1_000.0 / plan.full_interval_ms(),
         exchange_period_ms: float(Timing::default().service_round_ms),
+        hop_ms: float(FairShareOptions::default().hop_ms),
         depth: 1.0,
         message_ms: MESSAGE_MS,
         least_share: shares.iter().copied().fold(f64::INFINITY, f64::min),
--- a/crates/curranttrestle/src/coordination/queue/mod.rs
+++ b/crates/curranttrestle/src/coordination/queue/mod.rs
@@ -237,6 +237,8 @@
             .filter(|(account, _)| account.pool == *pool)
             .flat_map(|(_, queue)| queue.iter())
             .min_by_key(|waiting| (waiting.arrived_ms, waiting.request))
+    }
+
     /// The charge of a request that begins to run.
     #[must_use]
     pub fn charge(&self, waiting: &Waiting) -> Charge {
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -9,7 +9,9 @@
 use crate::coordination::call_ids::{CallIds, CallOwner};
 use crate::coordination::drain::DrainEffect;
 use crate::coordination::rendezvous;
-use crate::coordination::slots::{LoadReport as SlotReport, OwnedEndpoint, PoolOwners};
+use crate::coordination::slots::{
+    EndpointOwner, LoadReport as SlotReport, OwnedEndpoint, PoolOwners,
+};
 use crate::coordination::store_gate::CallPriority;
 use crate::protocol::endpoint::{LoadReport, Order, OrderAnswer};
 use crate::protocol::peer::{Lend, PeerMessage, Slowness};
@@ -46,7 +48,7 @@
     states: IndexMap<EndpointId, EndpointState>,
     owned: Vec<EndpointId>,
     owners_by_pool: IndexMap<PoolId, PoolOwners>,
-    owners: IndexMap<EndpointId, InstanceId>,
+    owners: IndexMap<EndpointId, EndpointOwner>,
     backlogged: IndexSet<AccountId>,
     slowness_told_ms: u64,
     assigned: bool,
@@ -144,13 +146,17 @@
         let view = self.membership.view();
         let mut owned = Vec::new();
         let mut by_pool: IndexMap<PoolId, PoolOwners> = IndexMap::new();
-        let mut by_endpoint: IndexMap<EndpointId, InstanceId> = IndexMap::new();
+        let mut by_endpoint: IndexMap<EndpointId, EndpointOwner> = IndexMap::new();
         for (id, row) in &self.sheet.endpoints {
             let members = view.in_data_centre(&row.data_centre);
             let Some(best) = rendezvous::best(id.as_str(), members) else {
                 continue;
             };
-            by_endpoint.insert(id.clone(), best.instance.clone());
+            let slot_owner = EndpointOwner {
+                instance: best.instance.clone(),
+                incarnation: best.incarnation,
+            };
+            by_endpoint.insert(id.clone(), slot_owner);
             let lists = by_pool.entry(row.pool.clone()).or_default();
             let list = if row.data_centre == self.me.data_centre {
                 &mut lists.local
@@ -207,7 +213,14 @@
             let lease = &assignment.lease;
             let usable = self.drain.is_usable(&lease.endpoint)
                 && !self.endpoints.is_avoided(&lease.endpoint, now);
-            let dispatched = usable && self.dispatch(request, &lease.endpoint, Some(lease), now);
+            let dispatched = usable
+                && self.dispatch(
+                    request,
+                    &lease.endpoint,
+                    Some(lease),
+                    assignment.charge,
+                    now,
+                );
             if !dispatched {
                 self.holder.release(&lease.id, now);
                 if !usable {
@@ -237,8 +250,9 @@
                 let Some(endpoint) = self.naive.choose(&self.sheet, &pool, routers, usable) else {
                     break;
                 };
+                let charge = self.queues.charge(oldest);
                 self.queues.remove(&request);
-                if !self.dispatch(request, &endpoint, None, now) {
+                if !self.dispatch(request, &endpoint, None, charge, now) {
                     self.naive.release(&endpoint);
                 }
             }
@@ -494,7 +508,7 @@
             endpoint: endpoint.clone(),
             window: window as f32,
         });
-        self.send(&owner, message, now);
+        self.send(&owner.instance, message, now);
     }
 
     pub(super) fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
--- a/crates/curranttrestle/src/coordination/router/peers.rs
+++ b/crates/curranttrestle/src/coordination/router/peers.rs
@@ -42,7 +42,11 @@
                 let effects = self.membership.receive_ping_request(from, &request, now);
                 self.run_membership_effects(effects, now);
             }
-            PeerMessage::Bid(bid) => self.owner.receive_bid(from, &bid, now),
+            PeerMessage::Bid(bid) => {
+                let messages = self.owner.receive_bid(from, &bid, now);
+                self.send_all(messages, now);
+            }
+            PeerMessage::Void(void) => self.holder.receive_void(from, &void, now),
             PeerMessage::Return(slots) => self.owner.receive_return(from, &slots, now),
             PeerMessage::Renewal(renewal) => {
                 let messages = self.owner.receive_renewal(from, &renewal, now);
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -140,6 +140,7 @@
         request: RequestId,
         endpoint: &EndpointId,
         lease: Option<&Lease>,
+        charge: Charge,
         now: Now,
     ) -> bool {
         let Some(address) = self.sheet.endpoints.get(endpoint).map(|row| row.address) else {
@@ -173,8 +174,7 @@
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
         let hedge = active.running.len() > 1;
-        let mut charge = Charge::default();
-        let charged_units = charge.begin(active.expected_units);
+        let charged_units = charge.charged();
         let account = active.account.clone();
         let kind = active.kind;
         let exclusive = lease.is_some_and(|lease| lease.exclusive);
--- a/crates/curranttrestle/src/protocol/peer/mod.rs
+++ b/crates/curranttrestle/src/protocol/peer/mod.rs
@@ -20,14 +20,12 @@
 pub use claims::{ClaimAnswer, ClaimRequest, ClaimResult, StoredAnswer, StoredBody};
 pub use config::{ConfigNumbers, ConfigRequest, ConfigUpdate, MarksUpdate, SheetUpdate};
 pub use drain::{EndpointNotice, EndpointNotices, Listed};
-pub use fair_share::{AccountEntry, ServiceReport, ServiceTotals};
-pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
-pub use quarantine::{EndpointDeath, Suspicion, Suspicions};
-pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
-pub use claims::{ClaimAnswer, ClaimRequest};
 pub use fair_share::{
     AccountIndex, AccountLift, AccountUnits, ReportId, ServiceFigures, ServiceReport, ServiceTotals,
 };
+pub use membership::{Ack, MemberNews, MemberStatus, Ping, PingRequest};
+pub use quarantine::{EndpointDeath, Suspicion, Suspicions};
+pub use seal::{FleetKey, SealError, SealedEnvelope, TAG_BYTES};
 pub use slots::{
     Bid, BidEntry, Lease, LeaseId, Lend, NextBid, Recall, Renewal, Renewed, Return, Slowness, Void,
 };
@@ -103,6 +101,7 @@
             Self::Return(_) => "return",
             Self::Recall(_) => "recall",
             Self::Renewal(_) => "renewal",
+            Self::Void(_) => "void",
             Self::Renewed(_) => "renewed",
             Self::Slowness(_) => "slowness",
             Self::ServiceReport(_) => "service-report",
