Wait longer for marks to spread and retry claims sooner

A stop waits 5 s for its mark to reach every router, and a claim object is tried again after at most 0.5 s, since the store gate paces calls anyway.

--- a/crates/curranttrestle/src/coordination/claims/options.rs
+++ b/crates/curranttrestle/src/coordination/claims/options.rs
@@ -50,7 +50,7 @@
             writer_wait_ms: 100,
             call_timeout_ms: 2_000,
             retry_delay_ms: 50,
-            max_retry_delay_ms: 2_000,
+            max_retry_delay_ms: 500,
             max_body_bytes: 4_096,
             max_object_bytes: 900_000,
             max_pending_per_object: 4_096,
--- a/crates/curranttrestle/src/coordination/drain/options.rs
+++ b/crates/curranttrestle/src/coordination/drain/options.rs
@@ -34,7 +34,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 2_500,
-            spread_ms: 2_500,
+            spread_ms: 5_000,
             clock_margin_ms: 1_000,
             report_spacing_ms: 500,
             empty_reports: 2,
--- a/crates/curranttrestle/tests/drain_support/mod.rs
+++ b/crates/curranttrestle/tests/drain_support/mod.rs
@@ -87,6 +87,8 @@
 enum Event {
     Step,
     Marked(usize),
+    /// A router loses its memory; what it dispatched goes on at the endpoint.
+    Restarted(usize),
     Message(usize, InstanceId, EndpointNotices),
     Arrived(usize, AttemptId),
     Ended(usize, AttemptId),
@@ -108,6 +110,8 @@
     now_ms: u64,
     events: Schedule<Event>,
     drains: Vec<Drain>,
+    /// A restarted router takes no requests before it knows the marks.
+    is_ready: Vec<bool>,
     owner: usize,
     running: Vec<AttemptId>,
     /// What ran at each step, from which lagging reports are taken.
@@ -123,6 +127,7 @@
         rule,
         reports_lie,
         now_ms: 0,
+        is_ready: vec![true; ROUTERS],
         events: Schedule::new(),
         drains: (0..ROUTERS)
             .map(|router| Drain::new(&router_name(router), options()))
@@ -140,6 +145,11 @@
             .events
             .push(MARK_MS + spread_ms, Event::Marked(router));
     }
+    if !reports_lie {
+        let restart_ms = MARK_MS + world.rng.random_range(0..20_000);
+        let owner = world.owner;
+        world.events.push(restart_ms, Event::Restarted(owner));
+    }
     world.events.push(0, Event::Step);
     while let Some((at_ms, event)) = world.events.pop(END_MS) {
         world.now_ms = at_ms;
@@ -157,10 +167,18 @@
         match event {
             Event::Step => self.step(now),
             Event::Marked(router) => {
+                self.is_ready[router] = true;
                 let marks = marks(Some(RUN), Mark::Stop);
                 let effects = self.drains[router].apply_marks(&marks, Version(70), now);
                 self.perform(router, effects);
             }
+            Event::Restarted(router) => {
+                self.is_ready[router] = false;
+                self.drains[router] = Drain::new(&router_name(router), options());
+                self.drains[router].apply_sheet(&sheet(), now);
+                let marked_ms = self.now_ms + self.rng.random_range(1..500);
+                self.events.push(marked_ms, Event::Marked(router));
+            }
             Event::Message(router, from, notices) => {
                 let effects = self.drains[router].receive_notices(&from, &notices, now);
                 self.perform(router, effects);
@@ -212,7 +230,7 @@
     /// Every 50 ms: dispatches, ticks and a load report.
     fn step(&mut self, now: Now) {
         for router in 0..ROUTERS {
-            let is_usable = self.drains[router].is_usable(&endpoint());
+            let is_usable = self.is_ready[router] && self.drains[router].is_usable(&endpoint());
             if is_usable && self.rng.random_bool(0.05) {
                 let attempt = AttemptId {
                     instance: router_name(router),
