Give up store calls without an answer in the store gate

A call that tries the store after an outage and is never answered would have blocked all others for good. It counts as failed after ten seconds.

--- a/crates/curranttrestle/src/coordination/store_gate.rs
+++ b/crates/curranttrestle/src/coordination/store_gate.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
 use crate::protocol::platform::{CallId, StoreAnswer, StoreCall};
@@ -53,6 +53,8 @@
     pub first_pause_ms: u64,
     /// The longest mean pause.
     pub max_pause_ms: u64,
+    /// After this time without an answer a call counts as failed, waiting watches excepted.
+    pub call_timeout_ms: u64,
 }
 
 impl Default for StoreGateOptions {
@@ -64,6 +66,7 @@
             max_in_flight: 32,
             first_pause_ms: 100,
             max_pause_ms: 2_000,
+            call_timeout_ms: 10_000,
         }
     }
 }
@@ -101,7 +104,8 @@
 pub struct StoreGate {
     options: StoreGateOptions,
     queues: [VecDeque<(CallId, StoreCall)>; CallPriority::COUNT],
-    in_flight: IndexSet<CallId>,
+    /// When each call was made, on the steady clock.
+    in_flight: IndexMap<CallId, u64>,
     watches: IndexSet<CallId>,
     health: Health,
     failures: u32,
@@ -118,7 +122,7 @@
             milli_tokens: options.burst * MILLI,
             options,
             queues: Default::default(),
-            in_flight: IndexSet::new(),
+            in_flight: IndexMap::new(),
             watches: IndexSet::new(),
             health: Health::Up,
             failures: 0,
@@ -150,6 +154,7 @@
     /// The calls to make now.
     pub fn poll(&mut self, now: Now, rng: &mut impl Rng) -> Vec<(CallId, StoreCall)> {
         self.refill(now);
+        self.give_up_late_calls(now, rng);
         let mut calls = Vec::new();
         while self.is_open(now) {
             let Some((call, request)) = self.pop() else {
@@ -161,7 +166,7 @@
             if is_watch {
                 self.watches.insert(call);
             } else {
-                self.in_flight.insert(call);
+                self.in_flight.insert(call, now.steady_ms);
             }
             if let Health::Paused { .. } = self.health {
                 // A watch may wait for long, so that other calls must not wait for its answer.
@@ -178,7 +183,7 @@
 
     /// Takes note of an answer. Pass each answer, also one that is made up for a timeout.
     pub fn answered(&mut self, call: CallId, answer: &StoreAnswer, now: Now, rng: &mut impl Rng) {
-        let was_in_flight = self.in_flight.shift_remove(&call);
+        let was_in_flight = self.in_flight.shift_remove(&call).is_some();
         let was_watch = self.watches.shift_remove(&call);
         if !was_in_flight && !was_watch {
             return;
@@ -202,14 +207,16 @@
         if self.queues.iter().all(VecDeque::is_empty) {
             return None;
         }
+        let oldest_ms = self.in_flight.values().min().copied();
+        let timeout_ms = oldest_ms.map(|sent_ms| sent_ms + self.options.call_timeout_ms);
         if self.in_flight.len() >= self.options.max_in_flight {
-            return None;
+            return timeout_ms;
         }
         let token_ms = self.next_token_ms(now);
         match self.health {
             Health::Up => Some(token_ms),
             Health::Paused { until_ms } => Some(until_ms.max(token_ms)),
-            Health::Probing { .. } => None,
+            Health::Probing { .. } => timeout_ms,
         }
     }
 
@@ -251,6 +258,21 @@
         has_room && is_healthy && self.milli_tokens >= MILLI
     }
 
+    /// Counts calls without an answer as failed, so that a lost one can't block the others.
+    fn give_up_late_calls(&mut self, now: Now, rng: &mut impl Rng) {
+        let timeout_ms = self.options.call_timeout_ms;
+        let late: Vec<CallId> = self
+            .in_flight
+            .iter()
+            .filter(|(_, sent_ms)| now.since_ms(**sent_ms) >= timeout_ms)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in late {
+            self.in_flight.shift_remove(&call);
+            self.fail(call, now, rng);
+        }
+    }
+
     fn fail(&mut self, call: CallId, now: Now, rng: &mut impl Rng) {
         let is_probe = matches!(self.health, Health::Probing { call: probe } if probe == call);
         // Calls that were made before the pause tell nothing new.
--- a/crates/curranttrestle/tests/store_gate.rs
+++ b/crates/curranttrestle/tests/store_gate.rs
@@ -207,6 +207,32 @@
         .unwrap();
 }
 
+#[test]
+fn a_call_that_is_never_answered_does_not_block_the_others() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut gate = StoreGate::new(StoreGateOptions::default());
+    let mut submit = |gate: &mut StoreGate, number, now_ms| {
+        let call = CallId(number);
+        gate.submit(call, read(number), CallPriority::Claims, at(now_ms))
+            .unwrap();
+        gate.poll(at(now_ms), &mut rng).len()
+    };
+    assert_eq!(submit(&mut gate, 1, 0), 1);
+    gate.answered(
+        CallId(1),
+        &StoreAnswer::Unavailable,
+        at(1),
+        &mut ChaCha8Rng::seed_from_u64(7),
+    );
+    // The second call tries the store and gets no answer.
+    assert_eq!(submit(&mut gate, 2, 1_000), 1);
+    assert_eq!(submit(&mut gate, 3, 1_100), 0);
+    let wake_ms = gate.next_wake_ms(at(1_100)).unwrap();
+    assert_eq!(wake_ms, 11_000);
+    assert_eq!(submit(&mut gate, 4, wake_ms), 0);
+    assert_eq!(submit(&mut gate, 5, wake_ms + 500), 1);
+}
+
 #[test]
 fn extra_attempts_stay_below_the_ratio_in_each_window() {
     let steps = prop::collection::vec((any::<bool>(), 0..300_u64), 1..400);
