--- a/crates/curranttrestle-experiments/src/experiments/control_traffic.rs
+++ b/crates/curranttrestle-experiments/src/experiments/control_traffic.rs
@@ -103,13 +103,13 @@
         to: Reading::take(&fleet),
     };
     let begin = Reading::take(&fleet);
-    let seen = run_load(&fleet, &workload, options.duration_ms);
+    let observed = run_load(&fleet, &workload, options.duration_ms);
     let loaded = Span {
         from: begin,
         to: Reading::take(&fleet),
     };
     fleet.stop();
-    let requests = seen?.samples.len() as u64;
+    let requests = observed?.samples.len() as u64;
     let mut report = Report::new("control-traffic", seed);
     report.tables = vec![
         totals(&quiet, &loaded, requests),
--- a/crates/curranttrestle-experiments/src/experiments/slow_tail.rs
+++ b/crates/curranttrestle-experiments/src/experiments/slow_tail.rs
@@ -9,7 +9,7 @@
 use super::compare::observe;
 use super::measures::{latencies_ms, percentile_cells, received_tokens};
 use super::short_behind_long::quantiles;
-use crate::fleet::FleetPlan;
+use crate::fleet::{FleetPlan, TruthSample};
 use crate::load::{
     ArrivalPlan, Class, Disturbance, Observations, RatePoint, Sizes, Workload, open_loop,
 };
@@ -55,10 +55,10 @@
     let mut extra = Vec::new();
     let mut series = Vec::new();
     for (name, policy, workload) in runs {
-        let seen = observe(&plan, policy, workload, duration_ms)?;
-        let latencies = latencies_ms(&seen, workload, duration_ms);
+        let observed = observe(&plan, policy, workload, duration_ms)?;
+        let latencies = latencies_ms(&observed, workload, duration_ms);
         let [median, high, highest] = percentile_cells(&latencies);
-        let extra_work = extra_work(&seen);
+        let extra_work = extra_work(&observed);
         table.push([
             name.to_owned(),
             median,
@@ -87,7 +87,7 @@
 
 /// The part of the engines' tokens that no caller received.
 fn extra_work(seen: &Observations) -> f64 {
-    let made = seen.truth.last().map_or(0, |last| last.total_tokens());
+    let made = seen.truth.last().map_or(0, TruthSample::total_tokens);
     let received = received_tokens(seen, Class::Short);
     ratio(float(made) - received, float(made)).max(0.0)
 }
--- a/crates/curranttrestle-experiments/src/experiments/utilisation.rs
+++ b/crates/curranttrestle-experiments/src/experiments/utilisation.rs
@@ -3,7 +3,7 @@
 use super::compare::compare;
 use super::crest::busy_series;
 use super::measures::busy_fraction;
-use crate::fleet::FleetPlan;
+use crate::fleet::{FleetPlan, TruthSample};
 use crate::load::{ArrivalPlan, RatePoint, Sizes, Workload, open_loop};
 use crate::report::{Check, Plot, Report, Table};
 use crate::statistics::float;
@@ -38,7 +38,7 @@
     let mut series = Vec::new();
     for (policy, seen) in compared.each() {
         let (fraction, moments) = busy_fraction(seen, plan.slot_count());
-        let tokens = seen.truth.last().map_or(0, |last| last.total_tokens());
+        let tokens = seen.truth.last().map_or(0, TruthSample::total_tokens);
         table.push([
             policy.to_owned(),
             format!("{fraction:.3}"),
--- a/crates/curranttrestle-experiments/src/fleet/mod.rs
+++ b/crates/curranttrestle-experiments/src/fleet/mod.rs
@@ -15,8 +15,8 @@
 use crate::Result;
 use routers::Routers;
 
-pub use metrics::{Metrics, read_metrics};
-pub use plan::{CustomerPlan, FleetPlan};
+pub use metrics::Metrics;
+pub use plan::FleetPlan;
 pub use sheet::{OPERATION, key_of};
 pub use truth::{Sampler, TruthSample};
 
--- a/crates/curranttrestle-experiments/src/load/mod.rs
+++ b/crates/curranttrestle-experiments/src/load/mod.rs
@@ -8,4 +8,4 @@
 pub use arrivals::{ArrivalPlan, RatePoint, open_loop};
 pub use client::exchange;
 pub use runner::{Observations, Outstanding, run_load};
-pub use workload::{Arrival, Caller, Class, Disturbance, Sample, Sizes, Workload};
+pub use workload::{Caller, Class, Disturbance, Sample, Sizes, Workload};
--- a/crates/curranttrestle-experiments/src/load/runner.rs
+++ b/crates/curranttrestle-experiments/src/load/runner.rs
@@ -90,9 +90,9 @@
     let truth = sampler.finish();
     // Dropping the executor drops the callers, which record what they saw so far.
     drop(executor);
-    let mut samples = load.samples.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut recorded = load.samples.lock().unwrap_or_else(PoisonError::into_inner);
     Ok(Observations {
-        samples: std::mem::take(&mut samples),
+        samples: std::mem::take(&mut recorded),
         truth,
     })
 }
--- a/crates/curranttrestle-experiments/src/slopes/mod.rs
+++ b/crates/curranttrestle-experiments/src/slopes/mod.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod demand;
 mod endpoints;
+mod events;
 mod grid;
 mod memory;
 mod node;
--- a/crates/curranttrestle-experiments/src/slopes/node.rs
+++ b/crates/curranttrestle-experiments/src/slopes/node.rs
@@ -101,6 +101,17 @@
         self.router.status(now).members.len()
     }
 
+    /// How many other members it believes to be alive.
+    pub fn alive_members(&self, now: Now) -> usize {
+        let members = self.router.status(now).members;
+        members.iter().filter(|line| line.status == "alive").count()
+    }
+
+    /// The number of the sheet in force.
+    pub fn sheet_number(&self, now: Now) -> u64 {
+        self.router.status(now).sheet_number
+    }
+
     /// Invariants that did not hold.
     pub fn violations(&self) -> u64 {
         self.router
--- a/crates/curranttrestle-experiments/src/slopes/store.rs
+++ b/crates/curranttrestle-experiments/src/slopes/store.rs
@@ -6,6 +6,8 @@
 /// The objects of the store.
 #[derive(Debug, Default)]
 pub struct Store {
+    /// Whether no call is served.
+    pub is_down: bool,
     objects: IndexMap<String, Object>,
     version: u64,
 }
@@ -14,12 +16,23 @@
     /// A store that holds one object.
     pub fn with(name: &str, value: String) -> Self {
         let mut store = Self::default();
-        store.update(name, Expected::Absent, value);
+        store.replace(name, value);
         store
     }
 
+    /// Replaces an object, whatever its version.
+    pub fn replace(&mut self, name: &str, value: String) {
+        self.version += 1;
+        let version = Version(self.version);
+        self.objects
+            .insert(name.to_owned(), Object { version, value });
+    }
+
     /// The answer to a call; none when a watch has to wait.
     pub fn answer(&mut self, call: StoreCall) -> Option<StoreAnswer> {
+        if self.is_down {
+            return Some(StoreAnswer::Unavailable);
+        }
         Some(match call {
             StoreCall::Read { name } => match self.objects.get(&name) {
                 Some(object) => StoreAnswer::Found(object.clone()),
@@ -60,10 +73,7 @@
         if present != expected {
             return StoreAnswer::Conflict;
         }
-        self.version += 1;
-        let version = Version(self.version);
-        self.objects
-            .insert(name.to_owned(), Object { version, value });
-        StoreAnswer::Updated(version)
+        self.replace(name, value);
+        StoreAnswer::Updated(Version(self.version))
     }
 }
