Keep the caller's deadline before the first byte and while sending

With frozen engines a request with a deadline of 1 s was answered after 5.0 s: the wait for an attempt's first part had only the transport's own timeout. Sending to a slow caller and resuming at a frozen engine were not bounded by the deadline either. All of these now end at the deadline, with outcome unknown, and the slot is free. The queue was ruled out: there the control thread refused in time (tests/answers.rs, a_deadline_is_kept_while_a_request_waits).

A resumption that an engine does not answer is given up after 2 s instead of 5 s.

--- a/crates/curranttrestled/src/front/attempts.rs
+++ b/crates/curranttrestled/src/front/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use curranttrestle::coordination::router::{AttemptResult, Decision, Dispatch, Input};
@@ -43,6 +44,8 @@
 
 /// What happens next while attempts are opened.
 enum Next {
+    /// The caller's deadline passed.
+    Expired,
     Decision(Option<Decision>),
     Opening(Dispatch, Result<Opened, AttemptError>),
 }
@@ -77,6 +80,7 @@
         let mut open: Vec<Dispatch> = Vec::new();
         loop {
             match self.next(&mut openings).await {
+                Next::Expired => return self.expire(&open).await,
                 Next::Decision(None) => return First::Refused(control_ended()),
                 Next::Decision(Some(Decision::Refuse(refusal))) => return First::Refused(refusal),
                 Next::Decision(Some(Decision::Replay(answer))) => return First::Replayed(answer),
@@ -107,8 +111,31 @@
             .await;
     }
 
+    /// Gives up attempts that have not begun to answer before the caller's deadline.
+    async fn expire(&self, open: &[Dispatch]) -> First {
+        for dispatch in open {
+            let result = AttemptResult::CallerGone { units: 0.0 };
+            self.report(dispatch, result).await;
+        }
+        let detail = "the deadline passed before the answer began";
+        First::Refused(Refusal::unknown(RefusalReason::DeadlinePassed, detail))
+    }
+
+    /// Ends when the caller stops waiting. A call to a plain service goes on, because its
+    /// answer is recorded for repeats.
+    async fn deadline(&self) -> Next {
+        if self.prompt.is_none() {
+            return std::future::pending().await;
+        }
+        let now_ms = self.shared.clock.now().steady_ms;
+        let left_ms = self.caller.new.deadline_ms.saturating_sub(now_ms);
+        smol::Timer::after(Duration::from_millis(left_ms)).await;
+        Next::Expired
+    }
+
     async fn next(&self, openings: &mut FuturesUnordered<Opening>) -> Next {
         let decision = async { Next::Decision(self.decisions.recv().await.ok()) };
+        // While nothing runs, the control thread watches the deadline.
         if openings.is_empty() {
             return decision.await;
         }
@@ -118,7 +145,7 @@
                 None => std::future::pending().await,
             }
         };
-        opening.or(decision).await
+        opening.or(decision).or(self.deadline()).await
     }
 
     /// Ends attempts that lost against a faster one.
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -25,6 +25,8 @@
 const RESUME_ATTEMPTS: u32 = 2;
 /// Time between two such attempts.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
+/// How long an engine may take to resume a stream before another one is tried.
+const RESUME_TIMEOUT_MS: u64 = 2_000;
 
 /// What the front answers with: a body to send, or a refusal.
 pub type Head = Result<BodyReader, Refusal>;
@@ -42,6 +44,26 @@
     last_progress: Now,
 }
 
+/// One attempt whose parts are passed on.
+struct Passing {
+    replay: Replay,
+    stream: FrameStream,
+    /// The tokens that the attempt has made so far.
+    tokens: u64,
+}
+
+/// Why no more parts of an attempt are passed on.
+enum PartsEnd {
+    /// All of them were.
+    Whole,
+    /// The caller went away.
+    CallerGone,
+    /// The attempt does not begin with the bytes already passed on.
+    Differs,
+    /// The attempt broke off.
+    Lost(AttemptError),
+}
+
 /// How the passing on of one attempt ended.
 enum Passed {
     /// The whole answer was passed on.
@@ -100,51 +122,77 @@
         if head_open {
             let _ = heads.send(Err(refusal)).await;
         } else {
-            let _ = self.chunks.send(sse::error(&refusal)).await;
+            self.send_last(sse::error(&refusal)).await;
         }
     }
 
+    /// Sends the last event. A caller that does not read is not waited for without end: the
+    /// server closes its connection.
+    async fn send_last(&self, event: Vec<u8>) {
+        let _ = self.chunks.send(event).await;
+    }
+
+    /// Passes on one attempt, at most until the caller's deadline.
     async fn pass_on(
         &mut self,
         dispatch: &Dispatch,
-        mut stream: FrameStream,
+        stream: FrameStream,
         first: Option<Chunk>,
     ) -> Passed {
-        let mut replay = Replay::new(self.sent_bytes);
+        let shared = self.shared.clone();
+        let deadline_ms = self.caller.new.deadline_ms;
+        let mut passing = Passing {
+            replay: Replay::new(self.sent_bytes),
+            stream,
+            tokens: 0,
+        };
+        let parts = self.pass_parts(dispatch, &mut passing, first);
+        let end = until(&shared, deadline_ms, parts).await;
+        match end {
+            None => self.expired(dispatch, &passing).await,
+            Some(PartsEnd::Whole) => self.finish(dispatch, &passing.stream).await,
+            Some(PartsEnd::CallerGone) => self.caller_gone(dispatch, passing.tokens).await,
+            Some(PartsEnd::Differs) => self.differs(dispatch, passing.tokens).await,
+            Some(PartsEnd::Lost(error)) => self.lost(dispatch, &passing, &error).await,
+        }
+    }
+
+    /// Passes on the parts of one attempt until it ends.
+    async fn pass_parts(
+        &mut self,
+        dispatch: &Dispatch,
+        passing: &mut Passing,
+        first: Option<Chunk>,
+    ) -> PartsEnd {
         // The control thread learns of the first part at once.
         self.last_progress = Now::default();
-        let mut tokens = 0;
         let mut next = first;
         let mut resumes = 0;
-        if self.send_start(dispatch, &stream).await.is_err() {
-            return self.caller_gone(dispatch, tokens).await;
+        if self.send_start(dispatch, &passing.stream).await.is_err() {
+            return PartsEnd::CallerGone;
         }
         loop {
             if let Some(chunk) = next.take() {
-                tokens = chunk.tokens_total;
-                let Some(text) = replay.take_new(&chunk, &self.sent_digest) else {
-                    return self.differs(dispatch, tokens).await;
+                passing.tokens = chunk.tokens_total;
+                let Some(text) = passing.replay.take_new(&chunk, &self.sent_digest) else {
+                    return PartsEnd::Differs;
                 };
                 if !text.is_empty() && self.send_part(text).await.is_err() {
-                    return self.caller_gone(dispatch, tokens).await;
+                    return PartsEnd::CallerGone;
                 }
-                self.report_progress(dispatch, tokens).await;
+                self.report_progress(dispatch, passing.tokens).await;
             }
-            let deadline_ms = self.caller.new.deadline_ms;
-            let Some(received) = until(&self.shared, deadline_ms, stream.next()).await else {
-                return self.expired(dispatch, &stream, tokens).await;
-            };
-            match received {
+            match passing.stream.next().await {
                 Ok(Some(chunk)) => next = Some(chunk),
-                Ok(None) => return self.finish(dispatch, &stream).await,
+                Ok(None) => return PartsEnd::Whole,
                 Err(error) if resumes < RESUME_ATTEMPTS => {
                     resumes += 1;
-                    match self.resume(dispatch, &stream).await {
-                        Ok(new_stream) => stream = new_stream,
-                        Err(_) => return self.lost(dispatch, &stream, &error, tokens).await,
+                    match self.resume(dispatch, &passing.stream).await {
+                        Some(new_stream) => passing.stream = new_stream,
+                        None => return PartsEnd::Lost(error),
                     }
                 }
-                Err(error) => return self.lost(dispatch, &stream, &error, tokens).await,
+                Err(error) => return PartsEnd::Lost(error),
             }
         }
     }
@@ -187,21 +235,17 @@
             .await;
     }
 
-    async fn resume(
-        &self,
-        dispatch: &Dispatch,
-        stream: &FrameStream,
-    ) -> Result<FrameStream, AttemptError> {
+    /// Opens the stream anew where it broke off; none when its engine does not answer.
+    async fn resume(&self, dispatch: &Dispatch, stream: &FrameStream) -> Option<FrameStream> {
         smol::Timer::after(RESUME_PAUSE).await;
-        self.shared
-            .endpoints
-            .resume_stream(
-                dispatch.address,
-                stream.stream(),
-                &dispatch.attempt,
-                stream.offset(),
-            )
-            .await
+        let resuming = self.shared.endpoints.resume_stream(
+            dispatch.address,
+            stream.stream(),
+            &dispatch.attempt,
+            stream.offset(),
+        );
+        let give_up_ms = self.shared.clock.now().steady_ms + RESUME_TIMEOUT_MS;
+        until(&self.shared, give_up_ms, resuming).await?.ok()
     }
 
     async fn finish(&self, dispatch: &Dispatch, stream: &FrameStream) -> Passed {
@@ -210,18 +254,13 @@
             stored: None,
         };
         self.attempts.report(dispatch, result).await;
-        let _ = self.chunks.send(sse::done(self.sent_bytes)).await;
+        self.send_last(sse::done(self.sent_bytes)).await;
         Passed::Whole
     }
 
-    async fn lost(
-        &self,
-        dispatch: &Dispatch,
-        stream: &FrameStream,
-        error: &AttemptError,
-        tokens: u64,
-    ) -> Passed {
-        let result = failed(error, units(tokens), Some(stream.incarnation()));
+    async fn lost(&self, dispatch: &Dispatch, passing: &Passing, error: &AttemptError) -> Passed {
+        let incarnation = passing.stream.incarnation();
+        let result = failed(error, units(passing.tokens), Some(incarnation));
         self.attempts.report(dispatch, result).await;
         Passed::Lost
     }
@@ -235,18 +274,21 @@
     }
 
     /// Ends an answer whose caller's deadline has passed.
-    async fn expired(&self, dispatch: &Dispatch, stream: &FrameStream, tokens: u64) -> Passed {
-        let endpoints = &self.shared.endpoints;
-        let _ = endpoints
-            .cancel_stream(dispatch.address, stream.stream())
-            .await;
+    async fn expired(&self, dispatch: &Dispatch, passing: &Passing) -> Passed {
         let result = AttemptResult::CallerGone {
-            units: units(tokens),
+            units: units(passing.tokens),
         };
         self.attempts.report(dispatch, result).await;
+        let shared = self.shared.clone();
+        let address = dispatch.address;
+        let stream = passing.stream.stream().clone();
+        smol::spawn(async move {
+            let _ = shared.endpoints.cancel_stream(address, &stream).await;
+        })
+        .detach();
         let detail = "the deadline passed while the answer was streamed";
         let refusal = Refusal::unknown(RefusalReason::DeadlinePassed, detail);
-        let _ = self.chunks.send(sse::error(&refusal)).await;
+        self.send_last(sse::error(&refusal)).await;
         Passed::Ended
     }
 
@@ -258,7 +300,7 @@
         self.attempts.report(dispatch, result).await;
         let detail = "the answer broke off and a second attempt gave another one";
         let refusal = Refusal::unknown(RefusalReason::AttemptLost, detail);
-        let _ = self.chunks.send(sse::error(&refusal)).await;
+        self.send_last(sse::error(&refusal)).await;
         Passed::Ended
     }
 }
--- a/crates/curranttrestled/tests/support/mod.rs
+++ b/crates/curranttrestled/tests/support/mod.rs
@@ -6,3 +6,4 @@
 pub mod fleet;
 pub mod load;
 pub mod process;
+pub mod raw;
