Look again at a request before it runs, and run one untried copy at a time

Twenty copies of a crashing prompt sent to one router at once cost 10 of 9 engines (with restarts): copies that already waited were dispatched as free although the first had crashed an endpoint, and all copies ran before the first verdict. The admission is now checked again when a slot is there, and of a request that never finished one copy runs at a time at a router until its answer begins. The gossip of suspicions was ruled out: with one caller that repeats through all routers there were 2 crashes before.

Left open: copies sent at the same moment through several routers still cost one engine for each router, and news of a death is lost when its router is killed in the same instant.

A connection that an endpoint refused no longer takes from the retry budget. Innocent requests were refused and cut (2 not-run, 2 unknown of 131) when several engines were away, because attempts that reached nothing had used the budget up.

--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -163,6 +163,12 @@
             })
     }
 
+    /// Whether a request is known to have finished here.
+    #[must_use]
+    pub fn has_finished(&self, digest: &RequestDigest) -> bool {
+        self.finished.contains_key(digest)
+    }
+
     /// An endpoint died while requests of this router ran on it; `alone` when it ran nothing
     /// but the one given. Call [`Self::tick`] next, so that other routers hear of it before
     /// the caller can send its request again.
--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -103,6 +103,11 @@
             .collect()
     }
 
+    /// The digest of a request.
+    pub fn digest_of(&self, request: &RequestId) -> Option<&[u8; 16]> {
+        self.requests.get(request).map(|active| &active.new.digest)
+    }
+
     /// Removes an attempt and takes it off its request.
     pub fn remove_attempt(&mut self, attempt: &AttemptId) -> Option<RunningAttempt> {
         let running = self.attempts.swap_remove(attempt)?;
--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -199,6 +199,7 @@
             self.match_naively(now);
             return;
         }
+        self.release_held(now);
         let messages = self.owner.decide(&self.fair, now);
         self.send_all(messages, now);
         let assignments = self.holder.assign(&mut self.queues, &self.fair, now);
@@ -207,6 +208,10 @@
             let lease = &assignment.lease;
             let usable = self.drain.is_usable(&lease.endpoint)
                 && !self.endpoints.is_avoided(&lease.endpoint, now);
+            if usable && !self.screen(request, lease, now) {
+                self.holder.release(&lease.id, now);
+                continue;
+            }
             let dispatched = usable && self.dispatch(request, &lease.endpoint, Some(lease), now);
             if !dispatched {
                 self.holder.release(&lease.id, now);
--- a/crates/curranttrestle/src/coordination/router/deaths.rs
+++ b/crates/curranttrestle/src/coordination/router/deaths.rs
@@ -7,7 +7,7 @@
 
 use crate::protocol::endpoint::LoadReport;
 use crate::state::event::EventKind;
-use crate::state::{EndpointId, Now};
+use crate::state::{EndpointId, Now, RequestId};
 
 use super::active::RunningAttempt;
 use super::{Effect, PollPurpose, RequestDigest, Router};
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Whether another request with this digest waits for a verdict.
+    pub(super) fn is_judged(&self, request: RequestId, digest: &RequestDigest) -> bool {
+        self.death_checks
+            .iter()
+            .any(|check| check.running.request != request && check.digests.contains(digest))
+    }
+
     /// Takes the verdict on an endpoint.
     pub(super) fn death_checked(
         &mut self,
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -13,6 +13,7 @@
 mod options;
 mod peers;
 mod requests;
+mod screening;
 mod status;
 
 use std::collections::VecDeque;
@@ -93,6 +94,8 @@
     active: ActiveRequests,
     endpoints: capacity::EndpointTable,
     death_checks: Vec<deaths::DeathCheck>,
+    /// Requests that wait until a copy of them has begun to answer.
+    held: Vec<RequestId>,
     instances: capacity::InstancePoll,
     invariants: Invariants,
     reported_violations: u64,
@@ -130,6 +133,7 @@
             active: ActiveRequests::default(),
             endpoints: capacity::EndpointTable::default(),
             death_checks: Vec::new(),
+            held: Vec::new(),
             instances: capacity::InstancePoll::default(),
             invariants: Invariants::new(options.fatal_invariants),
             reported_violations: 0,
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -288,7 +288,7 @@
                 if unreachable {
                     self.endpoint_unreachable(&running.endpoint, now);
                 }
-                self.attempt_not_run(&running, &detail, now);
+                self.attempt_not_run(&running, &detail, unreachable, now);
             }
             AttemptResult::Interrupted {
                 detail,
@@ -381,8 +381,16 @@
         }
     }
 
-    /// Tries a request again that an endpoint proved not to have begun.
-    fn attempt_not_run(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
+    /// Tries a request again that an endpoint proved not to have begun. The retry budget
+    /// limits what endpoints are given beyond first attempts; one that was not reached was
+    /// given nothing.
+    fn attempt_not_run(
+        &mut self,
+        running: &RunningAttempt,
+        detail: &str,
+        unreachable: bool,
+        now: Now,
+    ) {
         let Some(active) = self.active.requests.get_mut(&running.request) else {
             return;
         };
@@ -392,7 +400,7 @@
         active.avoid.push(running.endpoint.clone());
         let expired = now.steady_ms >= active.new.deadline_ms;
         let lost = active.lost;
-        if expired || !self.retries.try_take(now) {
+        if expired || !(unreachable || self.retries.try_take(now)) {
             if lost {
                 self.end_unknown(running.request, RefusalReason::AttemptLost, detail, now);
                 return;
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -47,7 +47,7 @@
 /// One attempt whose parts are passed on.
 struct Passing {
     replay: Replay,
-    stream: FrameStream,
+    stream: Box<FrameStream>,
     /// The tokens that the attempt has made so far.
     tokens: u64,
 }
@@ -111,7 +111,7 @@
             if let Some(reader) = reader.take() {
                 let _ = heads.send(Ok(reader)).await;
             }
-            match self.pass_on(&dispatch, *stream, chunk).await {
+            match self.pass_on(&dispatch, stream, chunk).await {
                 Passed::Whole | Passed::Ended => return,
                 Passed::Lost => {}
             }
@@ -136,7 +136,7 @@
     async fn pass_on(
         &mut self,
         dispatch: &Dispatch,
-        stream: FrameStream,
+        stream: Box<FrameStream>,
         first: Option<Chunk>,
     ) -> Passed {
         let shared = self.shared.clone();
@@ -146,7 +146,7 @@
             stream,
             tokens: 0,
         };
-        let parts = self.pass_parts(dispatch, &mut passing, first);
+        let parts = Box::pin(self.pass_parts(dispatch, &mut passing, first));
         let end = until(&shared, deadline_ms, parts).await;
         match end {
             None => self.expired(dispatch, &passing).await,
@@ -188,7 +188,7 @@
                 Err(error) if resumes < RESUME_ATTEMPTS => {
                     resumes += 1;
                     match self.resume(dispatch, &passing.stream).await {
-                        Some(new_stream) => passing.stream = new_stream,
+                        Some(new_stream) => *passing.stream = new_stream,
                         None => return PartsEnd::Lost(error),
                     }
                 }
