Look at suspects again before each dispatch, and be ready only with the marks known

Causes, found by review of the safety modules: - a request that became suspect while it waited was dispatched as it stood when it was queued; - a restarted router took requests before it knew which endpoints are leaving; - a repeat that had met an unfinished claim could end 'not-run' at its deadline; - a stopping router waited for ever for a store that is down to take results; - retries counted as first attempts in the retry budget; - each router's rate of store calls did not shrink with the size of the fleet. Change: the quarantine is asked again when a slot is there; readiness needs sheet and marks; such a repeat ends 'unknown'; results are given up 10 s after the last request; the fleet's rate of store calls is shared out over the live routers.

--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -205,6 +205,7 @@
             self.match_naively(now);
             return;
         }
+        self.release_held(now);
         let messages = self.owner.decide(&self.fair, now);
         self.send_all(messages, now);
         let assignments = self.holder.assign(&mut self.queues, &self.fair, now);
@@ -213,6 +214,10 @@
             let lease = &assignment.lease;
             let usable = self.drain.is_usable(&lease.endpoint)
                 && !self.endpoints.is_avoided(&lease.endpoint, now);
+            if usable && !self.screen(request, lease, now) {
+                self.holder.release(&lease.id, now);
+                continue;
+            }
             let dispatched = usable
                 && self.dispatch(
                     request,
--- a/crates/curranttrestle/src/coordination/router/options.rs
+++ b/crates/curranttrestle/src/coordination/router/options.rs
@@ -46,6 +46,10 @@
     pub load_report_interval_ms: u64,
     /// Time between two readings of the platform's list of instances.
     pub instances_interval_ms: u64,
+    /// How long a stopping router without requests waits for the store to take results.
+    pub settle_timeout_ms: u64,
+    /// Store calls that all routers together may make in a second.
+    pub fleet_store_calls_per_s: u64,
     /// How many requests of a customer may wait here when the sheet gives no limit.
     pub queue_per_customer: u32,
     /// The sheet and the marks.
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -9,7 +9,7 @@
 use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, AttemptId, EndpointId, Now, RequestId};
 
-use super::active::{ActiveRequest, RunningAttempt, Stage};
+use super::active::{ActiveRequest, KeyHistory, RunningAttempt, Stage};
 use super::{AttemptResult, Decision, Dispatch, NewRequest, Policy, Router};
 
 /// When a caller whose customer's queue is full may try again.
@@ -48,7 +48,7 @@
     /// Checks a request against the sheet in force.
     fn admit(&mut self, new: NewRequest, now: Now) -> Result<ActiveRequest, Refusal> {
         let refused = |reason, detail: &str| Err(Refusal::not_run(reason, detail));
-        if self.stopping || self.sheet.number == 0 {
+        if !self.is_ready() {
             return refused(RefusalReason::NotReady, "this router takes no requests");
         }
         let Some(operation) = self.sheet.operations.get(&new.operation) else {
@@ -84,6 +84,7 @@
             arrived_ms: now.steady_ms,
             stage: Stage::Claiming,
             claim: None,
+            key_history: KeyHistory::Fresh,
             claim_again_ms: None,
             running: Vec::new(),
             avoid: Vec::new(),
@@ -174,6 +175,7 @@
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
         let hedge = active.running.len() > 1;
+        let is_first = !hedge && active.avoid.is_empty();
         let charged_units = charge.charged();
         let account = active.account.clone();
         let kind = active.kind;
@@ -183,6 +185,8 @@
             self.counters.hedged += 1;
         } else {
             self.hedge_budget.earn();
+        }
+        if is_first {
             self.retries.record_first(now);
         }
         self.active.attempts.insert(
@@ -288,7 +292,7 @@
                 if unreachable {
                     self.endpoint_unreachable(&running.endpoint, now);
                 }
-                self.attempt_not_run(&running, &detail, now);
+                self.attempt_not_run(&running, &detail, unreachable, now);
             }
             AttemptResult::Interrupted {
                 detail,
@@ -381,8 +385,16 @@
         }
     }
 
-    /// Tries a request again that an endpoint proved not to have begun.
-    fn attempt_not_run(&mut self, running: &RunningAttempt, detail: &str, now: Now) {
+    /// Tries a request again that an endpoint proved not to have begun. The retry budget
+    /// limits what endpoints are given beyond first attempts; one that was not reached was
+    /// given nothing.
+    fn attempt_not_run(
+        &mut self,
+        running: &RunningAttempt,
+        detail: &str,
+        unreachable: bool,
+        now: Now,
+    ) {
         let Some(active) = self.active.requests.get_mut(&running.request) else {
             return;
         };
@@ -392,7 +404,7 @@
         active.avoid.push(running.endpoint.clone());
         let expired = now.steady_ms >= active.new.deadline_ms;
         let lost = active.lost;
-        if expired || !self.retries.try_take(now) {
+        if expired || !(unreachable || self.retries.try_take(now)) {
             if lost {
                 self.end_unknown(running.request, RefusalReason::AttemptLost, detail, now);
                 return;
--- a/crates/curranttrestle/src/coordination/store_gate.rs
+++ b/crates/curranttrestle/src/coordination/store_gate.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Changes how many calls are let through in a second.
+    pub fn set_rate_per_s(&mut self, rate_per_s: u64) {
+        self.options.rate_per_s = rate_per_s;
+    }
+
     /// Whether the store answered the last calls.
     #[must_use]
     pub fn is_up(&self) -> bool {
--- a/crates/curranttrestle/src/state/settings/model.rs
+++ b/crates/curranttrestle/src/state/settings/model.rs
@@ -116,6 +116,8 @@
     pub address: SocketAddr,
     /// The most calls that this router makes in a second.
     pub calls_per_second: u32,
+    /// The most calls that all routers together make in a second; each takes its part.
+    pub fleet_calls_per_second: u32,
     /// How long an answer may take, watches excepted.
     pub timeout_ms: u64,
     /// How long a watch waits for news.
@@ -127,6 +129,7 @@
         Self {
             address: ANY_LOOPBACK_PORT,
             calls_per_second: 20,
+            fleet_calls_per_second: 1_000,
             timeout_ms: 1_000,
             watch_timeout_ms: 20_000,
         }
--- a/crates/curranttrestle/src/state/settings/reader.rs
+++ b/crates/curranttrestle/src/state/settings/reader.rs
@@ -199,6 +199,11 @@
         1..=10_000,
         &mut platform.calls_per_second,
     );
+    section.integer(
+        "fleet_calls_per_second",
+        1..=1_000_000,
+        &mut platform.fleet_calls_per_second,
+    );
     section.integer("timeout_ms", 1..=LONGEST_MS, &mut platform.timeout_ms);
     section.integer(
         "watch_timeout_ms",
--- a/crates/curranttrestled/src/router_options.rs
+++ b/crates/curranttrestled/src/router_options.rs
@@ -11,6 +11,9 @@
 /// Time between two readings of the platform's list of instances.
 const INSTANCES_INTERVAL_MS: u64 = 1_000;
 
+/// How long a stopping router waits for the store to take the results of bookings.
+const SETTLE_TIMEOUT_MS: u64 = 10_000;
+
 /// The router's options as the settings have them.
 #[must_use]
 pub fn from_settings(settings: &Settings) -> RouterOptions {
@@ -35,6 +38,8 @@
         ..RouterOptions::default()
     };
     options.queue_per_customer = settings.limits.queue_per_customer;
+    options.settle_timeout_ms = SETTLE_TIMEOUT_MS;
+    options.fleet_store_calls_per_s = u64::from(settings.platform.fleet_calls_per_second);
     options.instances_interval_ms = INSTANCES_INTERVAL_MS;
     options.claims.fatal_invariants = options.fatal_invariants;
     options.drain.fatal_invariants = options.fatal_invariants;
