--- a/crates/curranttrestled/tests/support/client.rs
+++ b/crates/curranttrestled/tests/support/client.rs
@@ -21,6 +21,8 @@
     pub status: u16,
     /// The header that says what became of the request.
     pub outcome: String,
+    /// When the request may be sent again, if the reply says so.
+    pub retry_after_s: Option<u64>,
     /// The body as far as it came.
     pub body: String,
 }
@@ -48,6 +50,10 @@
             .get_str("Outcome")
             .unwrap_or_default()
             .to_owned();
+        let retry_after_s = conn
+            .response_headers()
+            .get_str("Retry-After")
+            .and_then(|value| value.parse().ok());
         let bytes = read_whole(conn.response_body(), MAX_BODY_BYTES)
             .await
             .unwrap_or_default();
@@ -55,6 +61,7 @@
         Some(Reply {
             status,
             outcome,
+            retry_after_s,
             body,
         })
     };
--- a/crates/curranttrestled/tests/support/mod.rs
+++ b/crates/curranttrestled/tests/support/mod.rs
@@ -2,8 +2,10 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod chaos;
 pub mod client;
 pub mod fleet;
 pub mod load;
+pub mod mix;
 pub mod process;
 pub mod raw;
--- a/crates/curranttrestled/tests/support/process.rs
+++ b/crates/curranttrestled/tests/support/process.rs
@@ -49,6 +49,11 @@
             .unwrap_or_else(|| panic!("no address {field} in {:?}", self.fields))
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
