Keep owners from favouring those who bid alone

At 48 routers a customer at the same three routers as one other drew ahead without end (gap 49,251 units per share after 13 s and growing, mean cost 100). Owners were drawn once and kept as long as bids were renewed, so that some owners heard the same few bidders for ever; and an owner took a holder that had no bid with it for one without waiting requests.

- Owners are drawn anew every 2.5 s.
- Renewals name the least-served customer that waits at the holder.
- Holders that are most ahead are asked for slots first, again as soon as they gave what they were asked for.

--- a/crates/curranttrestle/src/coordination/slots/bidding.rs
+++ b/crates/curranttrestle/src/coordination/slots/bidding.rs
@@ -17,12 +17,20 @@
 pub(super) struct SentBid {
     entries: Vec<BidEntry>,
     sent_ms: u64,
+    valid_ms: u64,
     /// When this router first bid there.
     first_ms: u64,
     /// How many slots the owner lent since.
     pub(super) lends: u32,
 }
 
+/// The owners that were drawn of many.
+#[derive(Clone, Debug)]
+pub(super) struct DrawnOwners {
+    owners: Vec<InstanceId>,
+    drawn_ms: u64,
+}
+
 impl SentBid {
     /// Whether a lend answers one of the bids of this run.
     pub(super) fn is_answered_by(&self, bid_sent_ms: u64) -> bool {
@@ -40,7 +48,7 @@
         if entries.is_empty() {
             return !self.entries.is_empty();
         }
-        if age_ms >= options.bid_refresh_ms || self.entries.is_empty() {
+        if age_ms >= options.bid_refresh_ms.min(self.valid_ms) || self.entries.is_empty() {
             return true;
         }
         let is_different = self.believed() < total(entries).div_ceil(2)
@@ -75,9 +83,10 @@
             let demand = queues.demand(pool, now);
             let entries = entries(pool, &demand, queues, fair_share);
             let chosen = self.choose_owners(pool, pool_owners, &demand, now, rng);
-            let entries = split(entries, chosen.len(), self.options.overbidding);
+            let owners = u32::try_from(chosen.len()).unwrap_or(u32::MAX);
+            let entries = split(entries, owners, self.options.overbidding);
             for owner in chosen {
-                messages.extend(self.bid(owner, pool, &entries, now));
+                messages.extend(self.bid(owner, pool, &entries, owners, now));
             }
         }
         messages
@@ -88,6 +97,7 @@
         owner: InstanceId,
         pool: &PoolId,
         entries: &[BidEntry],
+        owners: u32,
         now: Now,
     ) -> Option<(InstanceId, PeerMessage)> {
         let key = (owner.clone(), pool.clone());
@@ -102,17 +112,21 @@
             .sent_bids
             .get(&key)
             .map_or(now.steady_ms, |sent| sent.first_ms);
+        let valid_ms = self.options.bid_valid_ms;
         let sent = SentBid {
             entries: entries.to_vec(),
             sent_ms: now.steady_ms,
+            valid_ms,
             first_ms,
             lends: 0,
         };
         self.sent_bids.insert(key, sent);
         let bid = Bid {
+            valid_ms: u32::try_from(valid_ms).unwrap_or(u32::MAX),
             pool: pool.clone(),
             sent_ms: now.steady_ms,
             last_lend: self.lends.get(&owner).map_or(0, |lends| lends.last),
+            owners,
             entries: entries.to_vec(),
         };
         Some((owner, PeerMessage::Bid(bid)))
@@ -121,65 +135,71 @@
     /// The owners to bid at. Where a bid stands and nothing waits any more, the bid is
     /// withdrawn.
     fn choose_owners(
-        &self,
+        &mut self,
         pool: &PoolId,
         owners: &PoolOwners,
         demand: &[Demand],
         now: Now,
         rng: &mut impl Rng,
     ) -> Vec<InstanceId> {
-        let standing = self.standing_at(pool, now);
         if demand.is_empty() {
-            return standing;
+            return self.standing_at(pool, now);
         }
         let longest_wait_ms = demand.iter().map(|entry| entry.oldest_wait_ms).max();
         let overflows = longest_wait_ms >= Some(self.options.overflow_wait_ms);
-        let mut chosen = self.draw(&owners.local, &standing, rng);
+        let mut chosen = self.draw(&owners.local, pool, now, rng);
         if overflows || owners.local.is_empty() {
-            chosen.extend(self.draw(&owners.remote, &standing, rng));
+            chosen.extend(self.draw(&owners.remote, pool, now, rng));
         }
         chosen
     }
 
-    /// Few owners: all. Many: this router itself, those with a bid that stands, and others
-    /// drawn at random.
+    /// Few owners: all. Many: this router itself, and others drawn at random for a while.
     fn draw(
-        &self,
+        &mut self,
         owners: &[InstanceId],
-        standing: &[InstanceId],
+        pool: &PoolId,
+        now: Now,
         rng: &mut impl Rng,
     ) -> Vec<InstanceId> {
         if owners.len() <= self.options.few_owners {
             return owners.to_vec();
         }
-        let wanted = self.options.drawn_owners;
-        let mut drawn: Vec<InstanceId> = owners
-            .iter()
-            .filter(|owner| **owner == self.me || standing.contains(owner))
-            .take(wanted)
-            .cloned()
-            .collect();
-        let others: Vec<&InstanceId> = owners
-            .iter()
-            .filter(|owner| !drawn.contains(owner))
-            .collect();
-        let missing = wanted.saturating_sub(drawn.len());
+        // Local and remote owners are drawn each on their own.
+        let key = (pool.clone(), owners[0].clone());
+        if let Some(drawn) = self.drawn.get(&key)
+            && now.since_ms(drawn.drawn_ms) < self.options.redraw_ms
+            && drawn.owners.iter().all(|owner| owners.contains(owner))
+        {
+            return drawn.owners.clone();
+        }
+        let others: Vec<&InstanceId> = owners.iter().filter(|owner| **owner != self.me).collect();
+        let mut drawn: Vec<InstanceId> = Vec::new();
+        if others.len() < owners.len() {
+            drawn.push(self.me.clone());
+        }
+        let missing = self.options.drawn_owners.saturating_sub(drawn.len());
         drawn.extend(
             others
                 .choose_multiple(rng, missing)
                 .map(|owner| (*owner).clone()),
         );
+        let kept = DrawnOwners {
+            owners: drawn.clone(),
+            drawn_ms: now.steady_ms,
+        };
+        self.drawn.insert(key, kept);
         drawn
     }
 
-    /// The owners where a bid of this router stands and is not due to be repeated.
+    /// The owners where a bid of this router stands.
     fn standing_at(&self, pool: &PoolId, now: Now) -> Vec<InstanceId> {
         self.sent_bids
             .iter()
             .filter(|((_, sent_pool), sent)| {
                 sent_pool == pool
                     && !sent.entries.is_empty()
-                    && now.since_ms(sent.sent_ms) < self.options.bid_refresh_ms
+                    && now.since_ms(sent.sent_ms) < sent.valid_ms
             })
             .map(|((owner, _), _)| owner.clone())
             .collect()
@@ -188,9 +208,14 @@
 
 /// Divides what waits among several owners, rounded up. Together the owners are asked for
 /// `overbidding` times as many slots as are needed.
-fn split(mut entries: Vec<BidEntry>, owners: usize, overbidding: u32) -> Vec<BidEntry> {
-    let owners = u32::try_from(owners.max(1)).unwrap_or(u32::MAX);
-    let part = |count: u32| (count * overbidding).div_ceil(owners).min(count);
+fn split(mut entries: Vec<BidEntry>, owners: u32, overbidding: u32) -> Vec<BidEntry> {
+    let owners = owners.max(1);
+    let part = |count: u32| {
+        count
+            .saturating_mul(overbidding)
+            .div_ceil(owners)
+            .min(count)
+    };
     for entry in &mut entries {
         entry.waiting = part(entry.waiting);
         entry.waiting_short = part(entry.waiting_short);
--- a/crates/curranttrestle/src/coordination/slots/holder.rs
+++ b/crates/curranttrestle/src/coordination/slots/holder.rs
@@ -5,7 +5,7 @@
 use crate::protocol::peer::{Lease, LeaseId, Lend, NextBid, PeerMessage, Recall, Return, Void};
 use crate::state::{EndpointId, InstanceId, Now, PoolId};
 
-use super::bidding::SentBid;
+use super::bidding::{DrawnOwners, SentBid};
 use super::{EndpointOwner, SlotOptions};
 
 /// A lease that this router holds.
@@ -49,6 +49,8 @@
     /// The lease sequences that came from each owner.
     pub(super) lends: IndexMap<InstanceId, ReceivedLends>,
     pub(super) sent_bids: IndexMap<(InstanceId, PoolId), SentBid>,
+    /// By pool and first owner of the list.
+    pub(super) drawn: IndexMap<(PoolId, InstanceId), DrawnOwners>,
 }
 
 impl SlotHolder {
@@ -66,6 +68,7 @@
             owed_renewals: IndexSet::new(),
             lends: IndexMap::new(),
             sent_bids: IndexMap::new(),
+            drawn: IndexMap::new(),
         }
     }
 
--- a/crates/curranttrestle/src/coordination/slots/lending.rs
+++ b/crates/curranttrestle/src/coordination/slots/lending.rs
@@ -166,28 +166,32 @@
             return Vec::new();
         };
         let margin = self.options.tolerance_requests * bids.step(pool, &best, fair_share);
-        let mut ahead: Vec<(InstanceId, u32)> = self
+        let mut ahead: Vec<(f64, InstanceId, u32)> = self
             .holders(pool)
             .into_iter()
             .filter(|(holder, _)| *holder != best.bidder)
-            .filter(|(holder, _)| {
-                let lowest = bids.lowest_of(pool, holder, fair_share);
-                lowest.is_none_or(|level| level > best.level + margin)
+            .filter_map(|(holder, held)| {
+                let level = bids.lowest_of(pool, &holder, fair_share)?;
+                Some((level, holder, held))
             })
+            .filter(|(level, _, _)| *level > best.level + margin)
             .collect();
-        ahead.sort_by_key(|(_, held)| std::cmp::Reverse(*held));
-        let total: u32 = ahead.iter().map(|(_, held)| *held).sum();
-        let mut wanted = best.open;
-        let mut messages = Vec::new();
-        for (holder, held) in ahead {
-            if wanted == 0 {
-                break;
+        ahead.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut asked = 0;
+        let mut recalls = Vec::new();
+        for (level, holder, held) in ahead {
+            // Slots that others were asked for serve the lowest bids first.
+            let open = bids.open_below(pool, level - margin, fair_share);
+            let wanted = open.saturating_sub(asked).min(held);
+            if wanted > 0 {
+                asked += wanted;
+                recalls.push((holder, wanted));
             }
-            let part = (best.open * held).div_ceil(total.max(1)).min(wanted);
-            wanted -= part;
-            messages.extend(self.recall_from(&holder, pool, &best, part, now));
         }
-        messages
+        recalls
+            .into_iter()
+            .filter_map(|(holder, wanted)| self.recall_from(&holder, pool, &best, wanted, now))
+            .collect()
     }
 
     fn recall_from(
@@ -203,12 +207,12 @@
         let is_recent = self
             .recalls
             .get(&key)
-            .is_some_and(|sent| now.since_ms(sent.sent_ms) < pause_ms);
+            .is_some_and(|sent| sent.wanted > 0 && now.since_ms(sent.sent_ms) < pause_ms);
         if is_recent {
             return None;
         }
         let sent_ms = now.steady_ms;
-        self.recalls.insert(key, SentRecall { sent_ms });
+        self.recalls.insert(key, SentRecall { sent_ms, wanted });
         let mut next = best.to_next(Use::Any);
         next.wanted = wanted;
         let recall = Recall {
--- a/crates/curranttrestle/src/coordination/slots/mod.rs
+++ b/crates/curranttrestle/src/coordination/slots/mod.rs
@@ -86,9 +86,12 @@
     pub bid_refresh_ms: u64,
     /// The shortest time between two bids to one owner for one pool.
     pub bid_pause_ms: u64,
-    /// After this time without repetition an owner forgets a bid.
-    pub bid_timeout_ms: u64,
-    /// The shortest time between two recalls for the same bid to one holder.
+    /// For how long a bid stands if it is not repeated. Less than a lease, which counts from
+    /// the sending of the bid.
+    pub bid_valid_ms: u64,
+    /// After this time a holder with many owners to choose from draws others.
+    pub redraw_ms: u64,
+    /// The shortest time between two recalls to one holder while the first is not fulfilled.
     pub recall_pause_ms: u64,
     /// How long a holder believes in the best other bid that it was told of.
     pub next_timeout_ms: u64,
@@ -124,7 +127,8 @@
             idle_return_ms: 50,
             bid_refresh_ms: 1_000,
             bid_pause_ms: 20,
-            bid_timeout_ms: 1_200,
+            bid_valid_ms: 1_200,
+            redraw_ms: 2_500,
             recall_pause_ms: 250,
             next_timeout_ms: 1_500,
             few_owners: 8,
--- a/crates/curranttrestle/src/coordination/slots/owner.rs
+++ b/crates/curranttrestle/src/coordination/slots/owner.rs
@@ -48,6 +48,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct SentRecall {
     pub(super) sent_ms: u64,
+    /// How many slots are still to be returned for it.
+    pub(super) wanted: u32,
 }
 
 /// Lends the slots of some endpoints to the routers that bid for them.
@@ -139,8 +141,15 @@
     /// Takes slots back.
     pub fn receive_return(&mut self, from: &InstanceId, returned: &Return, _now: Now) {
         for id in &returned.leases {
-            if self.leases.get(id).is_some_and(|held| held.holder == *from) {
-                self.leases.swap_remove(id);
+            if self.leases.get(id).is_none_or(|held| held.holder != *from) {
+                continue;
+            }
+            let Some(held) = self.leases.swap_remove(id) else {
+                continue;
+            };
+            let key = (held.holder, held.lease.pool);
+            if let Some(recall) = self.recalls.get_mut(&key) {
+                recall.wanted = recall.wanted.saturating_sub(1);
             }
         }
     }
@@ -154,6 +163,15 @@
     ) -> Vec<(InstanceId, PeerMessage)> {
         let expires_ms = now.steady_ms + self.options.lease_ms + self.options.lease_margin_ms;
         let named = self.named(renewal);
+        self.bids
+            .values_mut()
+            .for_each(|bids| bids.note_least_served(from, None, now));
+        for account in &renewal.least_served {
+            self.bids
+                .entry(account.pool.clone())
+                .or_default()
+                .note_least_served(from, Some(&account.customer), now);
+        }
         // What the holder had received and does not name was returned.
         let me = &self.me;
         let first_lend = renewal.last_lend.saturating_sub(renewal.lend_span);
@@ -269,7 +287,7 @@
                 .retain(|_, (_, told_ms)| now.since_ms(*told_ms) < slowness_ms);
         }
         for bids in self.bids.values_mut() {
-            bids.expire(self.options.bid_timeout_ms, now);
+            bids.expire(self.options.lease_ms, now);
         }
     }
 
--- a/crates/curranttrestle/src/coordination/slots/renewing.rs
+++ b/crates/curranttrestle/src/coordination/slots/renewing.rs
@@ -1,9 +1,11 @@
 //! Renewals of the leases that a holder has.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
+use crate::coordination::fair_share::FairShare;
+use crate::coordination::queue::Queues;
 use crate::protocol::peer::{Lease, PeerMessage, Renewal, Renewed};
-use crate::state::{EndpointId, InstanceId, Now};
+use crate::state::{AccountId, EndpointId, InstanceId, Now, PoolId};
 
 use super::holder::{HeldSlot, SlotHolder, owner_of};
 use super::{EndpointOwner, is_lent_by};
@@ -26,7 +28,12 @@
     }
 
     /// Renews the leases held, once a period and owner.
-    pub fn renewals(&mut self, now: Now) -> Vec<(InstanceId, PeerMessage)> {
+    pub fn renewals(
+        &mut self,
+        queues: &Queues,
+        fair_share: &FairShare,
+        now: Now,
+    ) -> Vec<(InstanceId, PeerMessage)> {
         let mut by_owner: IndexMap<InstanceId, Vec<&Lease>> = IndexMap::new();
         let running_or_valid =
             |slot: &&HeldSlot| slot.idle_since_ms.is_none() || slot.is_valid(now);
@@ -48,6 +55,7 @@
             }
             *renewed_ms = now.steady_ms;
             let lends = self.lends.get(&owner).copied().unwrap_or_default();
+            let least_served = least_served(&leases, queues, fair_share, now);
             let (adopted, held): (Vec<&Lease>, Vec<&Lease>) = leases
                 .into_iter()
                 .partition(|lease| is_foreign(&self.owners, lease));
@@ -56,6 +64,7 @@
                 last_lend: lends.last,
                 lend_span: lends.last - lends.first,
                 held: differences(&held),
+                least_served,
                 adopted: adopted.into_iter().cloned().collect(),
             };
             messages.push((owner, PeerMessage::Renewal(renewal)));
@@ -64,6 +73,30 @@
     }
 }
 
+/// The least-served customer with waiting requests, for each pool of the leases.
+fn least_served(
+    leases: &[&Lease],
+    queues: &Queues,
+    fair_share: &FairShare,
+    now: Now,
+) -> Vec<AccountId> {
+    let pools: IndexSet<&PoolId> = leases.iter().map(|lease| &lease.pool).collect();
+    pools
+        .into_iter()
+        .filter_map(|pool| {
+            queues
+                .demand(pool, now)
+                .into_iter()
+                .filter(|demand| demand.waiting > 0)
+                .map(|demand| AccountId {
+                    pool: pool.clone(),
+                    customer: demand.customer,
+                })
+                .min_by(|a, b| fair_share.level(a).total_cmp(&fair_share.level(b)))
+        })
+        .collect()
+}
+
 /// Whether a lease was not lent by the run of the router that owns its endpoint now.
 fn is_foreign(owners: &IndexMap<EndpointId, EndpointOwner>, lease: &Lease) -> bool {
     owners
--- a/crates/curranttrestle/src/protocol/peer/slots.rs
+++ b/crates/curranttrestle/src/protocol/peer/slots.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::state::{CustomerId, EndpointId, InstanceId, PoolId};
+use crate::state::{AccountId, CustomerId, EndpointId, InstanceId, PoolId};
 
 /// Names a slot lease, unique across the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -55,6 +55,10 @@
     pub sent_ms: u64,
     /// The greatest [`LeaseId::sequence`] that the bidder received from the owner.
     pub last_lend: u64,
+    /// For how long it stands if it is not replaced.
+    pub valid_ms: u32,
+    /// At how many owners the bidder bids at the same time.
+    pub owners: u32,
     /// What waits, by customer.
     pub entries: Vec<BidEntry>,
 }
@@ -116,6 +120,9 @@
     /// The sequences of the leases that the receiver lent, ascending, each as the
     /// difference from the one before.
     pub held: Vec<u64>,
+    /// The least-served customer with waiting requests at the holder, for each pool of the
+    /// leases; pools without waiting requests are left out.
+    pub least_served: Vec<AccountId>,
     /// Leases lent by an earlier owner of an endpoint that the receiver now owns.
     pub adopted: Vec<Lease>,
 }
