Test each message between one owner and one holder

A lost lend kept its request waiting for about two seconds, because the owner counted it against the bid until the next one: the holder now bids again as soon as the lend is declared void.

--- a/crates/curranttrestle/src/coordination/slots/holder.rs
+++ b/crates/curranttrestle/src/coordination/slots/holder.rs
@@ -105,7 +105,7 @@
         if lends.first == 0 {
             lends.first = id.sequence;
         }
-        sent.lends += 1;
+        sent.lends = sent.lends.saturating_add(1);
         self.note_next(from, &lend.lease.pool, lend.next.clone(), now);
         let valid_until_ms = lend.bid_sent_ms + self.options.lease_ms;
         if valid_until_ms <= now.steady_ms {
@@ -133,6 +133,12 @@
         }
         lends.last = void.through;
         self.owed_renewals.insert(from.clone());
+        // The owner counts the lost lends against the bids that they answered.
+        for ((owner, _), sent) in &mut self.sent_bids {
+            if owner == from {
+                sent.lends = u32::MAX;
+            }
+        }
     }
 
     /// Notes which slots are wanted back.
--- /dev/null
+++ b/crates/curranttrestle/tests/leases.rs
@@ -0,0 +1,363 @@
+//! One slot owner and its holders: what each message leads to.
+
+use curranttrestle::coordination::fair_share::{FairShare, FairShareOptions};
+use curranttrestle::coordination::queue::{QueueOptions, Queues, Waiting};
+use curranttrestle::coordination::slots::{
+    Assignment, EndpointOwner, OwnedEndpoint, PoolOwners, SlotHolder, SlotOptions, SlotOwner,
+};
+use curranttrestle::protocol::peer::{Lend, PeerMessage, Slowness};
+use curranttrestle::state::{
+    AccountId, CustomerId, DataCentreId, EndpointId, Incarnation, InstanceId, Member, Now, PoolId,
+    RequestId,
+};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+fn pool() -> PoolId {
+    PoolId::new("model")
+}
+
+fn endpoint(index: usize) -> EndpointId {
+    EndpointId::new(&format!("e{index}"))
+}
+
+fn instance(index: usize) -> InstanceId {
+    InstanceId::new(&format!("r{index}"))
+}
+
+fn owned(count: usize, slots: u32) -> Vec<OwnedEndpoint> {
+    (0..count)
+        .map(|index| OwnedEndpoint {
+            endpoint: endpoint(index),
+            pool: pool(),
+            slots,
+            usable: true,
+        })
+        .collect()
+}
+
+fn waiting(id: u128, expected_cost: f64) -> Waiting {
+    Waiting {
+        request: RequestId(Uuid::from_u128(id)),
+        account: AccountId {
+            pool: pool(),
+            customer: CustomerId::new("c0"),
+        },
+        priority: 0,
+        expected_cost,
+        arrived_ms: 0,
+        deadline_ms: u64::MAX,
+        avoid: Vec::new(),
+        exclusive: false,
+    }
+}
+
+/// One owner and one holder, joined without delay.
+struct Pair {
+    now: Now,
+    owner: SlotOwner,
+    holder: SlotHolder,
+    queues: Queues,
+    share: FairShare,
+    owners: IndexMap<PoolId, PoolOwners>,
+    rng: ChaCha8Rng,
+}
+
+impl Pair {
+    /// A pair past the caution of a new owner.
+    fn new(endpoints: usize, slots: u32) -> Self {
+        let me = Member {
+            instance: instance(1),
+            incarnation: Incarnation(1),
+            data_centre: DataCentreId::new("dc0"),
+            address: "127.0.0.1:1".parse().unwrap(),
+        };
+        let local = PoolOwners {
+            local: vec![instance(0)],
+            remote: Vec::new(),
+        };
+        let options = SlotOptions::default();
+        let mut pair = Self {
+            now: Now::default().plus_ms(10_000),
+            owner: SlotOwner::new(instance(0), Incarnation(1), options.clone()),
+            holder: SlotHolder::new(instance(1), options),
+            queues: Queues::new(QueueOptions::default()),
+            share: FairShare::new(FairShareOptions::default(), me),
+            owners: IndexMap::from([(pool(), local)]),
+            rng: ChaCha8Rng::seed_from_u64(1),
+        };
+        pair.owner.set_endpoints(&owned(endpoints, slots), pair.now);
+        pair.now = pair.now.plus_ms(SlotOptions::default().caution_ms);
+        pair
+    }
+
+    fn push(&mut self, waiting: Waiting) {
+        self.queues.push(waiting, 1_000).unwrap();
+    }
+
+    /// One exchange of all messages; what was assigned.
+    fn exchange(&mut self) -> Vec<Assignment> {
+        let now = self.now.plus_ms(1);
+        self.now = now;
+        let mut to_owner = self.holder.returns(now);
+        to_owner.extend(self.holder.bids(
+            &self.queues,
+            &self.share,
+            &self.owners,
+            now,
+            &mut self.rng,
+        ));
+        to_owner.extend(self.holder.renewals(&self.queues, &self.share, now));
+        let mut to_holder = Vec::new();
+        for (_, message) in &to_owner {
+            to_holder.extend(self.owner_receives(message));
+        }
+        to_holder.extend(self.owner.decide(&self.share, now));
+        for (_, message) in &to_holder {
+            self.holder_receives(message);
+        }
+        self.holder.assign(&mut self.queues, &self.share, now)
+    }
+
+    fn owner_receives(&mut self, message: &PeerMessage) -> Vec<(InstanceId, PeerMessage)> {
+        let (holder, now) = (instance(1), self.now);
+        match message {
+            PeerMessage::Bid(bid) => self.owner.receive_bid(&holder, bid, now),
+            PeerMessage::Renewal(renewal) => self.owner.receive_renewal(&holder, renewal, now),
+            PeerMessage::Return(returned) => {
+                self.owner.receive_return(&holder, returned, now);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn holder_receives(&mut self, message: &PeerMessage) {
+        let (owner, now) = (instance(0), self.now);
+        match message {
+            PeerMessage::Lend(lend) => self.holder.receive_lend(&owner, lend, now),
+            PeerMessage::Recall(recall) => self.holder.receive_recall(&owner, recall, now),
+            PeerMessage::Renewed(renewed) => self.holder.receive_renewed(&owner, renewed, now),
+            PeerMessage::Void(void) => self.holder.receive_void(&owner, void, now),
+            _ => {}
+        }
+    }
+
+    fn wait(&mut self, duration_ms: u64) {
+        self.now = self.now.plus_ms(duration_ms);
+    }
+}
+
+#[test]
+fn lends_what_is_bid_for_and_no_more_than_there_is() {
+    let mut pair = Pair::new(2, 3);
+    for id in 0..10 {
+        pair.push(waiting(id, 100.0));
+    }
+    let assigned = pair.exchange();
+    assert_eq!(assigned.len(), 6);
+    assert_eq!(pair.owner.lent(&endpoint(0)), 3);
+    assert_eq!(pair.owner.lent(&endpoint(1)), 3);
+    assert!(pair.exchange().is_empty());
+}
+
+#[test]
+fn a_slot_serves_the_next_request_without_messages() {
+    let mut pair = Pair::new(1, 1);
+    pair.push(waiting(1, 100.0));
+    pair.push(waiting(2, 100.0));
+    let first = pair.exchange();
+    pair.holder.release(&first[0].lease.id, pair.now);
+    let second = pair.holder.assign(&mut pair.queues, &pair.share, pair.now);
+    assert_eq!(second[0].lease, first[0].lease);
+}
+
+#[test]
+fn a_lease_ends_without_renewal_and_lasts_with_it() {
+    let mut pair = Pair::new(1, 1);
+    pair.push(waiting(1, 100.0));
+    let lease = pair.exchange()[0].lease.clone();
+    for _ in 0..5 {
+        pair.wait(800);
+        pair.exchange();
+        assert!(pair.holder.still_valid(&lease.id, pair.now));
+    }
+    // The owner is not heard any more.
+    pair.wait(2_500);
+    assert!(!pair.holder.still_valid(&lease.id, pair.now));
+    // The owner frees the slot later than that.
+    assert_eq!(pair.owner.lent(&endpoint(0)), 1);
+    pair.wait(300);
+    pair.owner.decide(&pair.share, pair.now);
+    assert_eq!(pair.owner.lent(&endpoint(0)), 0);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work() {
+    let mut pair = Pair::new(1, 2);
+    pair.push(waiting(1, 100.0));
+    pair.push(waiting(2, 100.0));
+    let assigned = pair.exchange();
+    let mut leaving = owned(1, 2);
+    leaving[0].usable = false;
+    for (_, message) in pair.owner.set_endpoints(&leaving, pair.now) {
+        pair.holder_receives(&message);
+    }
+    for assignment in &assigned {
+        assert!(!pair.holder.still_valid(&assignment.lease.id, pair.now));
+        pair.holder.release(&assignment.lease.id, pair.now);
+    }
+    pair.push(waiting(3, 100.0));
+    for _ in 0..20 {
+        assert!(pair.exchange().is_empty());
+        pair.wait(100);
+    }
+    assert_eq!(pair.owner.lent(&endpoint(0)), 0);
+}
+
+#[test]
+fn an_exclusive_request_runs_alone() {
+    let mut pair = Pair::new(2, 2);
+    for id in 0..4 {
+        pair.push(waiting(id, 100.0));
+    }
+    let shared = pair.exchange();
+    assert_eq!(shared.len(), 4);
+    let mut alone = waiting(10, 100.0);
+    alone.exclusive = true;
+    pair.push(alone);
+    let mut running = shared;
+    let mut alone = None;
+    let mut served = 0;
+    for id in 20..60 {
+        pair.push(waiting(id, 100.0));
+        pair.wait(20);
+        // Shared requests end after a while, the exclusive one runs on.
+        for ended in std::mem::take(&mut running) {
+            pair.holder.release(&ended.lease.id, pair.now);
+        }
+        for assignment in pair.exchange() {
+            if assignment.lease.exclusive {
+                assert!(assignment.waiting.exclusive);
+                assert!(alone.replace(assignment).is_none(), "it runs once");
+            } else {
+                served += 1;
+                running.push(assignment);
+            }
+        }
+        if let Some(alone) = &alone {
+            assert_eq!(pair.owner.lent(&alone.lease.endpoint), 1);
+            let beside = |other: &&Assignment| other.lease.endpoint == alone.lease.endpoint;
+            assert_eq!(running.iter().filter(beside).count(), 0);
+        }
+    }
+    // The other endpoint went on, and afterwards both serve everybody.
+    assert!(served > 20);
+    let lease = alone.expect("the exclusive request runs").lease;
+    pair.holder.release(&lease.id, pair.now);
+    for id in 60..70 {
+        pair.push(waiting(id, 100.0));
+        pair.wait(20);
+        pair.exchange();
+    }
+    assert_eq!(pair.owner.lent(&lease.endpoint), 2);
+}
+
+#[test]
+fn some_slots_are_kept_for_short_requests_while_they_wait() {
+    let mut pair = Pair::new(1, 8);
+    for id in 0..20 {
+        pair.push(waiting(id, 100.0));
+    }
+    // Requests of the same customer that are expected to be long.
+    for id in 100..120 {
+        pair.push(waiting(id, 5_000.0));
+    }
+    let assigned = pair.exchange();
+    let kept: Vec<&Assignment> = assigned
+        .iter()
+        .filter(|assignment| assignment.lease.short_only)
+        .collect();
+    assert_eq!(assigned.len(), 8);
+    assert_eq!(kept.len(), 1);
+    assert!(kept[0].waiting.expected_cost < 1_000.0);
+}
+
+#[test]
+fn a_new_owner_learns_what_an_earlier_one_lent() {
+    let mut pair = Pair::new(1, 2);
+    pair.push(waiting(1, 100.0));
+    pair.push(waiting(2, 100.0));
+    let assigned = pair.exchange();
+    assert_eq!(assigned.len(), 2);
+    // The owner restarts without memory.
+    pair.owner = SlotOwner::new(instance(0), Incarnation(2), SlotOptions::default());
+    pair.owner.set_endpoints(&owned(1, 2), pair.now);
+    let owner = EndpointOwner {
+        instance: instance(0),
+        incarnation: Incarnation(2),
+    };
+    pair.holder
+        .set_owners(&IndexMap::from([(endpoint(0), owner)]));
+    pair.push(waiting(3, 100.0));
+    pair.exchange();
+    assert_eq!(pair.owner.lent(&endpoint(0)), 2);
+    for _ in 0..5 {
+        pair.wait(800);
+        assert!(pair.exchange().is_empty(), "no slot is free");
+        assert!(pair.holder.still_valid(&assigned[0].lease.id, pair.now));
+    }
+    pair.holder.release(&assigned[0].lease.id, pair.now);
+    let next = pair.holder.assign(&mut pair.queues, &pair.share, pair.now);
+    assert_eq!(next.len(), 1);
+}
+
+#[test]
+fn a_lost_lend_is_void_before_its_lease_expires() {
+    let mut pair = Pair::new(1, 1);
+    pair.push(waiting(1, 100.0));
+    let now = pair.now.plus_ms(1);
+    let bids = pair
+        .holder
+        .bids(&pair.queues, &pair.share, &pair.owners, now, &mut pair.rng);
+    pair.now = now;
+    for (_, message) in &bids {
+        pair.owner_receives(message);
+    }
+    let lost = pair.owner.decide(&pair.share, now);
+    let [(_, PeerMessage::Lend(lost))] = lost.as_slice() else {
+        panic!("one lend expected");
+    };
+    let mut waited_ms = 0;
+    while pair.exchange().is_empty() {
+        pair.wait(50);
+        waited_ms += 50;
+        assert!(waited_ms < 2_000, "the slot is lent again");
+    }
+    // The lost message arrives after all.
+    let late: &Lend = lost;
+    pair.holder.receive_lend(&instance(0), late, pair.now);
+    assert!(!pair.holder.still_valid(&late.lease.id, pair.now));
+}
+
+#[test]
+fn a_slow_endpoint_keeps_a_part_of_its_slots() {
+    let mut pair = Pair::new(2, 8);
+    let slowness = Slowness {
+        endpoint: endpoint(0),
+        window: 0.2,
+    };
+    pair.owner
+        .receive_slowness(&instance(1), &slowness, pair.now);
+    for id in 0..40 {
+        pair.push(waiting(id, 100.0));
+    }
+    assert_eq!(pair.exchange().len(), 10);
+    assert_eq!(pair.owner.lent(&endpoint(0)), 2);
+    // Nobody repeats it, so that it is over.
+    pair.wait(3_100);
+    let assigned: usize = (0..3).map(|_| pair.exchange().len()).sum();
+    assert!(assigned >= 6);
+}
