--- a/crates/curranttrestle/src/coordination/slots/holder.rs
+++ b/crates/curranttrestle/src/coordination/slots/holder.rs
@@ -5,7 +5,7 @@
 use crate::protocol::peer::{Lease, LeaseId, Lend, NextBid, PeerMessage, Recall, Return, Void};
 use crate::state::{EndpointId, InstanceId, Now, PoolId};
 
-use super::bidding::SentBid;
+use super::bidding::{DrawnOwners, SentBid};
 use super::{EndpointOwner, SlotOptions};
 
 /// A lease that this router holds.
@@ -49,6 +49,8 @@
     /// The lease sequences that came from each owner.
     pub(super) lends: IndexMap<InstanceId, ReceivedLends>,
     pub(super) sent_bids: IndexMap<(InstanceId, PoolId), SentBid>,
+    /// By pool and first owner of the list.
+    pub(super) drawn: IndexMap<(PoolId, InstanceId), DrawnOwners>,
 }
 
 impl SlotHolder {
@@ -66,6 +68,7 @@
             owed_renewals: IndexSet::new(),
             lends: IndexMap::new(),
             sent_bids: IndexMap::new(),
+            drawn: IndexMap::new(),
         }
     }
 
@@ -102,7 +105,7 @@
         if lends.first == 0 {
             lends.first = id.sequence;
         }
-        sent.lends += 1;
+        sent.lends = sent.lends.saturating_add(1);
         self.note_next(from, &lend.lease.pool, lend.next.clone(), now);
         let valid_until_ms = lend.bid_sent_ms + self.options.lease_ms;
         if valid_until_ms <= now.steady_ms {
@@ -130,6 +133,12 @@
         }
         lends.last = void.through;
         self.owed_renewals.insert(from.clone());
+        // The owner counts the lost lends against the bids that they answered.
+        for ((owner, _), sent) in &mut self.sent_bids {
+            if owner == from {
+                sent.lends = u32::MAX;
+            }
+        }
     }
 
     /// Notes which slots are wanted back.
