--- a/crates/curranttrestle/src/transport/sender_limit.rs
+++ b/crates/curranttrestle/src/transport/sender_limit.rs
@@ -1,4 +1,4 @@
-//! Cuts off callers that send too slowly or not at all.
+//! Cuts off callers that send too slowly or not at all, and callers that read nothing.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -12,7 +12,7 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use trillium_server_common::{Acceptor, Transport, async_trait};
 
-/// How long a caller may take to send.
+/// How long a caller may take to send and to read.
 ///
 /// As an acceptor it wraps each connection of an HTTP server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +21,8 @@
     pub idle_timeout_ms: u64,
     /// How long a whole request may take from its first byte on.
     pub request_timeout_ms: u64,
+    /// How long a caller may take none of an answer that waits for it.
+    pub read_timeout_ms: u64,
 }
 
 #[async_trait]
@@ -34,6 +36,7 @@
             limit: *self,
             first_byte: None,
             waiting: None,
+            blocked: None,
         })
     }
 }
@@ -47,6 +50,8 @@
     first_byte: Option<Instant>,
     /// Ends the present wait for bytes.
     waiting: Option<Timer>,
+    /// Ends the present wait for the caller to read.
+    blocked: Option<Timer>,
 }
 
 impl<T> LimitedTransport<T> {
@@ -90,7 +95,17 @@
         // An answer ends the request; the next byte read begins another one.
         self.first_byte = None;
         self.waiting = None;
-        Pin::new(&mut self.transport).poll_write(context, buffer)
+        let written = Pin::new(&mut self.transport).poll_write(context, buffer);
+        if written.is_ready() {
+            self.blocked = None;
+            return written;
+        }
+        let timeout = Duration::from_millis(self.limit.read_timeout_ms);
+        let blocked = self.blocked.get_or_insert_with(|| Timer::after(timeout));
+        match Pin::new(blocked).poll(context) {
+            Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/curranttrestled/src/daemon.rs
+++ b/crates/curranttrestled/src/daemon.rs
@@ -201,6 +201,7 @@
             .with_acceptor(SenderLimit {
                 idle_timeout_ms: limits.header_timeout_ms,
                 request_timeout_ms: limits.header_timeout_ms + limits.sender_timeout_ms,
+                read_timeout_ms: limits.sender_timeout_ms,
             })
             .with_prebound_server(listener);
         self.servers.push(config.spawn(handler));
--- /dev/null
+++ b/crates/curranttrestled/tests/store.rs
@@ -0,0 +1,104 @@
+//! Routers keep to their rates at the platform's store, also when an outage ends.
+
+mod support;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use support::client::call;
+use support::fleet::{Fleet, FleetPlan, fault, key_of, truth};
+use uuid::Uuid;
+
+/// How long the store is down.
+const OUTAGE: Duration = Duration::from_secs(10);
+/// Seconds after the outage that are looked at.
+const SECONDS_AFTER: u64 = 6;
+/// Store calls that one router may make in a second; the default of its settings.
+const CALLS_PER_SECOND: u64 = 20;
+/// Callers at each router whose bookings wait for the store.
+const CALLERS: usize = 8;
+
+/// Books until told to stop; returns how many bookings were answered.
+fn book_on(router: std::net::SocketAddr, stop: &AtomicBool) -> u64 {
+    let key = key_of("roofer");
+    let mut answered = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let headers = [
+            ("Idempotency-Key", Uuid::now_v7().to_string()),
+            ("Deadline-Ms", "20000".to_owned()),
+        ];
+        let booking = call(router, &key, "book-camera", &headers, "camera 7");
+        let reply = smol::block_on(booking);
+        assert_ne!(reply.outcome, "", "{reply:?}");
+        answered += u64::from(reply.outcome == "answered");
+    }
+    answered
+}
+
+/// The platform's own count of calls in each second, around the end of the outage.
+fn series(fleet: &Fleet) -> Vec<(i64, u64, u64)> {
+    let truth = truth(&fleet.platform);
+    let outage = &truth["outages"][0];
+    let ended_s = outage["ended_ms"].as_u64().unwrap() / 1_000;
+    let seconds = truth["by_second"].as_array().unwrap();
+    let around = (ended_s - 3)..=(ended_s + SECONDS_AFTER);
+    seconds
+        .iter()
+        .filter(|second| around.contains(&second["second"].as_u64().unwrap()))
+        .map(|second| {
+            let counts = &second["counts"];
+            let calls = ["reads", "watches", "writes"]
+                .map(|kind| counts[kind].as_u64().unwrap())
+                .iter()
+                .sum();
+            let offset = second["second"].as_i64().unwrap() - i64::try_from(ended_s).unwrap();
+            (offset, calls, counts["over_rate"].as_u64().unwrap())
+        })
+        .collect()
+}
+
+#[test]
+fn the_end_of_an_outage_brings_no_herd() {
+    let fleet = Fleet::start_with_sheet("store_outage", FleetPlan::default());
+    let stop = AtomicBool::new(false);
+    let answered: u64 = std::thread::scope(|scope| {
+        let routers = fleet.routers.iter();
+        let callers: Vec<_> = routers
+            .flat_map(|router| std::iter::repeat_n(router.callers(), CALLERS))
+            .map(|router| {
+                let stop = &stop;
+                scope.spawn(move || book_on(router, stop))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_secs(3));
+        let outage = serde_json::json!({ "fault": "outage", "outage": "unavailable" });
+        fault(&fleet.platform, &outage);
+        std::thread::sleep(OUTAGE);
+        fault(&fleet.platform, &serde_json::json!({ "fault": "heal" }));
+        std::thread::sleep(Duration::from_secs(SECONDS_AFTER));
+        stop.store(true, Ordering::Relaxed);
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .sum()
+    });
+    let series = series(&fleet);
+    println!("seconds from the end of the outage, calls, calls over the rate: {series:?}");
+    println!("bookings answered {answered}");
+    // Of each router one call may be on its way when a second of the platform begins.
+    let routers = fleet.routers.len() as u64;
+    let bound = (CALLS_PER_SECOND + 1) * routers;
+    for (offset, calls, over_rate) in &series {
+        assert!(
+            *calls <= bound,
+            "{calls} calls in second {offset}: {series:?}"
+        );
+        assert_eq!(*over_rate, 0, "second {offset}: {series:?}");
+    }
+    assert!(
+        series
+            .iter()
+            .any(|(offset, calls, _)| *offset > 0 && *calls > 0)
+    );
+    assert!(answered > 0, "no booking was answered");
+}
