--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -101,6 +101,8 @@
     reported_violations: u64,
     counters: Counters,
     stopping: bool,
+    /// Since when a stopping router has had no request, in steady time.
+    idle_since_ms: Option<u64>,
     next_attempt: u64,
     effects: Vec<Effect>,
     to_self: VecDeque<PeerMessage>,
@@ -139,6 +141,7 @@
             reported_violations: 0,
             counters: Counters::default(),
             stopping: false,
+            idle_since_ms: None,
             next_attempt: 1,
             effects: Vec::new(),
             to_self: VecDeque::new(),
@@ -188,10 +191,21 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Whether a stopping router has finished everything that it had.
+    /// Whether a stopping router has finished everything that it had. Results of bookings
+    /// that the store does not take are given up after a while.
     #[must_use]
-    pub fn is_finished(&self) -> bool {
-        self.stopping && self.active.requests.is_empty() && self.claims.is_settled()
+    pub fn is_finished(&self, now: Now) -> bool {
+        let Some(idle_since_ms) = self.idle_since_ms else {
+            return false;
+        };
+        let given_up = now.since_ms(idle_since_ms) >= self.options.settle_timeout_ms;
+        self.claims.is_settled() || given_up
+    }
+
+    /// Whether this router takes requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.stopping && self.config.is_ready()
     }
 
     /// What happened to requests since the start.
@@ -217,6 +231,17 @@
         self.tick_capacity(now);
         self.tick_hedges(now);
         self.report_violations(now);
+        if self.stopping && self.active.requests.is_empty() {
+            self.idle_since_ms.get_or_insert(now.steady_ms);
+        }
+        self.store.set_rate_per_s(self.store_rate_per_s());
+    }
+
+    /// This router's part of the calls that the fleet may make, within its own limit.
+    fn store_rate_per_s(&self) -> u64 {
+        let routers = self.membership.view().live.len().max(1) as u64;
+        let part = self.options.fleet_store_calls_per_s / routers;
+        part.clamp(1, self.options.store_gate.rate_per_s)
     }
 
     /// Matches waiting work with slots, and delivers messages to itself, until nothing moves.
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -9,7 +9,7 @@
 use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, AttemptId, EndpointId, Now, RequestId};
 
-use super::active::{ActiveRequest, RunningAttempt, Stage};
+use super::active::{ActiveRequest, KeyHistory, RunningAttempt, Stage};
 use super::{AttemptResult, Decision, Dispatch, NewRequest, Policy, Router};
 
 /// When a caller whose customer's queue is full may try again.
@@ -48,7 +48,7 @@
     /// Checks a request against the sheet in force.
     fn admit(&mut self, new: NewRequest, now: Now) -> Result<ActiveRequest, Refusal> {
         let refused = |reason, detail: &str| Err(Refusal::not_run(reason, detail));
-        if self.stopping || self.sheet.number == 0 {
+        if !self.is_ready() {
             return refused(RefusalReason::NotReady, "this router takes no requests");
         }
         let Some(operation) = self.sheet.operations.get(&new.operation) else {
@@ -84,6 +84,7 @@
             arrived_ms: now.steady_ms,
             stage: Stage::Claiming,
             claim: None,
+            key_history: KeyHistory::Fresh,
             claim_again_ms: None,
             running: Vec::new(),
             avoid: Vec::new(),
@@ -140,6 +141,7 @@
         request: RequestId,
         endpoint: &EndpointId,
         lease: Option<&Lease>,
+        charge: Charge,
         now: Now,
     ) -> bool {
         let Some(address) = self.sheet.endpoints.get(endpoint).map(|row| row.address) else {
@@ -173,8 +175,8 @@
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
         let hedge = active.running.len() > 1;
-        let mut charge = Charge::default();
-        let charged_units = charge.begin(active.expected_units);
+        let is_first = !hedge && active.avoid.is_empty();
+        let charged_units = charge.charged();
         let account = active.account.clone();
         let kind = active.kind;
         let exclusive = lease.is_some_and(|lease| lease.exclusive);
@@ -183,6 +185,8 @@
             self.counters.hedged += 1;
         } else {
             self.hedge_budget.earn();
+        }
+        if is_first {
             self.retries.record_first(now);
         }
         self.active.attempts.insert(
--- a/crates/curranttrestle/src/coordination/router/screening.rs
+++ b/crates/curranttrestle/src/coordination/router/screening.rs
@@ -46,6 +46,7 @@
             // Beside its own first attempt, a hedge may run on.
             Admission::Refused if active.running.is_empty() => Screening::Refuse,
             Admission::Alone if !lease.exclusive => Screening::Requeue,
+            _ if !self.quarantine.may_start(digest, lease.exclusive, now) => Screening::Hold,
             _ if self.copy_is_untried(request, digest) => Screening::Hold,
             _ => Screening::Run,
         }
@@ -88,7 +89,10 @@
                 continue;
             };
             let digest = active.new.digest;
-            if self.copy_is_untried(request, &digest) && now.steady_ms < active.new.deadline_ms {
+            let settles = self.quarantine.admission(&digest, now) == Admission::Alone
+                && !self.quarantine.may_start(&digest, true, now);
+            let must_wait = settles || self.copy_is_untried(request, &digest);
+            if must_wait && now.steady_ms < active.new.deadline_ms {
                 self.held.push(request);
             } else {
                 self.enqueue(request, now);
--- a/crates/curranttrestle/src/coordination/router/status.rs
+++ b/crates/curranttrestle/src/coordination/router/status.rs
@@ -120,7 +120,7 @@
             instance: self.me.instance.to_string(),
             data_centre: self.me.data_centre.to_string(),
             incarnation: self.me.incarnation.0,
-            ready: !self.stopping && self.sheet.number > 0,
+            ready: self.is_ready(),
             leaving: self.stopping,
             sheet_number: numbers.sheet_number,
             sheet_digest: format!("{:016x}", numbers.sheet_digest),
--- a/crates/curranttrestle/tests/store_gate.rs
+++ b/crates/curranttrestle/tests/store_gate.rs
@@ -1,5 +1,8 @@
 //! The store gate and the retry budget, against naive versions.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use std::collections::VecDeque;
 
 use curranttrestle::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
@@ -7,37 +10,22 @@
 use curranttrestle::protocol::platform::{CallId, StoreAnswer, StoreCall, Version};
 use curranttrestle::state::Now;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use support::{at, runner};
+
 const GATES: usize = 9;
 const OUTAGE_MS: std::ops::Range<u64> = 5_000..15_000;
 const END_MS: u64 = 30_000;
 const STEP_MS: u64 = 5;
 
-fn at(steady_ms: u64) -> Now {
-    Now {
-        steady_ms,
-        unix_ms: steady_ms,
-    }
-}
-
 fn read(number: u64) -> StoreCall {
     StoreCall::Read {
         name: number.to_string(),
     }
 }
 
-fn runner() -> TestRunner {
-    let config = Config {
-        cases: 128,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
-}
-
 /// Passes every call at once and tries failed ones again after a fixed delay.
 #[derive(Default)]
 struct NaiveGate {
@@ -145,7 +133,7 @@
 fn each_call_passes_once_in_the_order_of_its_priority_and_within_the_rate() {
     let call = (0..3_u8, any::<bool>(), 0..40_u64, 0..4_u8);
     let calls = prop::collection::vec(call, 1..200);
-    runner()
+    runner(128)
         .run(&calls, |calls| {
             let mut rng = ChaCha8Rng::seed_from_u64(7);
             let options = StoreGateOptions {
@@ -219,10 +207,36 @@
         .unwrap();
 }
 
+#[test]
+fn a_call_that_is_never_answered_does_not_block_the_others() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut gate = StoreGate::new(StoreGateOptions::default());
+    let mut submit = |gate: &mut StoreGate, number, now_ms| {
+        let call = CallId(number);
+        gate.submit(call, read(number), CallPriority::Claims, at(now_ms))
+            .unwrap();
+        gate.poll(at(now_ms), &mut rng).len()
+    };
+    assert_eq!(submit(&mut gate, 1, 0), 1);
+    gate.answered(
+        CallId(1),
+        &StoreAnswer::Unavailable,
+        at(1),
+        &mut ChaCha8Rng::seed_from_u64(7),
+    );
+    // The second call tries the store and gets no answer.
+    assert_eq!(submit(&mut gate, 2, 1_000), 1);
+    assert_eq!(submit(&mut gate, 3, 1_100), 0);
+    let wake_ms = gate.next_wake_ms(at(1_100)).unwrap();
+    assert_eq!(wake_ms, 11_000);
+    assert_eq!(submit(&mut gate, 4, wake_ms), 0);
+    assert_eq!(submit(&mut gate, 5, wake_ms + 500), 1);
+}
+
 #[test]
 fn extra_attempts_stay_below_the_ratio_in_each_window() {
     let steps = prop::collection::vec((any::<bool>(), 0..300_u64), 1..400);
-    runner()
+    runner(128)
         .run(&steps, |steps| {
             let options = RetryBudgetOptions::default();
             let mut budget = RetryBudget::new(options.clone());
--- a/crates/curranttrestled/src/control/mod.rs
+++ b/crates/curranttrestled/src/control/mod.rs
@@ -76,7 +76,7 @@
                 self.decisions.sweep();
             }
             self.metrics.add_busy(busy_since.elapsed());
-            if self.router.is_finished() {
+            if self.router.is_finished(self.shared.clock.now()) {
                 log::info!("kind={} reason=finished", EventKind::Stopping);
                 return;
             }
