--- a/crates/curranttrestle/src/coordination/config/keeper.rs
+++ b/crates/curranttrestle/src/coordination/config/keeper.rs
@@ -72,6 +72,8 @@
     sheets: SheetState,
     marks: Marks,
     marks_version: Version,
+    /// The store or a peer that has a sheet said which marks there are.
+    marks_known: bool,
     sheet_watch: ObjectWatch,
     marks_watch: ObjectWatch,
     fetch: Fetch,
@@ -90,6 +92,7 @@
             sheets: SheetState::default(),
             marks: Marks::default(),
             marks_version: Version::default(),
+            marks_known: false,
             sheet_watch: ObjectWatch::new(ConfigObject::Sheet),
             marks_watch: ObjectWatch::new(ConfigObject::Marks),
             fetch: Fetch::default(),
@@ -109,10 +112,11 @@
         &self.marks
     }
 
-    /// Whether a sheet is in force.
+    /// Whether a sheet is in force and the marks are known. Without the marks this router
+    /// would send new work to endpoints that are leaving.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.sheets.in_force().is_some()
+        self.sheets.in_force().is_some() && self.marks_known
     }
 
     /// What is in force, for heartbeats.
@@ -156,6 +160,8 @@
     ) -> Vec<ConfigEffect> {
         let mut effects = Vec::new();
         let ConfigPurpose(object) = purpose;
+        let has_answered = matches!(answer, StoreAnswer::Found(_) | StoreAnswer::Absent);
+        self.marks_known |= object == ConfigObject::Marks && has_answered;
         let settings = self.settings.clone();
         let me = self.me.clone();
         let watch = self.watch_mut(object);
@@ -212,6 +218,7 @@
     ) -> Vec<ConfigEffect> {
         let mut effects = Vec::new();
         self.fetch.answered(from);
+        self.marks_known |= update.sheet.is_some() || update.marks.is_some();
         if let Some(marks) = update.marks {
             self.merge_marks(&marks, &mut effects);
         }
--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -40,6 +40,15 @@
     Running,
 }
 
+/// What the claim of a request's key has met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyHistory {
+    /// No earlier request with the key.
+    Fresh,
+    /// An earlier request with the key, on record without a result.
+    ClaimedBefore,
+}
+
 /// One request that a router is working on.
 #[derive(Clone, Debug)]
 pub struct ActiveRequest {
@@ -63,6 +72,8 @@
     pub stage: Stage,
     /// The attempt that holds the claim of its key.
     pub claim: Option<AttemptId>,
+    /// What its claim has met.
+    pub key_history: KeyHistory,
     /// When to look again for the result of an earlier request with the same key, in
     /// steady time.
     pub claim_again_ms: Option<u64>,
@@ -103,6 +114,11 @@
             .collect()
     }
 
+    /// The digest of a request.
+    pub fn digest_of(&self, request: &RequestId) -> Option<&[u8; 16]> {
+        self.requests.get(request).map(|active| &active.new.digest)
+    }
+
     /// Removes an attempt and takes it off its request.
     pub fn remove_attempt(&mut self, attempt: &AttemptId) -> Option<RunningAttempt> {
         let running = self.attempts.swap_remove(attempt)?;
--- a/crates/curranttrestle/src/coordination/router/claims.rs
+++ b/crates/curranttrestle/src/coordination/router/claims.rs
@@ -10,6 +10,7 @@
 use crate::state::event::EventKind;
 use crate::state::{Now, RequestId};
 
+use super::active::KeyHistory;
 use super::{Decision, Router};
 
 /// How long a repeat waits for the result of an earlier request with the same key.
@@ -106,8 +107,19 @@
                     && now.since_ms(active.arrived_ms) < RESULT_WAIT_MS =>
             {
                 active.claim = None;
+                active.key_history = KeyHistory::ClaimedBefore;
                 active.claim_again_ms = Some(now.steady_ms + CLAIM_AGAIN_MS);
             }
+            // An earlier request with the key was seen; whether it ran is not known.
+            ClaimVerdict::NotRun(refusal) if active.key_history == KeyHistory::ClaimedBefore => {
+                self.active.requests.swap_remove(&request);
+                let detail = "an earlier request with the key has no result yet";
+                let unknown = Refusal {
+                    retry_after_ms: refusal.retry_after_ms,
+                    ..Refusal::unknown(RefusalReason::StillRunning, detail)
+                };
+                self.decide_refusal(request, unknown, now);
+            }
             ClaimVerdict::Unknown(refusal) | ClaimVerdict::NotRun(refusal) => {
                 self.invariants.check(
                     refusal.outcome != Outcome::NotRun || !active.handed_over(),
--- a/crates/curranttrestle/src/coordination/slots/bidding.rs
+++ b/crates/curranttrestle/src/coordination/slots/bidding.rs
@@ -17,11 +17,18 @@
 pub(super) struct SentBid {
     entries: Vec<BidEntry>,
     sent_ms: u64,
+    /// When this router first bid there.
+    first_ms: u64,
     /// How many slots the owner lent since.
     pub(super) lends: u32,
 }
 
 impl SentBid {
+    /// Whether a lend answers one of the bids of this run.
+    pub(super) fn is_answered_by(&self, bid_sent_ms: u64) -> bool {
+        (self.first_ms..=self.sent_ms).contains(&bid_sent_ms)
+    }
+
     /// How many requests the owner believes to wait.
     fn believed(&self) -> u32 {
         total(&self.entries).saturating_sub(self.lends)
@@ -66,8 +73,9 @@
         let mut messages = Vec::new();
         for (pool, pool_owners) in owners {
             let demand = queues.demand(pool, now);
-            let entries = entries(pool, &demand, fair_share);
+            let entries = entries(pool, &demand, queues, fair_share);
             let chosen = self.choose_owners(pool, pool_owners, &demand, now, rng);
+            let entries = split(entries, chosen.len(), self.options.overbidding);
             for owner in chosen {
                 messages.extend(self.bid(owner, pool, &entries, now));
             }
@@ -90,16 +98,21 @@
         if !is_due {
             return None;
         }
+        let first_ms = self
+            .sent_bids
+            .get(&key)
+            .map_or(now.steady_ms, |sent| sent.first_ms);
         let sent = SentBid {
             entries: entries.to_vec(),
             sent_ms: now.steady_ms,
+            first_ms,
             lends: 0,
         };
         self.sent_bids.insert(key, sent);
         let bid = Bid {
             pool: pool.clone(),
             sent_ms: now.steady_ms,
-            last_lend: self.last_lends.get(&owner).copied().unwrap_or(0),
+            last_lend: self.lends.get(&owner).map_or(0, |lends| lends.last),
             entries: entries.to_vec(),
         };
         Some((owner, PeerMessage::Bid(bid)))
@@ -173,6 +186,19 @@
     }
 }
 
+/// Divides what waits among several owners, rounded up. Together the owners are asked for
+/// `overbidding` times as many slots as are needed.
+fn split(mut entries: Vec<BidEntry>, owners: usize, overbidding: u32) -> Vec<BidEntry> {
+    let owners = u32::try_from(owners.max(1)).unwrap_or(u32::MAX);
+    let part = |count: u32| (count * overbidding).div_ceil(owners).min(count);
+    for entry in &mut entries {
+        entry.waiting = part(entry.waiting);
+        entry.waiting_short = part(entry.waiting_short);
+        entry.waiting_exclusive = part(entry.waiting_exclusive);
+    }
+    entries
+}
+
 fn total(entries: &[BidEntry]) -> u32 {
     entries
         .iter()
@@ -181,7 +207,14 @@
 }
 
 #[allow(clippy::cast_possible_truncation)]
-fn entries(pool: &PoolId, demand: &[Demand], fair_share: &FairShare) -> Vec<BidEntry> {
+fn entries(
+    pool: &PoolId,
+    demand: &[Demand],
+    queues: &Queues,
+    fair_share: &FairShare,
+) -> Vec<BidEntry> {
+    // Level steps count the first charge of a request, which is about the mean at most.
+    let mean_cost = queues.mean_cost(pool).unwrap_or(f64::MAX);
     demand
         .iter()
         .map(|entry| {
@@ -194,7 +227,7 @@
                 waiting: entry.waiting,
                 waiting_short: entry.waiting_short,
                 waiting_exclusive: entry.waiting_exclusive,
-                expected_cost: entry.expected_cost as f32,
+                expected_cost: entry.expected_cost.min(mean_cost) as f32,
                 level: fair_share.level(&account),
             }
         })
