--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -296,7 +296,7 @@
 
     /// Renews leases, asks owned endpoints for their load, and reads the instance list.
     pub(super) fn tick_capacity(&mut self, now: Now) {
-        let messages = self.holder.renewals(now);
+        let messages = self.holder.renewals(&self.queues, &self.fair, now);
         self.send_all(messages, now);
         self.poll_loads(now);
         self.poll_instances(now);
