Let short requests go further ahead of long ones of the same customer

Cause: at the crest of a swing a customer's queue holds several seconds of work, but a request of mean cost was set back by 1 s only, so that short requests waited as in the order of arrival. Ruled out: the choice between customers (their parts of the fair share stay as they were). Change: 10 s for each mean of expected cost, at most 20 s; the overtaking bound grows to 40 s.

--- a/crates/curranttrestle/src/coordination/queue/mod.rs
+++ b/crates/curranttrestle/src/coordination/queue/mod.rs
@@ -44,8 +44,8 @@
         Self {
             priority_step_ms: 5_000,
             priority_limit_ms: 20_000,
-            mean_cost_penalty_ms: 1_000,
-            cost_limit_ms: 10_000,
+            mean_cost_penalty_ms: 10_000,
+            cost_limit_ms: 20_000,
             short_factor: 2.0,
             ahead_factor: 1.0,
             mean_weight: 0.01,
@@ -59,7 +59,7 @@
     ///
     /// ```
     /// use curranttrestle::coordination::queue::QueueOptions;
-    /// assert_eq!(QueueOptions::default().overtake_bound_ms(), 30_000);
+    /// assert_eq!(QueueOptions::default().overtake_bound_ms(), 40_000);
     /// ```
     #[must_use]
     pub fn overtake_bound_ms(&self) -> u64 {
