--- a/crates/curranttrestle/src/coordination/slots/doubt.rs
+++ b/crates/curranttrestle/src/coordination/slots/doubt.rs
@@ -31,7 +31,7 @@
         };
         match self.options.report_mode {
             ReportMode::Ignore => {}
-            ReportMode::Trust => state.reported = Some(report.running),
+            ReportMode::Trust => state.reported = Some(report),
             ReportMode::Reconcile => {
                 let matches = expected_digest == Some(report.digest);
                 if matches || report.running <= state.lent_at(report.taken_ms) {
--- a/crates/curranttrestle/src/coordination/slots/lending.rs
+++ b/crates/curranttrestle/src/coordination/slots/lending.rs
@@ -132,7 +132,18 @@
     fn used(&self, endpoint: &EndpointId, state: &EndpointState) -> u32 {
         let orphans = u32::try_from(state.orphans_ms.len()).unwrap_or(u32::MAX);
         let leased = self.lent(endpoint).saturating_add(orphans);
-        state.reported.unwrap_or(leased)
+        let Some(report) = state.reported else {
+            return leased;
+        };
+        // What was lent since the report comes on top.
+        let since = self
+            .leases
+            .values()
+            .filter(|held| held.lease.endpoint == *endpoint && held.lent_ms >= report.taken_ms)
+            .count();
+        report
+            .running
+            .saturating_add(u32::try_from(since).unwrap_or(u32::MAX))
     }
 
     /// How many slots of an endpoint are for any request.
--- a/crates/curranttrestle/src/coordination/slots/mod.rs
+++ b/crates/curranttrestle/src/coordination/slots/mod.rs
@@ -48,7 +48,7 @@
     /// beyond the expected requests runs.
     #[default]
     Reconcile,
-    /// A report replaces the count of used slots.
+    /// A report replaces the count of used slots; what was lent since comes on top.
     Trust,
     /// Only leases count.
     Ignore,
@@ -136,7 +136,7 @@
             overbidding: 2,
             overflow_wait_ms: 300,
             short_slot_ratio: 8,
-            orphan_timeout_ms: 5_000,
+            orphan_timeout_ms: 2_000,
             slowness_timeout_ms: 3_000,
             report_mode: ReportMode::default(),
             level_check: LevelCheck::default(),
--- a/crates/curranttrestle/src/coordination/slots/owner.rs
+++ b/crates/curranttrestle/src/coordination/slots/owner.rs
@@ -10,7 +10,7 @@
 use crate::state::{EndpointId, Incarnation, InstanceId, Now, PoolId};
 
 use super::standing::StandingBids;
-use super::{OwnedEndpoint, SlotOptions, first_sequence};
+use super::{LoadReport, OwnedEndpoint, SlotOptions, first_sequence};
 
 /// An endpoint and what its owner knows of it.
 #[derive(Clone, Debug)]
@@ -24,8 +24,8 @@
     pub(super) orphans_ms: Vec<u64>,
     /// How many leases were out since when, for reports that come late.
     pub(super) lent_history: VecDeque<(u64, u32)>,
-    /// Running requests by the last report, in [`ReportMode::Trust`].
-    pub(super) reported: Option<u32>,
+    /// The last report, in [`super::ReportMode::Trust`].
+    pub(super) reported: Option<LoadReport>,
     /// No more is lent, because one request shall run alone.
     pub(super) draining: bool,
     pub(super) last_exclusive_ms: u64,
