Send a request again to an endpoint that refused it, after a while

A request that each of three engines had refused once waited until its deadline of 15 s and ended not-run, although all of them were free again: endpoints that refused or lost an attempt were passed over for good. Found with the mechanism for lost connections switched off, where a booking hung for its whole deadline of 60 s. An endpoint is now passed over for 2 s; the request is then answered (tests/answers.rs, a_request_that_every_engine_refused_once_is_answered). The retry budget was ruled out: it had granted the three retries.

A request that is held back because a copy of it is untried is let go only while it waits.

--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -79,8 +79,10 @@
     pub claim_again_ms: Option<u64>,
     /// The attempts that run.
     pub running: Vec<AttemptId>,
-    /// Endpoints that should not be tried again.
+    /// Endpoints that should not be tried again yet.
     pub avoid: Vec<EndpointId>,
+    /// Until when, in steady time; none before the first failed attempt.
+    pub avoid_until_ms: Option<u64>,
     /// An attempt was handed to an endpoint and lost, so that it may have run.
     pub lost: bool,
     /// A second attempt was started beside the first.
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -4,6 +4,7 @@
 //! carries out the effects.
 
 mod active;
+mod avoidance;
 mod capacity;
 mod claims;
 mod deaths;
@@ -227,6 +228,7 @@
         self.tick_config(now);
         self.tick_claims(now);
         self.expire_waiting(now);
+        self.tick_avoidance(now);
         self.tick_fair_share(now);
         self.tick_capacity(now);
         self.tick_hedges(now);
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -88,6 +88,7 @@
             claim_again_ms: None,
             running: Vec::new(),
             avoid: Vec::new(),
+            avoid_until_ms: None,
             lost: false,
             hedged: false,
             new,
@@ -113,7 +114,7 @@
         };
         let account = active.account.clone();
         // What was admitted once is not refused for the queue's length later.
-        let is_retry = !active.avoid.is_empty();
+        let is_retry = active.was_tried();
         let limit = match self.sheet.customers.get(&account.customer) {
             _ if is_retry => usize::MAX,
             Some(customer) => customer.queue_limit_or(self.options.queue_per_customer) as usize,
@@ -175,7 +176,7 @@
         active.stage = Stage::Running;
         active.running.push(attempt.clone());
         let hedge = active.running.len() > 1;
-        let is_first = !hedge && active.avoid.is_empty();
+        let is_first = !hedge && !active.was_tried();
         let charged_units = charge.charged();
         let account = active.account.clone();
         let kind = active.kind;
@@ -401,7 +402,7 @@
         if !active.running.is_empty() {
             return;
         }
-        active.avoid.push(running.endpoint.clone());
+        active.avoid(running.endpoint.clone(), now);
         let expired = now.steady_ms >= active.new.deadline_ms;
         let lost = active.lost;
         if expired || !(unreachable || self.retries.try_take(now)) {
@@ -432,7 +433,7 @@
         if !active.running.is_empty() {
             return;
         }
-        active.avoid.push(running.endpoint.clone());
+        active.avoid(running.endpoint.clone(), now);
         let digest = active.new.digest;
         let expired = now.steady_ms >= active.new.deadline_ms;
         let may_repeat = active.idempotent && !expired;
--- a/crates/curranttrestle/src/coordination/router/screening.rs
+++ b/crates/curranttrestle/src/coordination/router/screening.rs
@@ -10,6 +10,7 @@
 use crate::protocol::peer::Lease;
 use crate::state::{Now, RequestId};
 
+use super::active::Stage;
 use super::{RequestDigest, Router};
 
 /// What becomes of a request that waited for a slot.
@@ -88,6 +89,9 @@
             let Some(active) = self.active.requests.get(&request) else {
                 continue;
             };
+            if active.stage != Stage::Waiting {
+                continue;
+            }
             let digest = active.new.digest;
             let settles = self.quarantine.admission(&digest, now) == Admission::Alone
                 && !self.quarantine.may_start(&digest, true, now);
--- a/crates/curranttrestled/tests/answers.rs
+++ b/crates/curranttrestled/tests/answers.rs
@@ -264,3 +264,22 @@
     fault_all(&fleet, &serde_json::json!({ "fault": "heal" }));
     wait_idle(&fleet.routers[0]);
 }
+
+#[test]
+fn a_request_that_every_engine_refused_once_is_answered() {
+    let fleet = Fleet::start_with_sheet("answers_refused", plan());
+    let key = key_of("roofer");
+    let router = fleet.routers[0].callers();
+    smol::block_on(support::client::ask(router, &key, "draft-report", "first"));
+    fault_all(
+        &fleet,
+        &serde_json::json!({ "fault": "refuse-next", "count": 1 }),
+    );
+    let headers = [("Deadline-Ms", "15000".to_owned())];
+    let body = "{\"prompt\": \"refused everywhere\", \"max_tokens\": 20}";
+    let reply = smol::block_on(call(router, &key, "draft-report", &headers, body));
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let answer = support::client::read_events(&reply.body);
+    assert_eq!(answer.text, expected_answer("refused everywhere", 20));
+    assert_eq!(total(&fleet, "refused"), 3);
+}
