Move streams off an endpoint that has become slow

Cause, from the experiment's answers: requests whose stream runs when its endpoint slows down stay with it to the end; a second attempt was only started before the first part. Ruled out: the choice of endpoints, since new work reached slow ones only as a trickle.

--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -21,6 +21,8 @@
     pub lease: Option<LeaseId>,
     /// What was charged for it so far.
     pub charge: Charge,
+    /// What it has used so far, as last reported.
+    pub used_units: f64,
     /// The first part of its answer has come.
     pub progressed: bool,
     /// When it was dispatched, in steady time.
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -198,6 +198,7 @@
                 endpoint: endpoint.clone(),
                 lease: lease.map(|lease| lease.id.clone()),
                 charge,
+                used_units: 0.0,
                 progressed: false,
                 dispatched_ms: now.steady_ms,
                 exclusive,
@@ -236,6 +237,7 @@
         let endpoint = running.endpoint.clone();
         let dispatched_ms = running.dispatched_ms;
         let is_first = !std::mem::replace(&mut running.progressed, true);
+        running.used_units = units;
         let beyond_units = running.charge.progress(units);
         let account = self
             .active
--- a/crates/curranttrestled/src/front/attempts.rs
+++ b/crates/curranttrestled/src/front/attempts.rs
@@ -40,7 +40,8 @@
     Replayed(StoredAnswer),
 }
 
-type Opening = Pin<Box<dyn Future<Output = (Dispatch, Result<Opened, AttemptError>)> + Send>>;
+/// An attempt on its way to its first part.
+pub type Opening = Pin<Box<dyn Future<Output = (Dispatch, Result<Opened, AttemptError>)> + Send>>;
 
 /// What happens next while attempts are opened.
 enum Next {
@@ -161,7 +162,19 @@
         }
     }
 
-    fn open(&self, dispatch: Dispatch) -> Opening {
+    /// Waits for the order of a second attempt beside the one that is passed on.
+    pub async fn second_attempt(&self) -> Dispatch {
+        loop {
+            match self.decisions.recv().await {
+                Ok(Decision::Dispatch(dispatch)) => return dispatch,
+                Ok(_) => {}
+                Err(_) => std::future::pending().await,
+            }
+        }
+    }
+
+    /// Begins an attempt.
+    pub fn open(&self, dispatch: Dispatch) -> Opening {
         let shared = self.shared.clone();
         let caller = self.caller.clone();
         let prompt = self.prompt.clone();
--- a/crates/curranttrestled/src/front/mod.rs
+++ b/crates/curranttrestled/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod problem;
 mod prompt;
 mod request;
+mod rescue;
 mod service;
 mod sse;
 mod stream;
--- a/crates/curranttrestled/src/front/stream.rs
+++ b/crates/curranttrestled/src/front/stream.rs
@@ -5,10 +5,11 @@
 
 use async_channel::{Receiver, Sender};
 use curranttrestle::coordination::router::{AttemptResult, Dispatch, Input};
+use curranttrestle::protocol::endpoint::StreamId;
 use curranttrestle::protocol::resume::ResumeToken;
 use curranttrestle::protocol::{Refusal, RefusalReason};
 use curranttrestle::state::Now;
-use curranttrestle::transport::endpoint::AttemptError;
+use curranttrestle::transport::endpoint::{AttemptError, InterruptCause};
 use curranttrestle::transport::frames::{Chunk, FrameStream};
 use futures_lite::FutureExt;
 use xxhash_rust::xxh3::Xxh3;
@@ -16,6 +17,7 @@
 use super::attempts::{Attempts, First, Opened, failed};
 use super::body::{BodyReader, body_channel};
 use super::request::CallerRequest;
+use super::rescue::{CaughtUp, Rescue};
 use super::sse;
 use crate::shared::Shared;
 
@@ -46,10 +48,23 @@
 
 /// One attempt whose parts are passed on.
 struct Passing {
+    dispatch: Dispatch,
     replay: Replay,
     stream: Box<FrameStream>,
     /// The tokens that the attempt has made so far.
     tokens: u64,
+    /// A second attempt that catches up because this one is slow.
+    rescue: Option<Rescue>,
+}
+
+/// What happens next while an attempt is passed on.
+enum Event {
+    /// The attempt made another part, ended or broke off.
+    Part(Result<Option<Chunk>, AttemptError>),
+    /// The control thread ordered a second attempt.
+    SecondAttempt(Dispatch),
+    /// The second attempt caught up, or failed.
+    Rescue(Result<CaughtUp, AttemptError>),
 }
 
 /// Why no more parts of an attempt are passed on.
@@ -111,7 +126,7 @@
             if let Some(reader) = reader.take() {
                 let _ = heads.send(Ok(reader)).await;
             }
-            match self.pass_on(&dispatch, stream, chunk).await {
+            match self.pass_on(dispatch, stream, chunk).await {
                 Passed::Whole | Passed::Ended => return,
                 Passed::Lost => {}
             }
@@ -135,73 +150,186 @@
     /// Passes on one attempt, at most until the caller's deadline.
     async fn pass_on(
         &mut self,
-        dispatch: &Dispatch,
+        dispatch: Dispatch,
         stream: Box<FrameStream>,
         first: Option<Chunk>,
     ) -> Passed {
         let shared = self.shared.clone();
         let deadline_ms = self.caller.new.deadline_ms;
         let mut passing = Passing {
+            dispatch,
             replay: Replay::new(self.sent_bytes),
             stream,
             tokens: 0,
+            rescue: None,
         };
-        let parts = Box::pin(self.pass_parts(dispatch, &mut passing, first));
+        let parts = Box::pin(self.pass_parts(&mut passing, first));
         let end = until(&shared, deadline_ms, parts).await;
         match end {
-            None => self.expired(dispatch, &passing).await,
-            Some(PartsEnd::Whole) => self.finish(dispatch, &passing.stream).await,
-            Some(PartsEnd::CallerGone) => self.caller_gone(dispatch, passing.tokens).await,
-            Some(PartsEnd::Differs) => self.differs(dispatch, passing.tokens).await,
-            Some(PartsEnd::Lost(error)) => self.lost(dispatch, &passing, &error).await,
+            None => self.expired(&passing).await,
+            Some(PartsEnd::Whole) => self.finish(&passing).await,
+            Some(PartsEnd::CallerGone) => self.caller_gone(&passing).await,
+            Some(PartsEnd::Differs) => self.differs(&passing).await,
+            Some(PartsEnd::Lost(error)) => self.lost(&passing, &error).await,
         }
     }
 
-    /// Passes on the parts of one attempt until it ends.
-    async fn pass_parts(
-        &mut self,
-        dispatch: &Dispatch,
-        passing: &mut Passing,
-        first: Option<Chunk>,
-    ) -> PartsEnd {
+    /// Passes on the parts of one attempt, or of one that overtakes it, until it ends.
+    async fn pass_parts(&mut self, passing: &mut Passing, first: Option<Chunk>) -> PartsEnd {
         // The control thread learns of the first part at once.
         self.last_progress = Now::default();
-        let mut next = first;
         let mut resumes = 0;
-        if self.send_start(dispatch, &passing.stream).await.is_err() {
+        if self.send_start(passing).await.is_err() {
             return PartsEnd::CallerGone;
         }
+        if let Some(chunk) = first
+            && let Some(end) = self.pass_chunk(passing, &chunk).await
+        {
+            return end;
+        }
         loop {
-            if let Some(chunk) = next.take() {
-                passing.tokens = chunk.tokens_total;
-                let Some(text) = passing.replay.take_new(&chunk, &self.sent_digest) else {
-                    return PartsEnd::Differs;
-                };
-                if !text.is_empty() && self.send_part(text).await.is_err() {
-                    return PartsEnd::CallerGone;
+            match self.next_event(passing).await {
+                Event::Part(Ok(Some(chunk))) => {
+                    if let Some(end) = self.pass_chunk(passing, &chunk).await {
+                        return end;
+                    }
                 }
-                self.report_progress(dispatch, passing.tokens).await;
-            }
-            match passing.stream.next().await {
-                Ok(Some(chunk)) => next = Some(chunk),
-                Ok(None) => return PartsEnd::Whole,
-                Err(error) if resumes < RESUME_ATTEMPTS => {
-                    resumes += 1;
-                    match self.resume(dispatch, &passing.stream).await {
-                        Some(new_stream) => *passing.stream = new_stream,
-                        None => return PartsEnd::Lost(error),
+                Event::Part(Ok(None)) => return PartsEnd::Whole,
+                Event::Part(Err(error)) => {
+                    if let Some(end) = self.mend(passing, error, &mut resumes).await {
+                        return end;
                     }
                 }
-                Err(error) => return PartsEnd::Lost(error),
+                Event::SecondAttempt(dispatch) => self.start_rescue(passing, dispatch),
+                Event::Rescue(Ok(caught_up)) => {
+                    if let Some(end) = self.change_over(passing, caught_up).await {
+                        return end;
+                    }
+                }
+                Event::Rescue(Err(error)) => self.rescue_failed(passing, &error).await,
             }
         }
     }
 
-    async fn send_start(
-        &self,
-        dispatch: &Dispatch,
-        stream: &FrameStream,
-    ) -> Result<(), async_channel::SendError<Vec<u8>>> {
+    async fn next_event(&self, passing: &mut Passing) -> Event {
+        let stream = &mut passing.stream;
+        let part = async { Event::Part(stream.next().await) };
+        let Some(rescue) = &mut passing.rescue else {
+            let second = async { Event::SecondAttempt(self.attempts.second_attempt().await) };
+            return part.or(second).await;
+        };
+        let rescued = async { Event::Rescue(rescue.caught_up().await) };
+        part.or(rescued).await
+    }
+
+    /// Passes on one part; says why nothing more can follow, if so.
+    async fn pass_chunk(&mut self, passing: &mut Passing, chunk: &Chunk) -> Option<PartsEnd> {
+        passing.tokens = chunk.tokens_total;
+        let Some(text) = passing.replay.take_new(chunk, &self.sent_digest) else {
+            return Some(PartsEnd::Differs);
+        };
+        if !text.is_empty() && self.send_part(text).await.is_err() {
+            return Some(PartsEnd::CallerGone);
+        }
+        if let Some(rescue) = &passing.rescue {
+            rescue.sent_to(self.sent_bytes);
+        }
+        self.report_progress(&passing.dispatch, passing.tokens)
+            .await;
+        None
+    }
+
+    /// Goes on after the attempt broke off: by its rescue, or by resuming it.
+    async fn mend(
+        &mut self,
+        passing: &mut Passing,
+        error: AttemptError,
+        resumes: &mut u32,
+    ) -> Option<PartsEnd> {
+        if let Some(rescue) = &mut passing.rescue {
+            return match rescue.caught_up().await {
+                Ok(caught_up) => self.change_over(passing, caught_up).await,
+                Err(rescue_error) => {
+                    self.rescue_failed(passing, &rescue_error).await;
+                    Some(PartsEnd::Lost(error))
+                }
+            };
+        }
+        *resumes += 1;
+        if *resumes > RESUME_ATTEMPTS {
+            return Some(PartsEnd::Lost(error));
+        }
+        match self.resume(&passing.dispatch, &passing.stream).await {
+            Some(new_stream) => {
+                *passing.stream = new_stream;
+                None
+            }
+            None => Some(PartsEnd::Lost(error)),
+        }
+    }
+
+    fn start_rescue(&self, passing: &mut Passing, dispatch: Dispatch) {
+        let opening = self.attempts.open(dispatch.clone());
+        passing.rescue = Some(Rescue::new(dispatch, opening, self.sent_bytes));
+    }
+
+    async fn rescue_failed(&self, passing: &mut Passing, error: &AttemptError) {
+        if let Some(rescue) = passing.rescue.take() {
+            let result = failed(error, 0.0, None);
+            self.attempts.report(rescue.dispatch(), result).await;
+        }
+    }
+
+    /// Goes on with the attempt that caught up, and ends the slow one.
+    async fn change_over(
+        &mut self,
+        passing: &mut Passing,
+        caught_up: CaughtUp,
+    ) -> Option<PartsEnd> {
+        let rescue = passing.rescue.take()?;
+        let Some(text) = caught_up.text_after(self.sent_bytes, &self.sent_digest) else {
+            let error = AttemptError::Interrupted {
+                offset: self.sent_bytes,
+                cause: InterruptCause::Malformed,
+            };
+            let result = failed(&error, 0.0, None);
+            self.attempts.report(rescue.dispatch(), result).await;
+            return None;
+        };
+        let text = text.to_owned();
+        let overtaken = std::mem::replace(&mut passing.dispatch, rescue.dispatch().clone());
+        let slow_stream = passing.stream.stream().clone();
+        let result = AttemptResult::Interrupted {
+            units: units(passing.tokens),
+            detail: "a second attempt overtook it".into(),
+            broken: false,
+            incarnation: None,
+        };
+        self.attempts.report(&overtaken, result).await;
+        self.cancel(&overtaken, slow_stream);
+        passing.stream = caught_up.stream;
+        passing.tokens = caught_up.tokens;
+        passing.replay = Replay::new(0);
+        if self.send_start(passing).await.is_err() || self.send_part(&text).await.is_err() {
+            return Some(PartsEnd::CallerGone);
+        }
+        None
+    }
+
+    /// Cancels a stream that nobody reads any more.
+    fn cancel(&self, dispatch: &Dispatch, stream: StreamId) {
+        let shared = self.shared.clone();
+        let address = dispatch.address;
+        smol::spawn(async move {
+            let _ = shared.endpoints.cancel_stream(address, &stream).await;
+        })
+        .detach();
+    }
+
+    async fn send_start(&self, passing: &Passing) -> Result<(), async_channel::SendError<Vec<u8>>> {
+        let Passing {
+            dispatch, stream, ..
+        } = passing;
         let token = ResumeToken {
             endpoint: dispatch.endpoint.clone(),
             stream: stream.stream().0.clone(),
@@ -248,44 +376,38 @@
         until(&self.shared, give_up_ms, resuming).await?.ok()
     }
 
-    async fn finish(&self, dispatch: &Dispatch, stream: &FrameStream) -> Passed {
+    async fn finish(&self, passing: &Passing) -> Passed {
         let result = AttemptResult::Answered {
-            units: units(stream.finished().unwrap_or_default()),
+            units: units(passing.stream.finished().unwrap_or_default()),
             stored: None,
         };
-        self.attempts.report(dispatch, result).await;
+        self.attempts.report(&passing.dispatch, result).await;
         self.send_last(sse::done(self.sent_bytes)).await;
         Passed::Whole
     }
 
-    async fn lost(&self, dispatch: &Dispatch, passing: &Passing, error: &AttemptError) -> Passed {
+    async fn lost(&self, passing: &Passing, error: &AttemptError) -> Passed {
         let incarnation = passing.stream.incarnation();
         let result = failed(error, units(passing.tokens), Some(incarnation));
-        self.attempts.report(dispatch, result).await;
+        self.attempts.report(&passing.dispatch, result).await;
         Passed::Lost
     }
 
-    async fn caller_gone(&self, dispatch: &Dispatch, tokens: u64) -> Passed {
+    async fn caller_gone(&self, passing: &Passing) -> Passed {
         let result = AttemptResult::CallerGone {
-            units: units(tokens),
+            units: units(passing.tokens),
         };
-        self.attempts.report(dispatch, result).await;
+        self.attempts.report(&passing.dispatch, result).await;
         Passed::Ended
     }
 
     /// Ends an answer whose caller's deadline has passed.
-    async fn expired(&self, dispatch: &Dispatch, passing: &Passing) -> Passed {
+    async fn expired(&self, passing: &Passing) -> Passed {
         let result = AttemptResult::CallerGone {
             units: units(passing.tokens),
         };
-        self.attempts.report(dispatch, result).await;
-        let shared = self.shared.clone();
-        let address = dispatch.address;
-        let stream = passing.stream.stream().clone();
-        smol::spawn(async move {
-            let _ = shared.endpoints.cancel_stream(address, &stream).await;
-        })
-        .detach();
+        self.attempts.report(&passing.dispatch, result).await;
+        self.cancel(&passing.dispatch, passing.stream.stream().clone());
         let detail = "the deadline passed while the answer was streamed";
         let refusal = Refusal::unknown(RefusalReason::DeadlinePassed, detail);
         self.send_last(sse::error(&refusal)).await;
@@ -293,11 +415,11 @@
     }
 
     /// Ends an answer whose new attempt does not begin with the bytes already passed on.
-    async fn differs(&self, dispatch: &Dispatch, tokens: u64) -> Passed {
+    async fn differs(&self, passing: &Passing) -> Passed {
         let result = AttemptResult::CallerGone {
-            units: units(tokens),
+            units: units(passing.tokens),
         };
-        self.attempts.report(dispatch, result).await;
+        self.attempts.report(&passing.dispatch, result).await;
         let detail = "the answer broke off and a second attempt gave another one";
         let refusal = Refusal::unknown(RefusalReason::AttemptLost, detail);
         self.send_last(sse::error(&refusal)).await;
@@ -365,7 +487,7 @@
         let detail = "the endpoint that ran the stream is gone";
         return Err(Refusal::unknown(RefusalReason::AttemptLost, detail));
     };
-    let stream_id = curranttrestle::protocol::endpoint::StreamId(token.stream.clone());
+    let stream_id = StreamId(token.stream.clone());
     let mut stream = shared
         .endpoints
         .resume_stream(address, &stream_id, &token.attempt, offset)
