--- a/crates/curranttrestle/src/coordination/router/capacity.rs
+++ b/crates/curranttrestle/src/coordination/router/capacity.rs
@@ -14,18 +14,15 @@
 };
 use crate::coordination::store_gate::CallPriority;
 use crate::protocol::endpoint::{LoadReport, Order, OrderAnswer};
-use crate::protocol::peer::{Lend, PeerMessage, Slowness};
+use crate::protocol::peer::Lend;
 use crate::protocol::platform::{StoreAnswer, StoreCall, Version};
 use crate::state::event::EventKind;
-use crate::state::sheet::EndpointKind;
 use crate::state::{AccountId, EndpointId, InstanceId, Now, PoolId};
 
 use super::{Effect, Policy, PollPurpose, Router};
 
 /// How long an endpoint that refused a connection gets no work from this router.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
-/// Time between two messages that an endpoint is slow.
-const SLOWNESS_INTERVAL_MS: u64 = 1_000;
 /// Load reports that an endpoint may miss before its owner lends no slots of it.
 const MISSED_REPORTS: u32 = 2;
 
@@ -48,9 +45,9 @@
     states: IndexMap<EndpointId, EndpointState>,
     owned: Vec<EndpointId>,
     owners_by_pool: IndexMap<PoolId, PoolOwners>,
-    owners: IndexMap<EndpointId, EndpointOwner>,
+    /// Who owns the slots of each endpoint.
+    pub owners: IndexMap<EndpointId, EndpointOwner>,
     backlogged: IndexSet<AccountId>,
-    slowness_told_ms: u64,
     assigned: bool,
 }
 
@@ -456,66 +453,6 @@
         self.holder.drop_endpoint(endpoint);
     }
 
-    /// Judges an endpoint by the time one of its units took.
-    pub(super) fn observe_speed(
-        &mut self,
-        pool: &PoolId,
-        endpoint: &EndpointId,
-        units: f64,
-        elapsed_ms: u64,
-        now: Now,
-    ) {
-        // A plain service is judged by its time against the expected one, which the unit
-        // already is; only streams tell endpoints of one pool apart.
-        let Some(row) = self.sheet.endpoints.get(endpoint) else {
-            return;
-        };
-        if row.kind != EndpointKind::Model {
-            return;
-        }
-        let changed = self
-            .speed
-            .observe(pool, endpoint, units, elapsed_f64(elapsed_ms), now);
-        if !changed {
-            return;
-        }
-        let slow = self.speed.is_slow(pool, endpoint);
-        let window = self.speed.window(pool, endpoint, now);
-        self.tell_slowness(endpoint, window, now);
-        self.emit(
-            now,
-            EventKind::EndpointSlow,
-            None,
-            &[("endpoint", endpoint), ("slow", &slow)],
-        );
-    }
-
-    /// Repeats to their owners which endpoints are slow.
-    fn repeat_slowness(&mut self, now: Now) {
-        if now.since_ms(self.endpoints.slowness_told_ms) < SLOWNESS_INTERVAL_MS {
-            return;
-        }
-        self.endpoints.slowness_told_ms = now.steady_ms;
-        for (endpoint, window) in self.speed.slow_endpoints(now) {
-            self.tell_slowness(&endpoint, window, now);
-        }
-    }
-
-    #[allow(
-        clippy::cast_possible_truncation,
-        reason = "a fraction needs little precision"
-    )]
-    fn tell_slowness(&mut self, endpoint: &EndpointId, window: f64, now: Now) {
-        let Some(owner) = self.endpoints.owners.get(endpoint).cloned() else {
-            return;
-        };
-        let message = PeerMessage::Slowness(Slowness {
-            endpoint: endpoint.clone(),
-            window: window as f32,
-        });
-        self.send(&owner.instance, message, now);
-    }
-
     pub(super) fn endpoint_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         self.sheet.endpoints.get(endpoint).map(|row| row.address)
     }
@@ -526,11 +463,3 @@
     let age_ms = now.unix_ms.saturating_sub(unix_ms);
     now.steady_ms.saturating_sub(age_ms)
 }
-
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "times of requests are far below the precision of f64"
-)]
-fn elapsed_f64(elapsed_ms: u64) -> f64 {
-    elapsed_ms as f64
-}
--- a/crates/curranttrestle/src/coordination/router/hedges.rs
+++ b/crates/curranttrestle/src/coordination/router/hedges.rs
@@ -56,8 +56,8 @@
         if !may_move || !self.speed.is_slow(pool, &running.endpoint) {
             return false;
         }
-        let left_units = (active.expected_units - running.used_units).max(0.0);
         let pace = self.speed.window(pool, &running.endpoint, now);
+        let left_units = (active.expected_units - running.used_units).max(0.0);
         left_units > MOVE_GAIN * active.expected_units * pace
     }
 
--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod requests;
 mod screening;
+mod slowness;
 mod status;
 
 use std::collections::VecDeque;
@@ -87,6 +88,8 @@
     naive: NaiveDispatcher,
     costs: CostEstimator,
     speed: SpeedJudge,
+    /// When the owners were last told which endpoints are slow, in steady time.
+    slowness_told_ms: u64,
     hedging: Hedging,
     hedge_budget: HedgeBudget,
     drain: Drain,
@@ -127,6 +130,7 @@
             holder: SlotHolder::new(instance.clone(), options.slots.clone()),
             naive: NaiveDispatcher::default(),
             costs: CostEstimator::new(options.cost.clone()),
+            slowness_told_ms: 0,
             speed: SpeedJudge::new(options.speed.clone()),
             hedging: Hedging::new(options.hedges.clone()),
             hedge_budget: options.hedge_budget.clone(),
