--- a/crates/curranttrestle/src/coordination/fair_share/mod.rs
+++ b/crates/curranttrestle/src/coordination/fair_share/mod.rs
@@ -78,7 +78,7 @@
             longest_round_ms: 2_000,
             hop_ms: 10,
             idle_round_ms: 1_000,
-            fan_in: 3,
+            fan_in: 2,
             budget_bytes_per_s: 4_000,
             backlog_timeout_ms: 5_000,
             recovery_ms: 1_000,
