Measure the gap of service at the engines, before and after a cut

Two customers with equal shares always wait, one at two routers of one data centre with 20 callers, the other at all six with 48.

--- /dev/null
+++ b/crates/curranttrestled/tests/fairness.rs
@@ -0,0 +1,123 @@
+//! The gap of service between two customers that always wait stays bounded, measured by the
+//! tokens that the engines made for each.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use curranttrestle::coordination::fair_share::{GapTerms, gap_bound};
+use curranttrestle_standins::relay::{Direction, RelayFault};
+use support::fleet::{Fleet, FleetPlan, Router, key_of, truth};
+use support::load::Load;
+
+const CUT: RelayFault = RelayFault::Cut {
+    direction: Direction::Both,
+};
+/// Tokens of each answer.
+const TOKENS: u32 = 20;
+/// Time for the customers to fill the fleet.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// How long the gap is watched.
+const WATCHED: Duration = Duration::from_secs(6);
+/// How long a data centre is cut off, and how long the gap may be larger after that.
+const CUT_OFF: Duration = Duration::from_secs(3);
+const RECOVERY: Duration = Duration::from_secs(5);
+/// The time between two looks at the engines.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Tokens of both customers, over all engines.
+fn tokens(fleet: &Fleet) -> [u64; 2] {
+    let mut sums = [0; 2];
+    for engine in &fleet.engines {
+        let truth = truth(&engine.process);
+        for (sum, customer) in sums.iter_mut().zip(["narrow", "wide"]) {
+            *sum += truth["tokens_by_customer"][customer]
+                .as_u64()
+                .unwrap_or_default();
+        }
+    }
+    sums
+}
+
+/// The largest gap of service since the start of the time watched, and the tokens a second.
+#[allow(clippy::cast_precision_loss)]
+fn watch(fleet: &Fleet) -> (f64, f64) {
+    let started = Instant::now();
+    let first = tokens(fleet);
+    let mut last = first;
+    let mut differences = vec![0.0];
+    while started.elapsed() < WATCHED {
+        std::thread::sleep(LOOK_INTERVAL);
+        last = tokens(fleet);
+        let [narrow, wide] = [0, 1].map(|customer| (last[customer] - first[customer]) as f64);
+        differences.push(narrow - wide);
+    }
+    let greatest = differences.iter().copied().fold(f64::MIN, f64::max);
+    let smallest = differences.iter().copied().fold(f64::MAX, f64::min);
+    let made = (last[0] + last[1] - first[0] - first[1]) as f64;
+    (greatest - smallest, made / started.elapsed().as_secs_f64())
+}
+
+/// The bound of the gap in tokens, as both customers have a share of one.
+fn bound(fleet: &Fleet, tokens_per_s: f64) -> f64 {
+    let slots = f64::from(fleet.plan.slots) * 3.0;
+    gap_bound(&GapTerms {
+        slots,
+        largest_cost: f64::from(TOKENS),
+        units_per_slot_s: tokens_per_s / slots,
+        exchange_period_ms: 250.0,
+        depth: 1.0,
+        hop_ms: 10.0,
+        message_ms: 10.0,
+        least_share: 1.0,
+        tolerance_requests: 1.0,
+    })
+}
+
+#[test]
+fn the_gap_at_the_engines_is_bounded_also_after_a_cut() {
+    let fleet = Fleet::start_with_sheet(
+        "fairness",
+        FleetPlan {
+            services: 0,
+            customers: vec![("narrow", 1), ("wide", 1)],
+            ..FleetPlan::default()
+        },
+    );
+    // One customer calls at one data centre only, the other at all and with more callers.
+    let all: Vec<_> = fleet.routers.iter().map(Router::callers).collect();
+    let narrow = Load::start(&all[..2], &key_of("narrow"), 10, TOKENS);
+    let wide = Load::start(&all, &key_of("wide"), 8, TOKENS);
+    std::thread::sleep(WARM_UP);
+    let (gap, rate) = watch(&fleet);
+    let bound_before = bound(&fleet, rate);
+    println!("gap {gap:.0} bound {bound_before:.0} tokens a second {rate:.0}");
+
+    for other in ["rennes", "brest"] {
+        fleet.cut("vannes", other, CUT);
+    }
+    std::thread::sleep(CUT_OFF);
+    for other in ["rennes", "brest"] {
+        fleet.cut("vannes", other, RelayFault::Heal);
+    }
+    let healed = tokens(&fleet);
+    std::thread::sleep(RECOVERY);
+    let recovered = tokens(&fleet);
+    let (gap_after, rate_after) = watch(&fleet);
+    let bound_after = bound(&fleet, rate_after);
+    println!(
+        "after the cut: gap {gap_after:.0} bound {bound_after:.0} tokens a second {rate_after:.0}"
+    );
+    narrow.stop();
+    wide.stop();
+    assert!(gap <= bound_before, "{gap} > {bound_before}");
+    assert!(
+        gap_after <= bound_after,
+        "after the cut: {gap_after} > {bound_after}"
+    );
+    for customer in 0..2 {
+        let served = recovered[customer] - healed[customer];
+        println!("customer {customer} got {served} tokens in the time after the cut");
+        assert!(served > 0, "customer {customer} was starved to repay");
+    }
+}
