--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -21,6 +21,8 @@
     pub lease: Option<LeaseId>,
     /// What was charged for it so far.
     pub charge: Charge,
+    /// What it has used so far, as last reported.
+    pub used_units: f64,
     /// The first part of its answer has come.
     pub progressed: bool,
     /// When it was dispatched, in steady time.
@@ -79,8 +81,10 @@
     pub claim_again_ms: Option<u64>,
     /// The attempts that run.
     pub running: Vec<AttemptId>,
-    /// Endpoints that should not be tried again.
+    /// Endpoints that should not be tried again yet.
     pub avoid: Vec<EndpointId>,
+    /// Until when, in steady time; none before the first failed attempt.
+    pub avoid_until_ms: Option<u64>,
     /// An attempt was handed to an endpoint and lost, so that it may have run.
     pub lost: bool,
     /// A second attempt was started beside the first.
