--- /dev/null
+++ b/crates/curranttrestle/tests/sender_limit.rs
@@ -0,0 +1,160 @@
+//! The limit on callers that send too slowly, on a server with short timeouts.
+
+use std::future::Future;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use curranttrestle::transport::body::read_whole;
+use curranttrestle::transport::sender_limit::SenderLimit;
+use smol::Timer;
+use smol::io::AsyncRead;
+use trillium::{Body, Conn};
+
+const IDLE_TIMEOUT_MS: u64 = 300;
+const REQUEST_TIMEOUT_MS: u64 = 600;
+/// How long a test waits for the server at most.
+const DEADLINE: Duration = Duration::from_secs(30);
+/// How many chunks a streamed answer has, and the time between two of them.
+const CHUNKS: usize = 12;
+const CHUNK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Starts a server on a free port, which runs until the process ends.
+fn serve() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let config = trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_acceptor(SenderLimit {
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+            request_timeout_ms: REQUEST_TIMEOUT_MS,
+        })
+        .with_prebound_server(smol::net::TcpListener::try_from(listener).unwrap());
+    std::mem::forget(config.spawn(handle));
+    address
+}
+
+async fn handle(mut conn: Conn) -> Conn {
+    if conn.path() == "/stream" {
+        let chunks = SlowChunks {
+            timer: Timer::after(CHUNK_INTERVAL),
+            left: CHUNKS,
+        };
+        return conn.ok(Body::new_streaming(chunks, None));
+    }
+    match read_whole(conn.request_body().await, 1_000).await {
+        Ok(body) => conn.ok(format!("{} bytes", body.len())),
+        Err(_) => conn.with_status(408).halt(),
+    }
+}
+
+/// Gives one byte at each interval.
+struct SlowChunks {
+    timer: Timer,
+    left: usize,
+}
+
+impl AsyncRead for SlowChunks {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.left == 0 {
+            return Poll::Ready(Ok(0));
+        }
+        ready!(Pin::new(&mut self.timer).poll(context));
+        self.timer.set_after(CHUNK_INTERVAL);
+        self.left -= 1;
+        buffer[0] = b'x';
+        Poll::Ready(Ok(1))
+    }
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(DEADLINE)).unwrap();
+    stream
+}
+
+/// Waits until the server has closed the connection; returns what it sent before.
+fn read_until_closed(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    match stream.read_to_end(&mut answer) {
+        Ok(_) => {}
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
+        Err(error) => panic!("the server did not cut the connection off: {error}"),
+    }
+    String::from_utf8(answer).unwrap()
+}
+
+/// Sends a byte at a time until the server cuts the connection off.
+fn trickle(stream: &mut TcpStream) {
+    let start = Instant::now();
+    while start.elapsed() < DEADLINE {
+        if stream.write_all(b"a").is_err() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the server took a slow sender to the end");
+}
+
+#[test]
+fn an_idle_connection_is_cut_off() {
+    let mut stream = connect(serve());
+    let start = Instant::now();
+    assert_eq!(read_until_closed(&mut stream), "");
+    assert!(start.elapsed() >= Duration::from_millis(IDLE_TIMEOUT_MS));
+}
+
+#[test]
+fn a_connection_that_is_idle_after_an_answer_is_cut_off() {
+    let mut stream = connect(serve());
+    let request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok";
+    stream.write_all(request.as_bytes()).unwrap();
+    let answer = read_until_closed(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("2 bytes"), "{answer}");
+}
+
+#[test]
+fn a_slow_head_is_cut_off_although_bytes_keep_coming() {
+    let mut stream = connect(serve());
+    stream.write_all(b"GET / HTTP/1.1\r\nHost: ").unwrap();
+    trickle(&mut stream);
+}
+
+#[test]
+fn a_slow_body_is_cut_off_although_bytes_keep_coming() {
+    let mut stream = connect(serve());
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    trickle(&mut stream);
+}
+
+#[test]
+fn a_body_that_stops_coming_is_cut_off() {
+    let mut stream = connect(serve());
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nsome";
+    stream.write_all(head.as_bytes()).unwrap();
+    let answer = read_until_closed(&mut stream);
+    assert!(!answer.contains("200"), "{answer}");
+}
+
+#[test]
+fn a_streamed_answer_longer_than_all_limits_arrives_whole() {
+    let mut stream = connect(serve());
+    let start = Instant::now();
+    stream
+        .write_all(b"GET /stream HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        .unwrap();
+    let answer = read_until_closed(&mut stream);
+    assert!(start.elapsed() > Duration::from_millis(IDLE_TIMEOUT_MS + REQUEST_TIMEOUT_MS));
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert_eq!(body.matches('x').count(), CHUNKS, "{answer}");
+    assert!(body.ends_with("0\r\n\r\n"), "{answer}");
+}
