Remove marks of endpoints that the sheet no longer names

The object with all marks only grew and would have been full in the end. A change that adds a mark now reads the marks, then the sheet, and leaves out the marks of endpoints that the sheet does not name. This is safe because an endpoint is marked only once a sheet names it: the sheet that is read after the marks is that one or a newer one, and the update is conditional on the version of the marks. Without a readable sheet nothing is removed.

A random run found that a mark which was there already was accepted without a write, and then removed by a change that had read an older sheet, when a name had left the sheet and come back.

--- a/crates/curranttrestle/src/coordination/config/marking.rs
+++ b/crates/curranttrestle/src/coordination/config/marking.rs
@@ -1,12 +1,21 @@
 //! Adds a mark of an endpoint to the object that holds all marks.
 //!
-//! Marks are only ever added, so a conflict is met by reading and adding again, and a lost
-//! answer by looking whether the mark is there.
+//! A conflict and a lost answer are met by reading and writing again until the store answers
+//! an update. That the mark is there already is not enough: it may be from a time before the
+//! sheet named the endpoint anew, and another change may be about to remove it. A write makes
+//! that removal fail, because its condition no longer holds.
+//!
+//! Marks of endpoints that the sheet no longer names are removed on the way, so that the
+//! object never fills. The marks are read before the sheet, and the update is conditional on
+//! that version of the marks. An endpoint is marked only once an accepted sheet names it, so
+//! the sheet read later is that one or a newer one, never an older one that does not name it
+//! yet. Without a sheet that can be read nothing is removed.
 
 use super::backoff;
 use super::step::{ChangeSettings, Step};
 use crate::protocol::platform::{Expected, Object, StoreAnswer, StoreCall, Version};
 use crate::state::marks::{MarkEntry, Marks};
+use crate::state::sheet::SheetObject;
 
 /// The largest object that the store holds.
 const OBJECT_LIMIT_BYTES: usize = 1_000_000;
@@ -30,6 +39,17 @@
     Unknown,
 }
 
+/// The call whose answer is awaited.
+#[derive(Clone, Debug)]
+enum Awaited {
+    /// The marks are read.
+    Marks,
+    /// The sheet is read, after these marks.
+    Sheet { version: Version, marks: Marks },
+    /// The marks are written.
+    Update,
+}
+
 /// A mark on its way into the store.
 ///
 /// ```
@@ -54,7 +74,7 @@
 pub struct Marking {
     entry: MarkEntry,
     settings: ChangeSettings,
-    updating: bool,
+    awaited: Awaited,
     in_doubt: bool,
     failures: u32,
 }
@@ -66,7 +86,7 @@
         Self {
             entry,
             settings,
-            updating: false,
+            awaited: Awaited::Marks,
             in_doubt: false,
             failures: 0,
         }
@@ -79,9 +99,14 @@
 
     /// The step after `answer`.
     pub fn answer(&mut self, answer: &StoreAnswer) -> Step<MarkOutcome> {
-        if self.updating {
-            return self.update_answer(answer);
+        match std::mem::replace(&mut self.awaited, Awaited::Marks) {
+            Awaited::Marks => self.marks_answer(answer),
+            Awaited::Sheet { version, marks } => self.sheet_answer(answer, version, marks),
+            Awaited::Update => self.update_answer(answer),
         }
+    }
+
+    fn marks_answer(&mut self, answer: &StoreAnswer) -> Step<MarkOutcome> {
         match answer {
             StoreAnswer::Found(object) => self.take_found(object),
             StoreAnswer::Absent => self.update(Expected::Absent, Marks::default()),
@@ -89,6 +114,20 @@
         }
     }
 
+    fn sheet_answer(
+        &mut self,
+        answer: &StoreAnswer,
+        version: Version,
+        mut marks: Marks,
+    ) -> Step<MarkOutcome> {
+        if let StoreAnswer::Found(object) = answer
+            && let Ok(object) = SheetObject::from_text(&object.value)
+        {
+            marks.retain_named(|endpoint| object.sheet.endpoints.contains_key(endpoint));
+        }
+        self.update(Expected::Version(version), marks)
+    }
+
     fn update_answer(&mut self, answer: &StoreAnswer) -> Step<MarkOutcome> {
         match answer {
             StoreAnswer::Updated(version) => {
@@ -105,10 +144,7 @@
 
     fn take_found(&mut self, found: &Object) -> Step<MarkOutcome> {
         match serde_json::from_str::<Marks>(&found.value) {
-            Ok(marks) if marks.contains(&self.entry) => Step::Done(MarkOutcome::Accepted {
-                version: found.version,
-            }),
-            Ok(marks) => self.update(Expected::Version(found.version), marks),
+            Ok(marks) => self.read_sheet(found.version, marks),
             Err(error) => self.refuse(error.to_string()),
         }
     }
@@ -120,7 +156,7 @@
             Ok(value) => return self.refuse(format!("the marks take {} bytes", value.len())),
             Err(error) => return self.refuse(error.to_string()),
         };
-        self.updating = true;
+        self.awaited = Awaited::Update;
         let name = Marks::NAME.to_owned();
         let delay_ms = 0;
         let call = StoreCall::Update {
@@ -132,12 +168,19 @@
     }
 
     fn read(&mut self, delay_ms: u64) -> Step<MarkOutcome> {
-        self.updating = false;
+        self.awaited = Awaited::Marks;
         let name = Marks::NAME.to_owned();
         let call = StoreCall::Read { name };
         Step::Call { delay_ms, call }
     }
 
+    fn read_sheet(&mut self, version: Version, marks: Marks) -> Step<MarkOutcome> {
+        self.awaited = Awaited::Sheet { version, marks };
+        let name = SheetObject::NAME.to_owned();
+        let call = StoreCall::Read { name };
+        Step::Call { delay_ms: 0, call }
+    }
+
     fn retry_after_failure(&mut self) -> Step<MarkOutcome> {
         self.failures += 1;
         if self.failures >= self.settings.most_failures {
--- a/crates/curranttrestle/src/state/marks.rs
+++ b/crates/curranttrestle/src/state/marks.rs
@@ -1,4 +1,5 @@
-//! Marks of endpoints that are to leave or to stop. A mark is never withdrawn.
+//! Marks of endpoints that are to leave or to stop. A mark is never withdrawn from an endpoint
+//! that the sheet still names.
 
 use std::fmt;
 
@@ -103,6 +104,27 @@
         added
     }
 
+    /// Removes the entries of endpoints for which `is_named` does not hold.
+    ///
+    /// ```
+    /// use curranttrestle::state::marks::{Mark, MarkEntry, Marks};
+    /// let entry = MarkEntry {
+    ///     endpoint: "m1".into(),
+    ///     incarnation: None,
+    ///     mark: Mark::Stop,
+    ///     unix_ms: 0,
+    ///     by: "operator".to_owned(),
+    /// };
+    /// let mut marks = Marks { entries: vec![entry] };
+    /// marks.retain_named(|endpoint| endpoint.as_str() == "m1");
+    /// assert_eq!(marks.entries.len(), 1);
+    /// marks.retain_named(|_| false);
+    /// assert!(marks.entries.is_empty());
+    /// ```
+    pub fn retain_named(&mut self, is_named: impl Fn(&EndpointId) -> bool) {
+        self.entries.retain(|entry| is_named(&entry.endpoint));
+    }
+
     /// Whether an entry about the same is there.
     #[must_use]
     pub fn contains(&self, entry: &MarkEntry) -> bool {
