Submit a sheet once through several routers, wait for a slow store, follow events

A sheet whose router died in mid-submit ended as unknown. The tool now makes an identifier for each submission, sends it as header Attempt-Id, and asks the next router with the same one; a repeat is answered with the same acceptance. Marks are repeated as well, since marking twice is harmless.

A store that answered after 1.5 s refused operators with 503, because their calls had the timeout of traffic. They may now take 4 s each, and five may fail, so that the whole ends before the tool's 30 s.

--- a/crates/curranttrestle-cli/src/client/mod.rs
+++ b/crates/curranttrestle-cli/src/client/mod.rs
@@ -45,6 +45,17 @@
     },
 }
 
+impl ClientError {
+    /// Whether the request may have reached the router.
+    #[must_use]
+    pub fn may_have_arrived(&self) -> bool {
+        match self {
+            Self::NotReachable { .. } => false,
+            Self::TimedOut { .. } | Self::Broken { .. } => true,
+        }
+    }
+}
+
 /// A client that opens a connection for each request and repeats none.
 fn http() -> Client {
     http_client::fresh_connections(CONNECT_TIMEOUT_MS)
--- a/crates/curranttrestle-cli/src/client/operator.rs
+++ b/crates/curranttrestle-cli/src/client/operator.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 use trillium_client::{Conn, KnownHeaderName};
+use uuid::Uuid;
 
 use super::{ClientError, http, send};
 use crate::error::CliError;
@@ -19,6 +20,9 @@
 /// The request header that names the operator.
 const OPERATOR_HEADER: &str = "Operator";
 
+/// The request header with the identifier of a submission.
+const ATTEMPT_HEADER: &str = "Attempt-Id";
+
 /// The time between two questions to the same router.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -135,6 +139,21 @@
         self.exchange(conn, timeout_ms).await
     }
 
+    /// Submits a sheet under an identifier by which routers know a repeat.
+    pub async fn submit(
+        &self,
+        sheet: Vec<u8>,
+        attempt: Uuid,
+        timeout_ms: u64,
+    ) -> Result<Reply, ClientError> {
+        let url = format!("http://{}/v1/sheets", self.address);
+        let conn = http()
+            .post(url.as_str())
+            .with_request_header(ATTEMPT_HEADER, attempt.to_string())
+            .with_body(sheet);
+        self.exchange(conn, timeout_ms).await
+    }
+
     /// The state of the router.
     pub async fn status(&self) -> Result<RouterStatus, CliError> {
         self.read("/v1/status").await
@@ -199,8 +218,10 @@
     executor.run(answers).await
 }
 
-/// The answer of the first router that can be reached. A request that may have arrived is
-/// not sent to another one.
+/// The answer of the first router that gives one. The request must be harmless to repeat,
+/// because one that may have arrived is sent to the next router. Without an answer, the
+/// error of a router that the request may have reached goes before that of one that it did
+/// not reach.
 pub async fn first_reply<'a, Ask, Asked>(
     clients: &'a [OperatorClient],
     ask: Ask,
@@ -209,20 +230,19 @@
     Ask: Fn(&'a OperatorClient) -> Asked,
     Asked: Future<Output = Result<Reply, ClientError>>,
 {
-    let mut answer = None;
+    let mut failure = ClientError::NotReachable {
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+    };
     for client in clients {
-        let reply = ask(client).await;
-        let may_go_on = matches!(reply, Err(ClientError::NotReachable { .. }));
-        answer = Some(reply);
-        if !may_go_on {
-            break;
+        match ask(client).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) if error.may_have_arrived() || !failure.may_have_arrived() => {
+                failure = error;
+            }
+            Err(_) => {}
         }
     }
-    answer.unwrap_or_else(|| {
-        Err(ClientError::NotReachable {
-            address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        })
-    })
+    Err(failure)
 }
 
 /// Asks all routers for their state until `is_done` holds of each or `wait_ms` have passed.
--- a/crates/curranttrestle-cli/src/commands/sheet/submit.rs
+++ b/crates/curranttrestle-cli/src/commands/sheet/submit.rs
@@ -6,6 +6,7 @@
 use curranttrestle::state::Findings;
 use curranttrestle::state::sheet::{Sheet, SheetStamp};
 use serde::{Deserialize, Serialize};
+use uuid::Uuid;
 
 use super::{read_file, read_sheet_file, sheet_in_force};
 use crate::client::{
@@ -21,7 +22,9 @@
 
 /// Submits a sheet and waits until it is in force at all named routers.
 ///
-/// The sheet is checked first; one with findings is not sent. Of two operators who submit
+/// The sheet is checked first; one with findings is not sent. When the router that was asked
+/// does not answer, the next one is asked with the same identifier, so that the sheet is
+/// accepted once. Of two operators who submit
 /// at once one is accepted, and the other is told who was.
 #[derive(Debug, Args)]
 #[command(after_help = "\
@@ -73,8 +76,9 @@
     let body = read_file(&arguments.file)?;
     let clients = arguments.fleet.clients()?;
     let before = greatest_number(&clients).await;
+    let attempt = Uuid::now_v7();
     let reply = first_reply(&clients, |client| {
-        client.post("/v1/sheets", body.clone(), ACCEPT_TIMEOUT_MS)
+        client.submit(body.clone(), attempt, ACCEPT_TIMEOUT_MS)
     });
     let accepted = match reply.await {
         Ok(reply) => accepted(&reply)?,
--- a/crates/curranttrestle-cli/tests/commands/operators.rs
+++ b/crates/curranttrestle-cli/tests/commands/operators.rs
@@ -1,5 +1,7 @@
 //! The commands of operators, against listeners that answer as scripted.
 
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use crate::support::{
@@ -159,6 +161,37 @@
     assert_eq!(submit_with_lost_answer(&other).code, 5);
 }
 
+#[test]
+fn a_sheet_whose_router_dies_is_submitted_through_another_one_under_the_same_id() {
+    let dying = Scripted {
+        breaks: true,
+        ..Scripted::new(200, "{")
+    };
+    let dying = router(status("rennes-1", 5, 0), dying);
+    let accepted = Scripted::new(200, json!({ "number": 5 }).to_string());
+    let next = router(status("rennes-2", 5, 0), accepted);
+    let command = ["sheet", "submit", &example("armor-pret.csv")];
+    let ended = operate(&command, &[dying.address, next.address]);
+    assert_eq!(ended.code, 0, "{ended:?}");
+    assert!(
+        ended.stdout.starts_with("sheet 5 is accepted\n"),
+        "{ended:?}"
+    );
+    let ids = |fake: &FakeRouter| -> Vec<String> {
+        let received = fake.received().into_iter();
+        received.filter_map(|request| request.attempt_id).collect()
+    };
+    assert_eq!(ids(&dying).len(), 1);
+    assert_eq!(ids(&dying), ids(&next));
+    let ended = operate(&command, &[next.address]);
+    assert_eq!(ended.code, 0, "{ended:?}");
+    assert_ne!(
+        ids(&next)[0],
+        ids(&next)[1],
+        "another submission has another id"
+    );
+}
+
 #[test]
 fn show_prints_a_sheet_that_reads_back_and_diff_compares_with_it() {
     let sheet = Sheet {
@@ -291,6 +324,38 @@
     );
 }
 
+#[test]
+fn a_followed_timeline_prints_each_event_once() {
+    let asked = AtomicUsize::new(0);
+    let fake = FakeRouter::start(move |_: &Received| {
+        let events = [
+            event(10, "r1", 1, "arrived", &json!({ "customer": "atelier" })),
+            event(20, "r1", 2, "arrived", &json!({ "customer": "sdis-35" })),
+            event(30, "r1", 1, "dispatched", &json!({ "endpoint": "m1" })),
+            event(40, "r1", 1, "answered", &json!({})),
+        ];
+        let known = asked.fetch_add(1, Ordering::SeqCst) + 1;
+        Scripted::new(200, json!(events[..known.min(4)]).to_string())
+    });
+    let address = fake.address.to_string();
+    let command = ["timeline", "--json", "--follow", "--customer", "atelier"];
+    let mut child = Command::new(env!("CARGO_BIN_EXE_curranttrestle"))
+        .args(command)
+        .args(["--operator", &address, "--token", TOKEN])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let kinds = lines.take(3).map(|line| {
+        let event: Value = line.unwrap().parse().unwrap();
+        event["kind"].as_str().unwrap().to_owned()
+    });
+    let kinds: Vec<String> = kinds.collect();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert_eq!(kinds, ["arrived", "dispatched", "answered"]);
+}
+
 #[test]
 fn wrong_usage_has_its_own_exit_code() {
     assert_eq!(tool(&["status"]).code, 2);
--- a/crates/curranttrestle-cli/tests/commands/support.rs
+++ b/crates/curranttrestle-cli/tests/commands/support.rs
@@ -24,6 +24,8 @@
     pub bearer: String,
     /// The idempotency key.
     pub idempotency_key: Option<String>,
+    /// The identifier of a submission.
+    pub attempt_id: Option<String>,
     /// The body.
     pub body: String,
 }
@@ -114,6 +116,7 @@
         line: format!("{} {}{query}", conn.method(), conn.path()),
         bearer: bearer.unwrap_or_default().to_owned(),
         idempotency_key: headers.get_str("Idempotency-Key").map(str::to_owned),
+        attempt_id: headers.get_str("Attempt-Id").map(str::to_owned),
         body,
     };
     (conn, request)
--- a/crates/curranttrestle/src/transport/platform.rs
+++ b/crates/curranttrestle/src/transport/platform.rs
@@ -75,7 +75,16 @@
     /// was made, or the platform answered 503 or 429. Every other failure is
     /// [`StoreAnswer::Lost`].
     pub async fn call(&self, call: &StoreCall) -> StoreAnswer {
-        let (conn, timeout_ms) = self.request(call);
+        let timeout_ms = match call {
+            StoreCall::Watch { .. } => self.options.watch_timeout_ms,
+            _ => self.options.timeout_ms,
+        };
+        self.call_within(timeout_ms, call).await
+    }
+
+    /// Makes one call as [`Self::call`] does, with a timeout of its own.
+    pub async fn call_within(&self, timeout_ms: u64, call: &StoreCall) -> StoreAnswer {
+        let conn = self.request(call);
         let exchange = exchange(conn, timeout_ms);
         let Some(response) = within(timeout_ms, exchange).await else {
             self.drop_kept_connections();
@@ -97,19 +106,19 @@
         *calls = kept_connections(self.options.connect_timeout_ms);
     }
 
-    fn request(&self, call: &StoreCall) -> (Conn, u64) {
+    fn request(&self, call: &StoreCall) -> Conn {
         if let StoreCall::Watch { name, after } = call {
             let mut url = self.url(&["objects", name]);
             url.query_pairs_mut()
                 .append_pair("after", &after.0.to_string());
-            return (self.watches.get(url), self.options.watch_timeout_ms);
+            return self.watches.get(url);
         }
         let client = self
             .calls
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        (self.short_request(&client, call), self.options.timeout_ms)
+        self.short_request(&client, call)
     }
 
     fn short_request(&self, client: &Client, call: &StoreCall) -> Conn {
--- a/crates/curranttrestled/src/operators/submit.rs
+++ b/crates/curranttrestled/src/operators/submit.rs
@@ -19,12 +19,20 @@
 
 /// The request header that names the operator.
 const OPERATOR_HEADER: &str = "Operator";
+/// The request header with the identifier of a submission. A repeat with the same one is
+/// answered with the same acceptance.
+const ATTEMPT_HEADER: &str = "Attempt-Id";
 /// The file name that findings carry when the operator gives none.
 const DEFAULT_FILE_NAME: &str = "sheet";
 
 /// The largest body that asks for a mark.
 const MARK_LIMIT_BYTES: u64 = 64 * 1024;
 
+/// How long the store may take for a call of an operator's change. No traffic waits for it.
+const STORE_TIMEOUT_MS: u64 = 4_000;
+/// How many calls of an operator's change may fail.
+const MOST_FAILURES: u32 = 5;
+
 /// The answer to an accepted sheet.
 #[derive(Debug, Serialize)]
 struct Accepted {
@@ -55,6 +63,9 @@
 /// Submits the sheet in the body.
 pub async fn sheet(mut conn: Conn, shared: &Shared) -> Conn {
     let operator = operator_name(&conn);
+    let Some(attempt) = attempt_id(&conn) else {
+        return reply_text(conn, 400, "the header Attempt-Id must be a UUID\n");
+    };
     let body = conn.request_body().await;
     let Ok(bytes) = read_whole(body, SHEET_LIMIT_BYTES as u64).await else {
         return reply_text(conn, 413, "the sheet is too large or did not arrive\n");
@@ -67,8 +78,8 @@
     let mut submission = Submission::new(
         sheet,
         &operator,
-        Uuid::now_v7(),
-        ChangeSettings::default(),
+        attempt,
+        change_settings(),
         shared.clock.now(),
     );
     let first = submission.start();
@@ -123,7 +134,7 @@
         by,
     };
     log::info!("kind=mark-submitted entry={entry:?}");
-    let mut marking = Marking::new(entry, ChangeSettings::default());
+    let mut marking = Marking::new(entry, change_settings());
     let first = marking.start();
     match run(shared, first, |answer| marking.answer(answer)).await {
         MarkOutcome::Accepted { version } => {
@@ -155,7 +166,7 @@
     if delay_ms > 0 {
         smol::Timer::after(Duration::from_millis(delay_ms)).await;
     }
-    shared.platform.call(call).await
+    shared.platform.call_within(STORE_TIMEOUT_MS, call).await
 }
 
 fn operator_name(conn: &Conn) -> String {
@@ -164,3 +175,19 @@
         .unwrap_or("operator")
         .to_owned()
 }
+
+/// The identifier of the submission; a new one when the operator gives none, and none when
+/// it is malformed.
+fn attempt_id(conn: &Conn) -> Option<Uuid> {
+    match conn.request_headers().get_str(ATTEMPT_HEADER) {
+        Some(text) => Uuid::parse_str(text).ok(),
+        None => Some(Uuid::now_v7()),
+    }
+}
+
+fn change_settings() -> ChangeSettings {
+    ChangeSettings {
+        most_failures: MOST_FAILURES,
+        ..ChangeSettings::default()
+    }
+}
