--- a/crates/curranttrestle-cli/src/commands/mod.rs
+++ b/crates/curranttrestle-cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod call;
 pub mod endpoint;
+pub mod experiment;
 pub mod load;
 pub mod sheet;
 pub mod status;
--- a/crates/curranttrestle-cli/src/main.rs
+++ b/crates/curranttrestle-cli/src/main.rs
@@ -10,7 +10,7 @@
 
 use clap::{Parser, Subcommand};
 
-use commands::{call, endpoint, load, sheet, status, timeline, trial};
+use commands::{call, endpoint, experiment, load, sheet, status, timeline, trial};
 use error::{CliError, EXIT_CODES};
 
 /// Operates and calls a curranttrestle fleet.
@@ -42,6 +42,8 @@
     Load(load::Arguments),
     /// Runs a whole fleet with stand-ins in this process, to try it out.
     Trial(trial::Arguments),
+    /// Compares the fair policy with a naive one on a small fleet in this process.
+    Experiment(experiment::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -66,5 +68,6 @@
         Command::Call(arguments) => call::run(&arguments).await,
         Command::Load(arguments) => load::run(&arguments).await,
         Command::Trial(arguments) => trial::run(&arguments).await,
+        Command::Experiment(arguments) => experiment::run(&arguments),
     }
 }
