Test that a router is ready only with the marks known

The test of a router's start still asked that a sheet alone makes it ready, which was changed on purpose: without the marks it would send work to leaving endpoints. It now asks that the sheet is not enough, also after a lost answer, and that the answer about the marks makes it ready.

--- a/crates/curranttrestle/tests/config_keeper.rs
+++ b/crates/curranttrestle/tests/config_keeper.rs
@@ -136,7 +136,7 @@
 }
 
 #[test]
-fn a_router_reads_the_store_at_its_start_and_is_ready_with_a_sheet() {
+fn a_router_reads_the_store_at_its_start_and_is_ready_with_a_sheet_and_the_marks() {
     let mut keeper = keeper("r0");
     let effects = keeper.tick(&view(0, 9), at(0));
     assert!(matches!(
@@ -147,8 +147,13 @@
     assert!(!keeper.is_ready());
     let effects = keeper.store_answer(SHEET, &stored(3), at(200));
     assert_eq!(in_force(&effects), Some(3));
-    assert!(keeper.is_ready());
+    assert!(!keeper.is_ready(), "the marks are not known yet");
     assert_eq!(keeper.numbers().sheet_digest, sheet(3).digest());
+    keeper.store_answer(MARKS, &StoreAnswer::Lost, at(250));
+    assert!(!keeper.is_ready(), "the marks are not known yet");
+    keeper.tick(&view(0, 9), at(5_000));
+    keeper.store_answer(MARKS, &StoreAnswer::Absent, at(5_100));
+    assert!(keeper.is_ready());
 }
 
 #[test]
