--- a/crates/curranttrestle-cli/src/commands/experiment.rs
+++ b/crates/curranttrestle-cli/src/commands/experiment.rs
@@ -14,6 +14,12 @@
 /// Prints a table for each experiment and writes tables and a plot to a folder. Most take
 /// less than a minute, `all` some minutes, `slopes` up to ten.
 #[derive(Debug, Args)]
+#[command(after_help = "\
+Examples:
+  curranttrestle experiment fairness --seed 7
+  curranttrestle experiment all --output results
+
+Exit code 1 when the experiment could not be run.")]
 pub struct Arguments {
     /// The experiment.
     #[arg(value_enum)]
