Let watches and other store calls take turns while the store is down

A store that answers after 1.5 s lets each call of traffic time out and counts as down. A watch, which would have been answered, passed only when nothing else waited, and something always did: a router that started then had no sheet after 30 s, with no watch made at all. Now a watch has its turn after each other call from the second failure on.

--- a/crates/curranttrestle-cli/tests/operator_changes.rs
+++ b/crates/curranttrestle-cli/tests/operator_changes.rs
@@ -131,3 +131,20 @@
     platform.inject(PlatformFault::Heal);
     stop(platform, vec![router]);
 }
+
+#[test]
+fn a_router_that_starts_while_the_store_is_slow_gets_the_sheet() {
+    let platform = platform::start(PlatformOptions::default()).unwrap();
+    platform.inject(PlatformFault::Slow { delay_ms: 1_500 });
+    let router = start(&platform, "rennes-1", Vec::new());
+    number(&post(&router, "/v1/sheets", None, sheet()));
+    let mark = json!({ "endpoint": "m1", "mark": "leaving" }).to_string();
+    let start = Instant::now();
+    while post(&router, "/v1/marks", None, mark.clone()).0 == 404 {
+        assert!(start.elapsed() < DEADLINE);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    println!("slow_store_in_force_ms={}", start.elapsed().as_millis());
+    platform.inject(PlatformFault::Heal);
+    stop(platform, vec![router]);
+}
--- a/crates/curranttrestle/src/coordination/store_gate.rs
+++ b/crates/curranttrestle/src/coordination/store_gate.rs
@@ -108,6 +108,8 @@
     in_flight: IndexMap<CallId, u64>,
     watches: IndexSet<CallId>,
     health: Health,
+    /// The last call that passed while the store was down was a watch.
+    watch_was_last: bool,
     failures: u32,
     milli_tokens: u64,
     refilled_ms: Option<u64>,
@@ -125,6 +127,7 @@
             in_flight: IndexMap::new(),
             watches: IndexSet::new(),
             health: Health::Up,
+            watch_was_last: false,
             failures: 0,
             refilled_ms: None,
             passed: 0,
@@ -237,20 +240,27 @@
         self.passed
     }
 
-    /// The most urgent call; while the store is down a watch only when nothing else waits.
+    /// The most urgent call. While the store is down, other calls and watches take turns: a
+    /// store that is slower than the timeout of other calls still answers a watch.
     fn pop(&mut self) -> Option<(CallId, StoreCall)> {
-        if self.health != Health::Up {
-            let plain = self.queues.iter_mut().find_map(|queue| {
-                let at = queue
-                    .iter()
-                    .position(|(_, request)| !matches!(request, StoreCall::Watch { .. }))?;
-                queue.remove(at)
-            });
-            if plain.is_some() {
-                return plain;
-            }
+        if self.health == Health::Up {
+            return self.queues.iter_mut().find_map(VecDeque::pop_front);
         }
-        self.queues.iter_mut().find_map(VecDeque::pop_front)
+        let wants_watch = !self.watch_was_last && self.failures > 1;
+        let chosen = self.pop_kind(wants_watch);
+        let chosen = chosen.or_else(|| self.pop_kind(!wants_watch))?;
+        self.watch_was_last = matches!(chosen.1, StoreCall::Watch { .. });
+        Some(chosen)
+    }
+
+    /// The most urgent call that is a watch, or that is none.
+    fn pop_kind(&mut self, is_watch: bool) -> Option<(CallId, StoreCall)> {
+        self.queues.iter_mut().find_map(|queue| {
+            let mut calls = queue.iter();
+            let at =
+                calls.position(|(_, call)| matches!(call, StoreCall::Watch { .. }) == is_watch)?;
+            queue.remove(at)
+        })
     }
 
     fn is_open(&self, now: Now) -> bool {
