Lend again after lost lends, and make routers of a data centre known to each other at once

Both ends were then stuck for good: the owner counted the lend against every later bid until the holder had seen it, also when the lease was long over. Ruled out: the holding back of copies, the load reports, and the owner's caution; a trace of the messages between the two routers shows bids arriving every second and no lend after the first.

--- a/crates/curranttrestle/src/coordination/membership/merging.rs
+++ b/crates/curranttrestle/src/coordination/membership/merging.rs
@@ -52,6 +52,7 @@
 
     fn merge(&mut self, item: &MemberNews, now: Now, effects: &mut Vec<MembershipEffect>) {
         let instance = &item.member.instance;
+        let was_known = self.records.get(instance).is_some_and(Record::is_live);
         if let Some(record) = self.records.get_mut(instance) {
             if !supersedes(item, &record.news) {
                 return;
@@ -63,6 +64,23 @@
         }
         self.news.push(instance.clone());
         effects.push(MembershipEffect::Changed(item.clone()));
+        if !was_known {
+            self.introduce(item, effects);
+        }
+    }
+
+    /// Makes this router known to a live one of its data centre that it has just learned of,
+    /// which may own slots and could not answer a bid of somebody whose address it lacks.
+    fn introduce(&mut self, item: &MemberNews, effects: &mut Vec<MembershipEffect>) {
+        let member = &item.member;
+        let is_near = member.data_centre == self.me.data_centre;
+        if !is_near || item.status != MemberStatus::Alive {
+            return;
+        }
+        let address = self.reach(member);
+        let sequence = self.take_sequence();
+        let news = vec![self.own_news()];
+        effects.push(self.ping(address, sequence, news));
     }
 
     /// Believes something else of a member from now on.
--- a/crates/curranttrestle/src/coordination/slots/lending.rs
+++ b/crates/curranttrestle/src/coordination/slots/lending.rs
@@ -78,7 +78,7 @@
         };
         self.leases.insert(lease.id.clone(), held);
         let bids = self.bids.entry(pool.clone()).or_default();
-        bids.count_lend(best, lease.id.sequence, usage);
+        bids.count_lend(best, lease.id.sequence, usage, now);
         let next = bids
             .best(&pool, Use::Any, Some(&best.bidder), fair_share)
             .map(|next| next.to_next(Use::Any));
--- a/crates/curranttrestle/src/coordination/slots/owner.rs
+++ b/crates/curranttrestle/src/coordination/slots/owner.rs
@@ -136,10 +136,12 @@
         now: Now,
     ) -> Vec<(InstanceId, PeerMessage)> {
         self.changed = true;
-        self.bids
-            .entry(bid.pool.clone())
-            .or_default()
-            .replace(from, bid, now);
+        self.bids.entry(bid.pool.clone()).or_default().replace(
+            from,
+            bid,
+            self.options.void_ms,
+            now,
+        );
         self.void_lost(from, bid.last_lend, now)
             .into_iter()
             .collect()
--- a/crates/curranttrestle/src/coordination/slots/standing.rs
+++ b/crates/curranttrestle/src/coordination/slots/standing.rs
@@ -75,6 +75,7 @@
 #[derive(Clone, Debug)]
 struct UnseenLend {
     sequence: u64,
+    lent_ms: u64,
     customer: CustomerId,
     usage: Use,
 }
@@ -133,11 +134,13 @@
 }
 
 impl StandingBids {
-    /// Replaces the bid of one router.
-    pub(super) fn replace(&mut self, from: &InstanceId, bid: &Bid, now: Now) {
-        // Lends that the bidder has seen are part of its new figures.
+    /// Replaces the bid of one router. A lend that it does not know `void_ms` after it was
+    /// sent is lost.
+    pub(super) fn replace(&mut self, from: &InstanceId, bid: &Bid, void_ms: u64, now: Now) {
+        // Lends that the bidder has seen are part of its new figures, and lost ones are not
+        // counted for ever, also when the message that declares them void is lost too.
         let unseen = self.unseen.entry(from.clone()).or_default();
-        unseen.retain(|lend| lend.sequence > bid.last_lend);
+        unseen.retain(|lend| lend.sequence > bid.last_lend && now.since_ms(lend.lent_ms) < void_ms);
         if bid.entries.is_empty() {
             self.bids.swap_remove(from);
             return;
@@ -191,7 +194,7 @@
     }
 
     /// Counts a lend against the bid that it answers.
-    pub(super) fn count_lend(&mut self, best: &Best, sequence: u64, usage: Use) {
+    pub(super) fn count_lend(&mut self, best: &Best, sequence: u64, usage: Use, now: Now) {
         let entry = self.bids.get_mut(&best.bidder).and_then(|bid| {
             bid.entries
                 .iter_mut()
@@ -203,6 +206,7 @@
         let unseen = self.unseen.entry(best.bidder.clone()).or_default();
         unseen.push_back(UnseenLend {
             sequence,
+            lent_ms: now.steady_ms,
             customer: best.customer.clone(),
             usage,
         });
--- a/crates/curranttrestle/tests/leases.rs
+++ b/crates/curranttrestle/tests/leases.rs
@@ -15,6 +15,10 @@
 use rand_chacha::ChaCha8Rng;
 use uuid::Uuid;
 
+/// A time without messages: longer than a lease lasts.
+const SILENT_ROUNDS: u32 = 100;
+const SILENT_ROUND_MS: u64 = 50;
+
 fn pool() -> PoolId {
     PoolId::new("model")
 }
@@ -342,6 +346,30 @@
     assert!(!pair.holder.still_valid(&late.lease.id, pair.now));
 }
 
+#[test]
+fn a_holder_that_heard_nothing_for_a_while_is_lent_slots_again() {
+    let mut pair = Pair::new(1, 1);
+    pair.push(waiting(1, 100.0));
+    // For longer than a lease lasts, nothing that the owner sends arrives.
+    for _ in 0..SILENT_ROUNDS {
+        pair.wait(SILENT_ROUND_MS);
+        let now = pair.now;
+        let bids = pair
+            .holder
+            .bids(&pair.queues, &pair.share, &pair.owners, now, &mut pair.rng);
+        for (_, message) in &bids {
+            pair.owner_receives(message);
+        }
+        pair.owner.decide(&pair.share, now);
+    }
+    let mut waited_ms = 0;
+    while pair.exchange().is_empty() {
+        pair.wait(50);
+        waited_ms += 50;
+        assert!(waited_ms < 3_000, "the slot is lent again");
+    }
+}
+
 #[test]
 fn a_slow_endpoint_keeps_a_part_of_its_slots() {
     let mut pair = Pair::new(2, 8);
