Match no work after a mere report of cost

Cause: each input ran the whole matching of slots and waiting requests, and four of five inputs at the size to come report the cost of a running stream, which frees no slot and adds no work. Ruled out: bytes; they do not depend on it.

--- a/crates/curranttrestle/src/coordination/router/mod.rs
+++ b/crates/curranttrestle/src/coordination/router/mod.rs
@@ -169,6 +169,9 @@
 
     /// Takes note of what happened and returns what is to be done.
     pub fn handle(&mut self, input: Input, now: Now, rng: &mut ChaCha8Rng) -> Vec<Effect> {
+        // A report of the cost so far frees no slot and adds no work; the next tick takes what
+        // little it changes into account.
+        let is_progress = matches!(input, Input::Progress { .. });
         match input {
             Input::Tick => self.tick(now, rng),
             Input::Envelope(envelope) => self.receive(envelope, now),
@@ -192,7 +195,9 @@
             }
             Input::Stop => self.begin_stop(now),
         }
-        self.settle(now, rng);
+        if !is_progress {
+            self.settle(now, rng);
+        }
         std::mem::take(&mut self.effects)
     }
 
