--- a/crates/curranttrestle/src/coordination/router/active.rs
+++ b/crates/curranttrestle/src/coordination/router/active.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::coordination::cost::{Charge, CostHints};
+use crate::coordination::queue::Waiting;
 use crate::coordination::router::NewRequest;
 use crate::protocol::peer::LeaseId;
 use crate::state::sheet::EndpointKind;
@@ -92,6 +93,20 @@
 }
 
 impl ActiveRequest {
+    /// The request as it waits in its customer's queue, for any slot that it may run in.
+    pub fn waiting(&self) -> Waiting {
+        Waiting {
+            request: self.new.request,
+            account: self.account.clone(),
+            priority: self.priority,
+            expected_cost: self.expected_units,
+            arrived_ms: self.arrived_ms,
+            deadline_ms: self.new.deadline_ms,
+            avoid: self.avoid.clone(),
+            exclusive: false,
+        }
+    }
+
     /// Whether an attempt was handed to an endpoint and did not prove that it never began.
     pub fn handed_over(&self) -> bool {
         self.lost || !self.running.is_empty()
--- a/crates/curranttrestle/src/coordination/router/hedges.rs
+++ b/crates/curranttrestle/src/coordination/router/hedges.rs
@@ -98,14 +98,8 @@
         };
         active.hedged = true;
         let waiting = Waiting {
-            request,
-            account: active.account.clone(),
-            priority: active.priority,
-            expected_cost: active.expected_units,
-            arrived_ms: active.arrived_ms,
-            deadline_ms: active.new.deadline_ms,
             avoid: vec![running.endpoint.clone()],
-            exclusive: false,
+            ..active.waiting()
         };
         let endpoint = running.endpoint.clone();
         let elapsed_ms = now.since_ms(running.dispatched_ms);
--- a/crates/curranttrestle/src/coordination/router/requests.rs
+++ b/crates/curranttrestle/src/coordination/router/requests.rs
@@ -103,14 +103,8 @@
         active.stage = Stage::Waiting;
         self.queues.remove(&request);
         let waiting = Waiting {
-            request,
-            account: active.account.clone(),
-            priority: active.priority,
-            expected_cost: active.expected_units,
-            arrived_ms: active.arrived_ms,
-            deadline_ms: active.new.deadline_ms,
-            avoid: active.avoid.clone(),
             exclusive: self.quarantine.admission(&active.new.digest, now) == Admission::Alone,
+            ..active.waiting()
         };
         let account = active.account.clone();
         // What was admitted once is not refused for the queue's length later.
@@ -416,14 +410,7 @@
             self.end_refused(running.request, refusal, now);
             return;
         }
-        self.emit(
-            now,
-            EventKind::Retried,
-            Some(running.request),
-            &[("cause", &detail)],
-        );
-        self.counters.retried += 1;
-        self.enqueue(running.request, now);
+        self.retry(running.request, detail, now);
     }
 
     /// Tries an idempotent request again whose attempt was lost; ends any other.
@@ -448,14 +435,14 @@
             self.end_unknown(running.request, RefusalReason::AttemptLost, detail, now);
             return;
         }
-        self.emit(
-            now,
-            EventKind::Retried,
-            Some(running.request),
-            &[("cause", &detail)],
-        );
+        self.retry(running.request, detail, now);
+    }
+
+    fn retry(&mut self, request: RequestId, cause: &str, now: Now) {
+        let details: [(&str, &dyn std::fmt::Display); 1] = [("cause", &cause)];
+        self.emit(now, EventKind::Retried, Some(request), &details);
         self.counters.retried += 1;
-        self.enqueue(running.request, now);
+        self.enqueue(request, now);
     }
 
     fn release_slot(&mut self, running: &RunningAttempt, now: Now) {
