Add a gateway for any HTTP request, and the adapter for the users' platform

The fleet had its own interface only. The gateway forwards by routes of a watched configuration, places requests by the prompt parts that engines keep and by the load that all gateways report to each other, and refuses what would start after its target.

Before: nothing ran on the platform.

--- /dev/null
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -0,0 +1,152 @@
+//! One request of a client on its way.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use curranttrestle::coordination::gateway::control::{Placement, Wanted};
+use curranttrestle::coordination::quarantine::RequestDigest;
+use curranttrestle::state::gateway::{RequestHints, Route};
+use curranttrestle::state::{EndpointId, Now};
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// One request of a client: what it wants, and what became of it so far.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The gateway.
+    pub gateway: Rc<Gateway>,
+    /// Its route when it arrived.
+    pub route: Route,
+    /// The service that takes it.
+    pub service: String,
+    /// Its customer; none where the route needs no key.
+    pub customer: Option<String>,
+    /// What its client said of it.
+    pub hints: RequestHints,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers, without those of the client's connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The digest of its path, customer and body.
+    pub digest: RequestDigest,
+    /// When it arrived.
+    pub arrived: Now,
+    /// When its answer is final, by the steady clock.
+    pub limit_ms: u64,
+    /// Endpoints that it was sent to.
+    pub sends: Cell<u32>,
+    /// Endpoints that failed it.
+    pub excluded: Vec<EndpointId>,
+    /// Releases the memory of the body.
+    pub memory: BodyMemory,
+}
+
+impl Exchange {
+    /// The time left until the answer is final.
+    #[must_use]
+    pub fn left_ms(&self, now: Now) -> u64 {
+        self.limit_ms.saturating_sub(now.steady_ms)
+    }
+
+    /// The request as the decisions see it.
+    #[must_use]
+    pub fn wanted(&self, is_resumed: bool) -> Wanted<'_> {
+        Wanted {
+            route: &self.route,
+            service: &self.service,
+            customer: self.customer.as_deref().unwrap_or_default(),
+            hints: &self.hints,
+            excluded: &self.excluded,
+            is_repeat: self.sends.get() > 0,
+            is_resumed,
+        }
+    }
+
+    /// Chooses an endpoint.
+    #[must_use]
+    pub fn place(&self, is_resumed: bool, now: Now) -> Placement {
+        self.gateway
+            .control
+            .borrow()
+            .place(self.wanted(is_resumed), now)
+    }
+
+    /// Why the request must not be handed to an endpoint at this moment; none when it may.
+    #[must_use]
+    pub fn obstacle(&self, now: Now) -> Option<&'static str> {
+        let control = self.gateway.control.borrow();
+        if control.is_quarantined(&self.digest, now) {
+            return Some("quarantined");
+        }
+        let customer = self.customer.as_deref()?;
+        if !control.freshness.is_fresh(now) {
+            return Some("stale-configuration");
+        }
+        // The key may have been taken away since the request arrived.
+        let key = self.hints.credential.as_deref()?;
+        let holder = control.routes()?.customer(key);
+        (holder.is_none_or(|holder| holder.name != customer)).then_some("key-withdrawn")
+    }
+
+    /// Whether one more endpoint may get the request, by its route, the budget and the time
+    /// left. Takes the repeat out of the budget.
+    #[must_use]
+    pub fn may_repeat(&self, now: Now) -> bool {
+        let has_time = self.left_ms(now) > self.gateway.settings.traffic.min_left_ms;
+        has_time
+            && self.sends.get() < self.route.max_attempts
+            && self
+                .gateway
+                .control
+                .borrow_mut()
+                .try_repeat(&self.service, now)
+    }
+
+    /// Logs that the request goes to another endpoint.
+    pub fn log_repeat(&self, why: &str, from: &EndpointId) {
+        log::info!(
+            "kind=request-repeated id={} why={why} from={from} sends={} left_ms={}",
+            self.hints.attempt_id,
+            self.sends.get(),
+            self.left_ms(clock::now())
+        );
+    }
+}
+
+/// Memory taken for a body; given back when dropped.
+#[derive(Debug)]
+pub struct BodyMemory {
+    gateway: Rc<Gateway>,
+    bytes: usize,
+}
+
+impl BodyMemory {
+    /// Takes memory for a body; none when all bodies together would need too much.
+    #[must_use]
+    pub fn take(gateway: &Rc<Gateway>, bytes: usize) -> Option<Self> {
+        let taken = gateway.body_bytes.get() + bytes;
+        if taken > gateway.settings.traffic.body_memory_bytes {
+            return None;
+        }
+        gateway.body_bytes.set(taken);
+        Some(Self {
+            gateway: Rc::clone(gateway),
+            bytes,
+        })
+    }
+}
+
+impl Drop for BodyMemory {
+    fn drop(&mut self) {
+        let left = self.gateway.body_bytes.get().saturating_sub(self.bytes);
+        self.gateway.body_bytes.set(left);
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -0,0 +1,137 @@
+//! The clients' side: connections, requests and their answers.
+
+pub mod answer;
+pub mod attempt;
+pub mod events;
+pub mod exchange;
+pub mod headers;
+pub mod relay;
+pub mod request;
+pub mod status;
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::{Async, Timer};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::gateway::Gateway;
+
+/// How long accepting pauses after an error such as too many open files.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// The most bytes of a connection that are buffered.
+const MAX_BUFFER_BYTES: usize = 65_536;
+
+/// The connections of clients.
+#[derive(Clone, Debug)]
+pub struct Clients {
+    gateway: Rc<Gateway>,
+    open: Rc<Cell<usize>>,
+    /// Closed when unused connections have to end.
+    closing: async_channel::Receiver<()>,
+    close: async_channel::Sender<()>,
+}
+
+impl Clients {
+    /// No connections yet.
+    #[must_use]
+    pub fn new(gateway: Rc<Gateway>) -> Self {
+        let (close, closing) = async_channel::bounded(1);
+        Self {
+            gateway,
+            open: Rc::default(),
+            closing,
+            close,
+        }
+    }
+
+    /// Connections that are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes connections without a request, and the others after their answer.
+    pub fn close_unused(&self) {
+        self.close.close();
+    }
+
+    /// Accepts connections for ever.
+    pub async fn accept(self, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => {
+                    let serving = self.clone().serve(stream, address);
+                    self.gateway.executor().spawn(serving).detach();
+                }
+                Err(error) => {
+                    log::warn!("kind=accept-failed error={:?}", error.to_string());
+                    Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: Async<TcpStream>, address: SocketAddr) {
+        let _open = OpenGuard::new(&self.open);
+        if let Err(error) = stream.get_ref().set_nodelay(true) {
+            log::debug!("kind=socket-option-failed error={error:?}");
+        }
+        let unacknowledged_ms = self.gateway.settings.traffic.unacknowledged_ms;
+        if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms) {
+            log::debug!("kind=socket-option-failed error={error:?}");
+        }
+        let limits = self.gateway.control.borrow().client_limits();
+        let gateway = Rc::clone(&self.gateway);
+        let service = service_fn(move |request| {
+            let gateway = Rc::clone(&gateway);
+            async move { Ok::<_, Infallible>(request::handle(gateway, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .auto_date_header(false)
+            .serve_connection(FuturesIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let closing = self.closing.clone();
+        let told_to_close = async {
+            // The channel carries nothing; it ends when it is closed.
+            let _ = closing.recv().await;
+            None
+        };
+        let served = async { Some(connection.as_mut().await) };
+        let ended = if let Some(ended) = served.or(told_to_close).await {
+            ended
+        } else {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        };
+        if let Err(error) = ended {
+            log::debug!("kind=client-connection-failed client={address} error={error:?}");
+        }
+    }
+}
+
+/// Counts a connection while it is open.
+struct OpenGuard(Rc<Cell<usize>>);
+
+impl OpenGuard {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -0,0 +1,318 @@
+//! Passes a stream of events on as they come, and goes on at another endpoint where the
+//! stream may be resumed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use curranttrestle::coordination::gateway::control::Placement;
+use curranttrestle::coordination::gateway::trust::FailureKind;
+use curranttrestle::state::Now;
+use futures_lite::FutureExt;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use smol::Timer;
+
+use super::answer::{AnswerBody, BrokenOff};
+use super::attempt::{self, Failure, Head};
+use super::events::{EventCutter, Events};
+use super::exchange::Exchange;
+use super::request::Ending;
+use crate::clock;
+
+/// A stream on its way to the client.
+pub struct Relay {
+    exchange: Exchange,
+    head: Option<Head>,
+    cutter: EventCutter,
+    /// The last event that was passed on.
+    last_event_id: Option<u64>,
+    has_events: bool,
+    /// When the endpoint was heard last.
+    heard_ms: u64,
+    /// The predicted time to the first event of the present attempt.
+    predicted_ms: f64,
+    ending: Ending,
+    is_over: bool,
+}
+
+/// What came next on a stream.
+enum Next {
+    Data(Bytes),
+    Complete,
+    Failed(FailureKind),
+    TimeUp,
+}
+
+impl Relay {
+    /// Passes on the stream whose head came.
+    #[must_use]
+    pub fn new(exchange: Exchange, head: Head, predicted_ms: f64, ending: Ending) -> Self {
+        Self {
+            last_event_id: exchange.hints.last_event_id,
+            exchange,
+            head: Some(head),
+            cutter: EventCutter::default(),
+            has_events: false,
+            heard_ms: clock::now().steady_ms,
+            predicted_ms,
+            ending,
+            is_over: false,
+        }
+    }
+
+    /// The body of the answer.
+    #[must_use]
+    pub fn into_body(self) -> AnswerBody {
+        let frames = stream::unfold(self, |mut relay| async move {
+            let frame = relay.next_frame().await?;
+            Some((frame.map(Frame::data), relay))
+        });
+        Box::pin(StreamBody::new(frames))
+    }
+
+    async fn next_frame(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            let failed = match self.receive().await {
+                Next::Data(bytes) => match self.cutter.push(bytes) {
+                    Some(events) if events.bytes.is_empty() => continue,
+                    Some(events) => match self.pass_on(events) {
+                        Some(bytes) => return Some(Ok(bytes)),
+                        None => continue,
+                    },
+                    None => FailureKind::Garbled,
+                },
+                Next::Complete if !self.cutter.has_part() => {
+                    self.complete();
+                    return None;
+                }
+                Next::Complete => FailureKind::Broken,
+                Next::Failed(kind) => kind,
+                Next::TimeUp => return Some(Err(self.break_off("time-limit"))),
+            };
+            if let Err(broken) = self.resume(failed).await {
+                return Some(Err(broken));
+            }
+        }
+    }
+
+    /// Waits for bytes, the end, silence or the time limit.
+    async fn receive(&mut self) -> Next {
+        let now = clock::now();
+        let silent_ms = self.silent_limit_ms();
+        let limit_ms = self.exchange.left_ms(now);
+        let wait_ms = silent_ms.map_or(limit_ms, |silent_ms| {
+            (self.heard_ms + silent_ms)
+                .saturating_sub(now.steady_ms)
+                .min(limit_ms)
+        });
+        let Some(head) = self.head.as_mut() else {
+            return Next::Failed(FailureKind::Broken);
+        };
+        let body = head.response.body_mut();
+        let frame = async {
+            match body.frame().await {
+                None => Next::Complete,
+                Some(Ok(frame)) => Next::Data(frame.into_data().unwrap_or_default()),
+                Some(Err(error)) => {
+                    log::debug!("kind=stream-failed error={error:?}");
+                    Next::Failed(FailureKind::Broken)
+                }
+            }
+        };
+        let expire = async {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+            if wait_ms >= limit_ms {
+                Next::TimeUp
+            } else {
+                Next::Failed(FailureKind::Silent)
+            }
+        };
+        let next = frame.or(expire).await;
+        if matches!(next, Next::Data(_)) {
+            self.heard_ms = clock::now().steady_ms;
+        }
+        next
+    }
+
+    /// How long an endpoint may say nothing; no limit where nobody else may go on.
+    fn silent_limit_ms(&self) -> Option<u64> {
+        let exchange = &self.exchange;
+        let may_resume = exchange.route.repeat.may_run_again()
+            && exchange.sends.get() < exchange.route.max_attempts;
+        if !may_resume {
+            return None;
+        }
+        let options = &exchange.gateway.settings.traffic;
+        #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+        let limit_ms = if self.has_events {
+            options.silent_pauses * exchange.route.max_pause_ms as f64
+        } else {
+            let targets = options.silent_targets * exchange.route.target_latency_ms as f64;
+            targets.max(options.silent_targets * self.predicted_ms)
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a positive duration"
+        )]
+        Some((limit_ms as u64).max(options.min_silent_ms))
+    }
+
+    /// Notes the ids of events; returns what the client gets. Events that it has already
+    /// are dropped.
+    fn pass_on(&mut self, events: Events) -> Option<Bytes> {
+        let now = clock::now();
+        if let Some(head) = &self.head {
+            head.guard.first_event(now);
+        }
+        if !self.has_events {
+            self.has_events = true;
+            self.ending.first_event(now);
+        }
+        let is_repeated = events
+            .ids
+            .first()
+            .zip(self.last_event_id)
+            .is_some_and(|(first, last)| *first <= last);
+        if is_repeated {
+            log::warn!(
+                "kind=events-out-of-order id={} last={:?} got={:?}",
+                self.exchange.hints.attempt_id,
+                self.last_event_id,
+                events.ids
+            );
+            return None;
+        }
+        self.last_event_id = events.ids.last().copied().or(self.last_event_id);
+        Some(events.bytes)
+    }
+
+    fn complete(&mut self) {
+        self.is_over = true;
+        let now = clock::now();
+        if let Some(head) = self.head.take() {
+            let mut control = self.exchange.gateway.control.borrow_mut();
+            control.succeeded(&head.guard.endpoint, now);
+            control
+                .quarantine
+                .finished(&self.exchange.digest, false, now);
+            drop(control);
+            self.exchange.gateway.pool.put_back(head.connection);
+        }
+        self.ending.ended("answered", "complete", now);
+    }
+
+    fn break_off(&mut self, reason: &'static str) -> BrokenOff {
+        self.is_over = true;
+        self.head = None;
+        self.ending.ended("cut", reason, clock::now());
+        BrokenOff(reason)
+    }
+
+    /// Goes on at another endpoint after the last event that was passed on.
+    async fn resume(&mut self, failed: FailureKind) -> Result<(), BrokenOff> {
+        let mut failed = failed;
+        loop {
+            // The connection is closed before anybody else goes on.
+            let Some(head) = self.head.take() else {
+                return Err(self.break_off("not-resumed"));
+            };
+            let endpoint = head.guard.endpoint.clone();
+            drop(head);
+            self.cutter.clear();
+            let now = clock::now();
+            note_failure(&self.exchange, &endpoint, failed, now);
+            self.exchange.excluded.push(endpoint.clone());
+            if !self.exchange.route.repeat.may_run_again() {
+                return Err(self.break_off(failed.as_str()));
+            }
+            match self.reopen(&endpoint, failed, now).await {
+                Ok(head) => {
+                    self.head = Some(head);
+                    self.heard_ms = clock::now().steady_ms;
+                    return Ok(());
+                }
+                Err(Some(failure)) => failed = failure.kind,
+                Err(None) => return Err(self.break_off(failed.as_str())),
+            }
+            // The failed endpoint is in the list already; another one is tried, or none.
+            if self.exchange.sends.get() >= self.exchange.route.max_attempts {
+                return Err(self.break_off(failed.as_str()));
+            }
+        }
+    }
+
+    /// Opens the stream at another endpoint. `Err(None)`: there is none, or no permission.
+    async fn reopen(
+        &mut self,
+        from: &curranttrestle::state::EndpointId,
+        failed: FailureKind,
+        now: Now,
+    ) -> Result<Head, Option<Failure>> {
+        if self.exchange.obstacle(now).is_some() || !self.exchange.may_repeat(now) {
+            return Err(None);
+        }
+        let Placement::Send(choice) = self.exchange.place(true, now) else {
+            return Err(None);
+        };
+        self.exchange.log_repeat(failed.as_str(), from);
+        self.predicted_ms = choice.predicted_ms;
+        let limit_ms = self.exchange.limit_ms;
+        let sent = attempt::send(&self.exchange, &choice, true, self.last_event_id, limit_ms).await;
+        if sent
+            .as_ref()
+            .map_or_else(|failure| failure.arrived, |_| true)
+        {
+            self.exchange.sends.set(self.exchange.sends.get() + 1);
+        }
+        let head = match sent {
+            Ok(head) => head,
+            Err(failure) => {
+                note_failure(
+                    &self.exchange,
+                    &choice.entry.endpoint,
+                    failure.kind,
+                    clock::now(),
+                );
+                self.exchange.excluded.push(choice.entry.endpoint);
+                return Err(None);
+            }
+        };
+        if !head.response.status().is_success() {
+            return Err(None);
+        }
+        Ok(head)
+    }
+}
+
+/// Notes that an endpoint failed a request.
+pub fn note_failure(
+    exchange: &Exchange,
+    endpoint: &curranttrestle::state::EndpointId,
+    kind: FailureKind,
+    now: Now,
+) {
+    let gateway: &Rc<crate::gateway::Gateway> = &exchange.gateway;
+    gateway
+        .metrics
+        .attempts
+        .with_label_values(&[kind.as_str()])
+        .inc();
+    let mut control = gateway.control.borrow_mut();
+    if kind == FailureKind::Broken {
+        control
+            .quarantine
+            .endpoint_died(endpoint, &[exchange.digest], false, now);
+    }
+    if control.failed(endpoint, kind, now) {
+        log::warn!(
+            "kind=endpoint-avoided endpoint={endpoint} why={}",
+            kind.as_str()
+        );
+    }
+}
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -0,0 +1,555 @@
+//! A request of a client, from its arrival to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use curranttrestle::coordination::gateway::control::Placement;
+use curranttrestle::coordination::gateway::trust::FailureKind;
+use curranttrestle::state::Now;
+use curranttrestle::state::gateway::{Repeat, RequestHints, Route};
+use futures_lite::FutureExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use rand::Rng;
+use smol::Timer;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::answer::{Answer, BrokenOff, OwnAnswer, whole};
+use super::attempt::{self, Failure, Head};
+use super::exchange::{BodyMemory, Exchange};
+use super::headers::remove_hop_by_hop;
+use super::relay::{Relay, note_failure};
+use crate::clock;
+use crate::gateway::{Gateway, Phase};
+
+/// Counts and logs how a request ended; dropped without a word, its client left.
+#[derive(Debug)]
+pub struct Ending {
+    gateway: Rc<Gateway>,
+    id: String,
+    route: String,
+    customer: String,
+    arrived: Now,
+    first_event_ms: Option<u64>,
+    is_told: bool,
+}
+
+impl Ending {
+    fn new(gateway: &Rc<Gateway>, id: &str, arrived: Now) -> Self {
+        gateway.open_requests.set(gateway.open_requests.get() + 1);
+        Self {
+            gateway: Rc::clone(gateway),
+            id: id.to_owned(),
+            route: String::new(),
+            customer: String::new(),
+            arrived,
+            first_event_ms: None,
+            is_told: false,
+        }
+    }
+
+    /// The first event went to the client.
+    pub fn first_event(&mut self, now: Now) {
+        self.first_event_ms = Some(now.since_ms(self.arrived.steady_ms));
+    }
+
+    /// The request ended. Calm successes are logged now and then, all else always.
+    pub fn ended(&mut self, outcome: &'static str, reason: &str, now: Now) {
+        if std::mem::replace(&mut self.is_told, true) {
+            return;
+        }
+        let metrics = &self.gateway.metrics;
+        metrics.requests.with_label_values(&[outcome, reason]).inc();
+        let elapsed_ms = now.since_ms(self.arrived.steady_ms);
+        #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+        let seconds = elapsed_ms as f64 / 1_000.0;
+        metrics.times.with_label_values(&["whole"]).observe(seconds);
+        let is_calm = outcome == "answered";
+        if is_calm {
+            let answered = self.gateway.answered.get() + 1;
+            self.gateway.answered.set(answered);
+            let sample = self.gateway.settings.log_sample;
+            if sample == 0 || !answered.is_multiple_of(sample) {
+                return;
+            }
+        }
+        log::info!(
+            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms} first_event_ms={:?}",
+            self.id,
+            self.route,
+            self.customer,
+            self.first_event_ms
+        );
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.ended("client-gone", "connection-closed", clock::now());
+        let open = self.gateway.open_requests.get().saturating_sub(1);
+        self.gateway.open_requests.set(open);
+    }
+}
+
+/// Answers a request.
+pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+    let arrived = clock::now();
+    let (parts, body) = request.into_parts();
+    let mut ending = Ending::new(&gateway, "", arrived);
+    let is_leaving = gateway.phase.get() != Phase::Running;
+    let mut answer = match admit(&gateway, parts, body, &mut ending, arrived).await {
+        Ok(exchange) => serve(exchange, ending).await,
+        Err(own) => finish_own(own, &mut ending),
+    };
+    if is_leaving || gateway.phase.get() != Phase::Running {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+fn finish_own(own: OwnAnswer, ending: &mut Ending) -> Answer {
+    let outcome = match own.status {
+        StatusCode::SERVICE_UNAVAILABLE => "refused",
+        status if status.is_client_error() => "rejected",
+        _ => "failed",
+    };
+    ending.ended(outcome, own.reason, clock::now());
+    own.into_answer()
+}
+
+/// Reads a request and finds its route and customer.
+async fn admit(
+    gateway: &Rc<Gateway>,
+    parts: Parts,
+    body: Incoming,
+    ending: &mut Ending,
+    arrived: Now,
+) -> Result<Exchange, OwnAnswer> {
+    let bad = |reason| OwnAnswer::new(StatusCode::BAD_REQUEST, reason);
+    let is_ambiguous = parts.headers.contains_key(header::TRANSFER_ENCODING)
+        && parts.headers.contains_key(header::CONTENT_LENGTH);
+    if is_ambiguous {
+        return Err(bad("two-lengths"));
+    }
+    let hints = gateway
+        .dialect
+        .read_request(&parts.headers)
+        .map_err(|error| {
+            log::info!("kind=request-unreadable error={error:?}");
+            bad("unreadable-header")
+        })?;
+    ending.id.clone_from(&hints.attempt_id);
+    let host = host(&parts).ok_or_else(|| bad("no-host"))?;
+    resolve(gateway, &host, parts.uri.path(), &hints, arrived)?;
+    let (body, memory) = read_body(gateway, &parts.headers, body, &hints).await?;
+    // The body may have taken long; the newest configuration decides.
+    let now = clock::now();
+    let resolved = resolve(gateway, &host, parts.uri.path(), &hints, now)?;
+    ending.route.clone_from(&resolved.route.name);
+    ending.customer = resolved.customer.clone().unwrap_or_default();
+    let wait_ms = hints
+        .deadline_ms
+        .unwrap_or(u64::MAX)
+        .min(resolved.route.timeout_ms);
+    let mut headers = parts.headers;
+    remove_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    let customer = resolved.customer.as_deref().unwrap_or_default();
+    let digest = digest(parts.uri.path(), customer, &body);
+    let mut control = gateway.control.borrow_mut();
+    control.arrived(&resolved.service, customer, &hints, now);
+    drop(control);
+    Ok(Exchange {
+        gateway: Rc::clone(gateway),
+        route: resolved.route,
+        service: resolved.service,
+        customer: resolved.customer,
+        hints,
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+        digest,
+        arrived,
+        limit_ms: arrived.steady_ms.saturating_add(wait_ms),
+        sends: std::cell::Cell::new(0),
+        excluded: Vec::new(),
+        memory,
+    })
+}
+
+fn host(parts: &Parts) -> Option<String> {
+    let authority = parts.uri.authority().map(ToString::to_string);
+    authority.or_else(|| {
+        let mut hosts = parts.headers.get_all(header::HOST).iter();
+        let host = hosts.next()?.to_str().ok()?.to_owned();
+        // Two hosts could be read differently by an endpoint.
+        hosts.next().is_none().then_some(host)
+    })
+}
+
+/// What the configuration says of a request.
+struct Resolved {
+    route: Route,
+    service: String,
+    customer: Option<String>,
+}
+
+fn resolve(
+    gateway: &Gateway,
+    host: &str,
+    path: &str,
+    hints: &RequestHints,
+    now: Now,
+) -> Result<Resolved, OwnAnswer> {
+    let retry_ms = gateway.settings.traffic.stale_retry_ms;
+    let control = gateway.control.borrow();
+    let Some(table) = control.routes().filter(|_| control.is_ready()) else {
+        return Err(OwnAnswer::refused("no-configuration", retry_ms));
+    };
+    let is_fresh = control.freshness.is_fresh(now);
+    let Some(route) = table.route(host, path) else {
+        return Err(OwnAnswer::new(StatusCode::NOT_FOUND, "no-route"));
+    };
+    let customer = if table.has_customers() && !route.anonymous {
+        if !is_fresh {
+            return Err(OwnAnswer::refused("stale-configuration", retry_ms));
+        }
+        let key = hints.credential.as_deref().unwrap_or_default();
+        let Some(customer) = table.customer(key) else {
+            return Err(OwnAnswer::new(StatusCode::UNAUTHORIZED, "unknown-key"));
+        };
+        Some(customer.name.clone())
+    } else {
+        None
+    };
+    let Some(service) = table.target(route, rand::rng().random()) else {
+        return Err(OwnAnswer::refused("no-service", retry_ms));
+    };
+    Ok(Resolved {
+        service: service.to_owned(),
+        route: route.clone(),
+        customer,
+    })
+}
+
+async fn read_body(
+    gateway: &Rc<Gateway>,
+    headers: &HeaderMap,
+    body: Incoming,
+    hints: &RequestHints,
+) -> Result<(Bytes, BodyMemory), OwnAnswer> {
+    let limits = gateway.control.borrow().client_limits();
+    let too_large = || OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
+    let no_memory = || {
+        let retry_ms = gateway.settings.traffic.stale_retry_ms;
+        OwnAnswer::refused("body-memory", retry_ms)
+    };
+    let declared = headers.get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|length| length > limits.body_bytes) {
+        return Err(too_large());
+    }
+    let reserved = declared.unwrap_or_default();
+    let memory = BodyMemory::take(gateway, reserved).ok_or_else(no_memory)?;
+    let wait_ms = hints.deadline_ms.unwrap_or(limits.idle_timeout_ms);
+    let collect = async { Some(Limited::new(body, limits.body_bytes).collect().await) };
+    let expire = async {
+        Timer::after(Duration::from_millis(wait_ms)).await;
+        None
+    };
+    match collect.or(expire).await {
+        Some(Ok(body)) => {
+            let body = body.to_bytes();
+            if declared.is_some() {
+                return Ok((body, memory));
+            }
+            drop(memory);
+            let memory = BodyMemory::take(gateway, body.len()).ok_or_else(no_memory)?;
+            Ok((body, memory))
+        }
+        Some(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Some(Err(error)) => {
+            log::debug!("kind=body-unreadable error={error:?}");
+            Err(OwnAnswer::new(StatusCode::BAD_REQUEST, "unreadable-body"))
+        }
+        None => Err(OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "body-too-slow")),
+    }
+}
+
+fn digest(path: &str, customer: &str, body: &[u8]) -> [u8; 16] {
+    let mut hasher = Xxh3::new();
+    for part in [path.as_bytes(), customer.as_bytes(), body] {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128().to_le_bytes()
+}
+
+/// Sends a request to endpoints until one answers, or no other may be tried.
+async fn serve(mut exchange: Exchange, mut ending: Ending) -> Answer {
+    let mut last: Option<Failure> = None;
+    loop {
+        let now = clock::now();
+        if let Some(obstacle) = exchange.obstacle(now) {
+            let own = own_obstacle(&exchange, obstacle, last);
+            return finish_own(own, &mut ending);
+        }
+        let choice = match exchange.place(false, now) {
+            Placement::Send(choice) => choice,
+            Placement::Refuse {
+                reason,
+                retry_after_ms,
+                predicted_ms,
+            } => {
+                log_refusal(&exchange, reason, predicted_ms, retry_after_ms);
+                let own = own_failure(&exchange, last, reason, retry_after_ms);
+                return finish_own(own, &mut ending);
+            }
+        };
+        let wait_until_ms = wait_until_ms(&exchange, choice.predicted_ms, now);
+        let last_event_id = exchange.hints.last_event_id;
+        let sent = attempt::send(&exchange, &choice, false, last_event_id, wait_until_ms).await;
+        if sent
+            .as_ref()
+            .map_or_else(|failure| failure.arrived, |_| true)
+        {
+            exchange.sends.set(exchange.sends.get() + 1);
+        }
+        let endpoint = choice.entry.endpoint.clone();
+        let failure = match sent {
+            Ok(head) => match pass_on(exchange, head, choice.predicted_ms, ending).await {
+                Passed::Answered(answer) => return answer,
+                Passed::Failed(failure, back) => {
+                    (exchange, ending) = *back;
+                    failure
+                }
+            },
+            Err(failure) => failure,
+        };
+        let now = clock::now();
+        if failure.kind != FailureKind::Failed {
+            note_failure(&exchange, &endpoint, failure.kind, now);
+        }
+        exchange.excluded.push(endpoint.clone());
+        last = Some(worse(last, failure));
+        let may_run_again = failure.not_run || exchange.route.repeat.may_run_again();
+        if !may_run_again || !exchange.may_repeat(now) {
+            let retry_after_ms = failure.retry_after_ms.unwrap_or(RETRY_AFTER_FAILURE_MS);
+            let own = own_failure(&exchange, last, failure.kind.as_str(), retry_after_ms);
+            return finish_own(own, &mut ending);
+        }
+        exchange.log_repeat(failure.kind.as_str(), &endpoint);
+    }
+}
+
+/// When a request that an endpoint did not run may come back.
+const RETRY_AFTER_FAILURE_MS: f64 = 250.0;
+
+/// A request that may have run once may have run, whatever became of later attempts.
+fn worse(before: Option<Failure>, failure: Failure) -> Failure {
+    match before {
+        Some(before) if !before.not_run => Failure {
+            not_run: false,
+            ..failure
+        },
+        _ => failure,
+    }
+}
+
+fn log_refusal(exchange: &Exchange, reason: &str, predicted_ms: f64, retry_after_ms: f64) {
+    log::info!(
+        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} target_ms={} retry_after_ms={retry_after_ms:.0}",
+        exchange.hints.attempt_id,
+        exchange.route.target_latency_ms
+    );
+}
+
+fn own_obstacle(exchange: &Exchange, obstacle: &'static str, last: Option<Failure>) -> OwnAnswer {
+    let retry_after_ms = exchange.gateway.settings.traffic.stale_retry_ms;
+    if obstacle == "key-withdrawn" && last.is_none() {
+        return OwnAnswer::new(StatusCode::UNAUTHORIZED, obstacle);
+    }
+    own_failure(exchange, last, obstacle, retry_after_ms)
+}
+
+/// What a client is told when no endpoint answered: that its request did not run, where that
+/// is certain, and that it may have run, where it is not.
+fn own_failure(
+    exchange: &Exchange,
+    last: Option<Failure>,
+    reason: &'static str,
+    retry_after_ms: f64,
+) -> OwnAnswer {
+    match last {
+        None => OwnAnswer::refused(reason, retry_after_ms),
+        Some(failure) if failure.not_run => OwnAnswer::refused(reason, retry_after_ms),
+        Some(failure) if failure.kind == FailureKind::Silent => {
+            OwnAnswer::new(StatusCode::GATEWAY_TIMEOUT, reason)
+        }
+        Some(_) if exchange.left_ms(clock::now()) == 0 => {
+            OwnAnswer::new(StatusCode::GATEWAY_TIMEOUT, reason)
+        }
+        Some(_) => OwnAnswer::new(StatusCode::BAD_GATEWAY, reason),
+    }
+}
+
+/// How long the head of an answer is waited for: until the limit, or less where another
+/// endpoint may still be tried.
+fn wait_until_ms(exchange: &Exchange, predicted_ms: f64, now: Now) -> u64 {
+    let may_repeat = exchange.route.repeat.may_run_again()
+        && exchange.sends.get() + 1 < exchange.route.max_attempts;
+    if !may_repeat {
+        return exchange.limit_ms;
+    }
+    let options = &exchange.gateway.settings.traffic;
+    #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+    let targets_ms = options.silent_targets * exchange.route.target_latency_ms as f64;
+    let silent_ms = targets_ms.max(options.silent_targets * predicted_ms);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a positive duration"
+    )]
+    let silent_ms = match exchange.route.repeat {
+        Repeat::Stream { .. } => (silent_ms as u64).max(options.min_silent_ms),
+        Repeat::Idempotent | Repeat::AtMostOnce => silent_ms as u64,
+    };
+    exchange.limit_ms.min(now.steady_ms + silent_ms)
+}
+
+/// What became of an answer whose head came.
+enum Passed {
+    Answered(Answer),
+    Failed(Failure, Box<(Exchange, Ending)>),
+}
+
+/// Passes an endpoint's answer on.
+async fn pass_on(exchange: Exchange, head: Head, predicted_ms: f64, mut ending: Ending) -> Passed {
+    let status = head.response.status();
+    let content_type = head.response.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let is_stream = content_type.is_some_and(|value| value.starts_with("text/event-stream"))
+        || exchange.route.repeat.is_stream();
+    if status.is_success() && is_stream {
+        let (parts, ()) = without_body(&head);
+        let relay = Relay::new(exchange, head, predicted_ms, ending);
+        return Passed::Answered(with_body(parts, relay.into_body()));
+    }
+    let (parts, ()) = without_body(&head);
+    let Head {
+        response,
+        marks,
+        connection,
+        guard,
+    } = head;
+    let left_ms = exchange.left_ms(clock::now());
+    let max_bytes = exchange.gateway.settings.traffic.whole_answer_bytes;
+    let collect = async {
+        let body = Limited::new(response.into_body(), max_bytes)
+            .collect()
+            .await;
+        body.map_err(|error| {
+            log::debug!("kind=answer-broken error={error:?}");
+            FailureKind::Broken
+        })
+    };
+    let expire = async {
+        Timer::after(Duration::from_millis(left_ms)).await;
+        Err(FailureKind::Silent)
+    };
+    let body = match collect.or(expire).await {
+        Ok(body) => body.to_bytes(),
+        Err(kind) => {
+            let failure = Failure {
+                kind,
+                not_run: false,
+                arrived: true,
+                retry_after_ms: None,
+            };
+            return Passed::Failed(failure, Box::new((exchange, ending)));
+        }
+    };
+    let now = clock::now();
+    guard.first_event(now);
+    let gateway = Rc::clone(&exchange.gateway);
+    if status.is_server_error() {
+        note_failure(&exchange, &guard.endpoint, FailureKind::Failed, now);
+        gateway.pool.put_back(connection);
+        if exchange.route.repeat.may_run_again() && may_try_elsewhere(&exchange, now) {
+            let failure = Failure {
+                kind: FailureKind::Failed,
+                not_run: false,
+                arrived: true,
+                retry_after_ms: None,
+            };
+            return Passed::Failed(failure, Box::new((exchange, ending)));
+        }
+    } else {
+        let mut control = gateway.control.borrow_mut();
+        control.succeeded(&guard.endpoint, now);
+        control.quarantine.finished(&exchange.digest, false, now);
+        drop(control);
+        gateway.pool.put_back(connection);
+    }
+    if is_false_promise(status) {
+        // These statuses promise that the request did not run, which nobody said.
+        let own = OwnAnswer::new(StatusCode::BAD_GATEWAY, "endpoint-failed");
+        return Passed::Answered(finish_own(own, &mut ending));
+    }
+    ending.first_event(now);
+    let outcome = if status.is_success() {
+        "answered"
+    } else {
+        "endpoint-failed"
+    };
+    ending.ended(
+        outcome,
+        if marks.is_signed {
+            "signed"
+        } else {
+            "unsigned"
+        },
+        now,
+    );
+    Passed::Answered(with_body(parts, whole(body)))
+}
+
+/// Whether another endpoint could take the request; the budget decides later.
+fn may_try_elsewhere(exchange: &Exchange, now: Now) -> bool {
+    exchange.sends.get() < exchange.route.max_attempts
+        && exchange.left_ms(now) > exchange.gateway.settings.traffic.min_left_ms
+}
+
+fn is_false_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn without_body(head: &Head) -> (Response<()>, ()) {
+    let mut parts = Response::new(());
+    *parts.status_mut() = head.response.status();
+    let mut headers = head.response.headers().clone();
+    remove_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    *parts.headers_mut() = headers;
+    (parts, ())
+}
+
+fn with_body(parts: Response<()>, body: super::answer::AnswerBody) -> Answer {
+    parts.map(|()| body)
+}
+
+/// Kept so that a broken body names its type where it is made.
+pub type BodyError = BrokenOff;
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -0,0 +1,115 @@
+//! Answers the balancer's question and serves the metrics.
+
+use std::convert::Infallible;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use smol::{Async, Timer};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// How long accepting pauses after an error.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// How long a connection may be idle.
+const IDLE_MS: u64 = 10_000;
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves readiness and metrics for ever.
+pub async fn serve(gateway: Rc<Gateway>, listener: Async<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve_connection(Rc::clone(&gateway), stream);
+                gateway.executor().spawn(serving).detach();
+            }
+            Err(error) => {
+                log::warn!("kind=accept-failed error={:?}", error.to_string());
+                Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(gateway: Rc<Gateway>, stream: Async<TcpStream>) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = answer(&gateway, request.uri().path());
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(Duration::from_millis(IDLE_MS))
+        .auto_date_header(false)
+        .serve_connection(FuturesIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("kind=status-connection-failed error={error:?}");
+    }
+}
+
+fn answer(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
+    if path == gateway.settings.readiness_path {
+        let status = if gateway.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        return with_status(status, Bytes::new());
+    }
+    if path != METRICS_PATH {
+        return with_status(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    set_gauges(gateway);
+    match gateway.metrics.text() {
+        Ok(text) => with_status(StatusCode::OK, Bytes::from(text)),
+        Err(error) => {
+            log::error!("kind=metrics-failed error={:?}", error.to_string());
+            with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Brings the present values up to date.
+fn set_gauges(gateway: &Gateway) {
+    let now = clock::now();
+    let set = |name: &str, value: u64| {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        gateway.metrics.gauges.with_label_values(&[name]).set(value);
+    };
+    let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    let control = gateway.control.borrow();
+    set("open_requests", count(gateway.open_requests.get()));
+    set("attempts_in_flight", count(control.load.in_flight()));
+    set("idle_connections", count(gateway.pool.idle()));
+    set("body_bytes", count(gateway.body_bytes.get()));
+    set("endpoints", count(control.directory.entries().count()));
+    set("gateways", count(control.fleet_size()));
+    set("suspect_requests", count(control.quarantine.suspects()));
+    let version = control.routes().map_or(0, |table| table.config().version);
+    set("config_version", version);
+    set(
+        "config_proof_age_ms",
+        control.freshness.age_ms(now).unwrap_or(u64::MAX),
+    );
+    let dropped = gateway
+        .log_lines
+        .as_ref()
+        .map_or(0, crate::log::LogLines::dropped);
+    set("log_lines_dropped", dropped);
+}
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Counters and histograms.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of histograms of times, in seconds.
+const TIME_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 15.0,
+];
+
+/// The metrics of a gateway.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by outcome and reason.
+    pub requests: IntCounterVec,
+    /// Attempts at endpoints by outcome.
+    pub attempts: IntCounterVec,
+    /// Calls to the store by kind.
+    pub store_calls: IntCounterVec,
+    /// Failed calls to the store by kind.
+    pub store_failures: IntCounterVec,
+    /// Changes of the directory by kind.
+    pub directory_changes: IntCounterVec,
+    /// Reports of peers by outcome.
+    pub peer_reports: IntCounterVec,
+    /// Present values by name.
+    pub gauges: IntGaugeVec,
+    /// The time to a first event or an answer, and to its end, in seconds.
+    pub times: HistogramVec,
+}
+
+impl Metrics {
+    /// All metrics at zero.
+    ///
+    /// # Errors
+    ///
+    /// [`prometheus::Error`] when a name is used twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(format!("curranttrestle_{name}"), help), labels)
+        };
+        let times = HistogramOpts::new("curranttrestle_request_seconds", "Time of requests")
+            .buckets(TIME_BUCKETS_S.to_vec());
+        let gauges = Opts::new("curranttrestle_state", "Present values");
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counter(
+                "requests_total",
+                "Requests of clients that ended",
+                &["outcome", "reason"],
+            )?,
+            attempts: counter(
+                "attempts_total",
+                "Attempts at endpoints that ended",
+                &["outcome"],
+            )?,
+            store_calls: counter("store_calls_total", "Calls to the store", &["call"])?,
+            store_failures: counter("store_failures_total", "Failed calls", &["call"])?,
+            directory_changes: counter(
+                "directory_changes_total",
+                "Changes of the directory",
+                &["change"],
+            )?,
+            peer_reports: counter("peer_reports_total", "Reports of peers", &["outcome"])?,
+            gauges: IntGaugeVec::new(gauges, &["name"])?,
+            times: HistogramVec::new(times, &["phase"])?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.store_calls.clone()))?;
+        registry.register(Box::new(metrics.store_failures.clone()))?;
+        registry.register(Box::new(metrics.directory_changes.clone()))?;
+        registry.register(Box::new(metrics.peer_reports.clone()))?;
+        registry.register(Box::new(metrics.gauges.clone()))?;
+        registry.register(Box::new(metrics.times.clone()))?;
+        Ok(metrics)
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// [`prometheus::Error`] when a metric cannot be written.
+    pub fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- a/crates/curranttrestle/src/coordination/mod.rs
+++ b/crates/curranttrestle/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod cost;
 pub mod drain;
 pub mod fair_share;
+pub mod gateway;
 pub mod invariant;
 pub mod membership;
 pub mod quarantine;
--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -17,15 +17,14 @@
 /// The digest of a request's operation and body.
 pub type RequestDigest = [u8; 16];
 
-/// How many dead endpoints get a request refused.
-const REFUSED_DEATHS: usize = 2;
-
 /// The most sightings of deaths that are kept of one request; the latest stay.
 const MAX_DEATHS: usize = 16;
 
 /// How suspects are treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineOptions {
+    /// How many dead endpoints get a request refused.
+    pub refused_deaths: usize,
     /// How long a request stays suspected or refused after the last death.
     pub refuse_ms: u64,
     /// How long it is remembered that a request finished.
@@ -47,6 +46,7 @@
 impl Default for QuarantineOptions {
     fn default() -> Self {
         Self {
+            refused_deaths: 2,
             refuse_ms: 600_000,
             finished_memory_ms: 600_000,
             same_death_ms: 2_000,
@@ -128,7 +128,7 @@
             0 => Admission::Free,
             _ if died_alone => Admission::Refused,
             1 if has_finished => Admission::Free,
-            REFUSED_DEATHS.. if !has_finished => Admission::Refused,
+            deaths if deaths >= options.refused_deaths && !has_finished => Admission::Refused,
             _ => Admission::Alone,
         }
     }
--- a/crates/curranttrestle/src/coordination/retry_budget.rs
+++ b/crates/curranttrestle/src/coordination/retry_budget.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Changes the options; attempts that were counted stay.
+    pub fn set_options(&mut self, options: RetryBudgetOptions) {
+        self.options = options;
+    }
+
     /// Counts a first attempt.
     pub fn record_first(&mut self, now: Now) {
         self.current(now).first_attempts += 1;
--- a/crates/curranttrestle/src/protocol/mod.rs
+++ b/crates/curranttrestle/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between routers, and with the platform, endpoints and callers.
 
 pub mod endpoint;
+pub mod gateway;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/curranttrestle/src/state/gateway/mod.rs
@@ -0,0 +1,11 @@
+//! What the gateway forwards by: the service configuration, endpoint entries and requests.
+
+pub mod config;
+pub mod entry;
+pub mod request;
+
+pub use config::{
+    ClientLimits, Customer, EngineModel, Repeat, Route, RouteTarget, Service, ServiceConfig,
+};
+pub use entry::{EndpointEntry, EntryState};
+pub use request::{PromptPart, RequestHints};
--- a/crates/curranttrestle/src/state/mod.rs
+++ b/crates/curranttrestle/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod event;
 pub mod finding;
+pub mod gateway;
 pub mod ids;
 pub mod marks;
 pub mod member;
