--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -20,8 +20,9 @@
     pub window_ms: u64,
     /// Reports of peers that are older count no more.
     pub report_life_ms: u64,
-    /// The part of the engines' nominal rate that is shared out.
-    pub capacity_part: f64,
+    /// How many times its fair share of what was admitted a customer may get; a little more
+    /// than one, as requests on their way are asked for and not admitted yet.
+    pub ahead_factor: f64,
 }
 
 impl Default for ShareOptions {
@@ -29,7 +30,7 @@
         Self {
             window_ms: 4_000,
             report_life_ms: 2_000,
-            capacity_part: 1.0,
+            ahead_factor: 1.05,
         }
     }
 }
@@ -144,7 +145,10 @@
         lines.filter(|line| line.asked_tokens > 0).collect()
     }
 
-    /// Where a customer stands when all engines together serve `tokens_per_s`.
+    /// Where a customer stands when all engines together serve `tokens_per_s` at best.
+    ///
+    /// Engines may serve less than that. Then something is refused although the nominal rate
+    /// is not reached, and whoever got more than a customer that lacks something stands back.
     #[must_use]
     pub fn standing(&self, customer: &str, tokens_per_s: u64, now: Now) -> Standing {
         if tokens_per_s == 0 {
@@ -159,9 +163,14 @@
             reason = "token counts are far below 2^52"
         )]
         let capacity = tokens_per_s as f64 * self.counted_ms(now) as f64 / 1_000.0;
-        let capacity = capacity * self.options.capacity_part;
-        let level = fair_level(totals.values().map(|(asked, _)| *asked), capacity);
-        if *admitted >= level && *asked > level {
+        let level_of = |capacity| fair_level(totals.values().map(|(asked, _)| *asked), capacity);
+        let nominal_level = level_of(capacity);
+        let has_its_share = *admitted >= nominal_level && *asked > nominal_level;
+        // What was admitted, shared out anew: whoever got more than its share of that took it
+        // from a customer that lacks it.
+        let all_admitted = totals.values().map(|(_, admitted)| admitted).sum();
+        let is_ahead = *admitted > level_of(all_admitted) * self.options.ahead_factor;
+        if has_its_share || is_ahead {
             Standing::Beyond
         } else {
             Standing::Within
--- a/crates/curranttrestle/tests/gateway/shares.rs
+++ b/crates/curranttrestle/tests/gateway/shares.rs
@@ -42,6 +42,47 @@
     );
 }
 
+/// The first seconds of `mix --seed 366864702838` on the second site: the engines serve less
+/// than their nominal rate, so the sum of what is asked never passes the nominal one.
+#[test]
+fn a_flood_is_held_back_also_where_engines_serve_less_than_their_nominal_rate() {
+    let nominal_per_s = 540_000;
+    let served_per_ms = 300.0;
+    let mut book = ShareBook::new(ShareOptions::default());
+    let (mut queued, mut served) = (0.0_f64, [0.0_f64; 2]);
+    for step in 0..6_000_u64 {
+        let now = at(step);
+        queued = (queued - served_per_ms).max(0.0);
+        for (place, (customer, tokens, gap)) in [("small", 3_000, 27), ("flood", 3_000, 8)]
+            .into_iter()
+            .enumerate()
+        {
+            if step % gap != 0 {
+                continue;
+            }
+            book.asked(customer, tokens, now);
+            // The queue that each is allowed, in milliseconds of work.
+            let allowed_ms = match book.standing(customer, nominal_per_s, now) {
+                Standing::Within => 300.0,
+                Standing::Beyond => 50.0,
+            };
+            if queued / served_per_ms <= allowed_ms {
+                book.admitted(customer, tokens, now);
+                #[expect(clippy::cast_precision_loss)]
+                let tokens = tokens as f64;
+                queued += tokens;
+                served[place] += tokens;
+            }
+        }
+    }
+    let asked = 6_000.0 / 27.0 * 3_000.0;
+    assert!(served[0] > asked * 0.9, "got {} of {asked}", served[0]);
+    assert!(
+        served[0] + served[1] > served_per_ms * 6_000.0 * 0.95,
+        "{served:?}"
+    );
+}
+
 #[test]
 fn reports_of_peers_count_until_they_are_old() {
     let mut here = ShareBook::new(ShareOptions::default());
