Tell peers which prompts were sent where, and forget parts by tokens

Each gateway alone sees a ninth of the uses. Ruled out: the queue, whose prediction is right at the median.

--- a/crates/curranttrestle-gateway/src/front/relay.rs
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -261,6 +261,7 @@
             return Err(None);
         };
         self.exchange.log_repeat(failed.as_str(), from);
+        self.ending.placed(&choice);
         self.predicted_ms = choice.predicted_ms;
         let limit_ms = self.exchange.limit_ms;
         let sent = attempt::send(&self.exchange, &choice, true, self.last_event_id, limit_ms).await;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -5,9 +5,10 @@
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::Placement;
+use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::trust::FailureKind;
-use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{Repeat, RequestHints, Route};
+use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -35,9 +36,18 @@
     customer: String,
     arrived: Now,
     first_event_ms: Option<u64>,
+    placed: Option<Placed>,
     is_told: bool,
 }
 
+/// Where a request went last, and what was predicted.
+#[derive(Clone, Debug)]
+struct Placed {
+    endpoint: EndpointId,
+    wait_ms: f64,
+    predicted_ms: f64,
+}
+
 impl Ending {
     fn new(gateway: &Rc<Gateway>, id: &str, arrived: Now) -> Self {
         gateway.open_requests.set(gateway.open_requests.get() + 1);
@@ -48,10 +58,20 @@
             customer: String::new(),
             arrived,
             first_event_ms: None,
+            placed: None,
             is_told: false,
         }
     }
 
+    /// The request is sent to an endpoint.
+    pub fn placed(&mut self, choice: &Choice) {
+        self.placed = Some(Placed {
+            endpoint: choice.entry.endpoint.clone(),
+            wait_ms: choice.wait_ms,
+            predicted_ms: choice.predicted_ms,
+        });
+    }
+
     /// The first event went to the client.
     pub fn first_event(&mut self, now: Now) {
         self.first_event_ms = Some(now.since_ms(self.arrived.steady_ms));
@@ -77,12 +97,20 @@
                 return;
             }
         }
+        let placed = self.placed.as_ref().map_or_else(String::new, |placed| {
+            format!(
+                " endpoint={} wait_ms={:.0} predicted_ms={:.0}",
+                placed.endpoint, placed.wait_ms, placed.predicted_ms
+            )
+        });
+        let first_event = self
+            .first_event_ms
+            .map_or_else(String::new, |ms| format!(" first_event_ms={ms}"));
         log::info!(
-            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms} first_event_ms={:?}",
+            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{first_event}{placed}",
             self.id,
             self.route,
             self.customer,
-            self.first_event_ms
         );
     }
 }
@@ -313,6 +341,7 @@
                 return finish_own(own, &mut ending);
             }
         };
+        ending.placed(&choice);
         let wait_until_ms = wait_until_ms(&exchange, choice.predicted_ms, now);
         let last_event_id = exchange.hints.last_event_id;
         let sent = attempt::send(&exchange, &choice, false, last_event_id, wait_until_ms).await;
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -149,6 +149,9 @@
         control
             .load
             .report_received(report.sender, &report.loads, now);
+        control
+            .cache
+            .report_received(report.sender, &report.prompts);
         control
             .shares
             .report_received(report.sender, report.shares, now);
@@ -238,6 +241,7 @@
             proof: None,
             peers: named,
             loads: control.load.report(),
+            prompts: control.cache.report(now),
             shares: control.shares.report(now),
             suspicions: self.suspicions(&mut control.quarantine, now),
         }
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -299,7 +299,9 @@
         self.load.started(self.attempts, key, sent, now);
         self.trust.tried(key, now);
         if !wanted.hints.parts.is_empty() {
-            self.cache.used(key, wanted.hints.shared_parts(), now);
+            let added_tokens = choice.read_tokens + wanted.hints.expected_output_tokens();
+            let shared = wanted.hints.shared_parts();
+            self.cache.used(key, shared, added_tokens, now);
             if !wanted.is_repeat {
                 self.shares
                     .admitted(wanted.customer, cost_tokens(wanted.hints), now);
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -20,6 +20,9 @@
     pub max_candidates: usize,
     /// The weight of reading a part again, against waiting.
     pub reread_weight: f64,
+    /// What each step down the ranking costs. Without it gateways in different data centres
+    /// would send a new part to different engines.
+    pub rank_ms: f64,
     /// What an endpoint in another data centre costs.
     pub far_ms: f64,
     /// The share of an engine's memory that running requests may fill.
@@ -31,6 +34,7 @@
         Self {
             max_candidates: 4,
             reread_weight: 2.0,
+            rank_ms: 10.0,
             far_ms: 2.0,
             memory_share: 0.7,
         }
@@ -92,11 +96,9 @@
     for (rank, (_, entry)) in ranked.iter().enumerate() {
         let key = EndpointKey::of(&entry.endpoint);
         let view = surroundings.load.view(key, now);
-        // All gateways send a part to its first engine, so it is kept there.
-        let kept_tokens = match rank {
-            0 => shared_tokens,
-            _ => surroundings.cache.kept_tokens(key, shared, now),
-        };
+        let kept_tokens = surroundings
+            .cache
+            .kept_tokens(key, shared, engine.memory_tokens);
         let missing_tokens = shared_tokens - kept_tokens.min(shared_tokens);
         let read_tokens = hints.own_tokens() + missing_tokens;
         let load = surroundings.load.options();
@@ -111,10 +113,13 @@
             read_tokens,
             is_full,
         };
+        #[expect(clippy::cast_precision_loss, reason = "a few candidates")]
+        let rank_ms = rank as f64 * options.rank_ms;
         let reread_ms = reading_ms(missing_tokens) * (options.reread_weight - 1.0);
         let cost_ms = predicted_ms
             + reread_ms
             + far_ms(entry, surroundings.data_centre, options)
+            + rank_ms
             + if is_full { FULL_COST_MS } else { 0.0 };
         if best.as_ref().is_none_or(|(cost, _)| cost_ms < *cost) {
             best = Some((cost_ms, choice));
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -6,6 +6,7 @@
 
 use super::peer::Suspicions;
 use crate::coordination::gateway::endpoint_load::{LoadLine, PeerKey};
+use crate::coordination::gateway::prompt_cache::PromptUses;
 use crate::coordination::gateway::shares::ShareLine;
 
 /// What a gateway tells a peer.
@@ -21,6 +22,8 @@
     pub peers: Vec<SocketAddr>,
     /// The sender's requests at the endpoints.
     pub loads: Vec<LoadLine>,
+    /// The prompts that the sender sent to endpoints lately.
+    pub prompts: PromptUses,
     /// What customers asked the sender for.
     pub shares: Vec<ShareLine>,
     /// Requests that may crash endpoints.
