Send reports to all live peers in the same round; fewer calls to the store

Each peer had its own phase, and the reports that name peers always fell on the same phase. Ruled out: the level of shares, and lost datagrams. Peering is a decision of its own now, tested with nine gateways and without a network.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -184,6 +184,9 @@
         executor: Rc::clone(&executor),
         settings,
     });
+    // Until others are heard, there are at least as many as the seeds, and as many again.
+    let assumed = 2 * gateway.settings.seeds.len();
+    gateway.control.borrow_mut().fleet_seen(assumed);
     let listeners = Listeners::bind(&gateway.settings)?;
     log::info!(
         "kind=started clients={} peers={} data_centre={:?}",
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 
 use curranttrestle::coordination::gateway::control::{ControlOptions, RepeatOptions};
 use curranttrestle::coordination::gateway::freshness::FreshnessOptions;
+use curranttrestle::coordination::gateway::peering::PeeringOptions;
 
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,7 +28,7 @@
     /// Calls to the store, and their pace.
     pub store: StoreOptions,
     /// Reports between gateways.
-    pub reports: ReportOptions,
+    pub reports: PeeringOptions,
     /// Connections and waiting.
     pub traffic: TrafficOptions,
     /// Stopping.
@@ -49,7 +50,7 @@
             seeds: Vec::new(),
             control: ControlOptions::default(),
             store: StoreOptions::default(),
-            reports: ReportOptions::default(),
+            reports: PeeringOptions::default(),
             traffic: TrafficOptions::default(),
             stop: StopOptions::default(),
             log_sample: 50,
@@ -70,6 +71,9 @@
 pub struct StoreOptions {
     /// The time between two reads of the configuration.
     pub config_interval_ms: u64,
+    /// The least time between two watches of the directory. Changes that come in between
+    /// arrive together.
+    pub watch_interval_ms: u64,
     /// How long a watch of the directory waits.
     pub watch_ms: u64,
     /// How long an answer may take beyond that.
@@ -83,7 +87,8 @@
 impl Default for StoreOptions {
     fn default() -> Self {
         Self {
-            config_interval_ms: 1_000,
+            config_interval_ms: 1_200,
+            watch_interval_ms: 700,
             watch_ms: 2_000,
             timeout_ms: 700,
             min_backoff_ms: 100,
@@ -92,30 +97,6 @@
     }
 }
 
-/// The pace of reports between gateways.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportOptions {
-    /// The least time between two reports to the same peer.
-    pub min_interval_ms: u64,
-    /// Bytes a second that all reports of this gateway may take.
-    pub bytes_per_s: u64,
-    /// A peer that was silent for this long is asked only now and then.
-    pub silent_ms: u64,
-    /// A peer that was silent for this long is forgotten, unless it is a seed.
-    pub forget_ms: u64,
-}
-
-impl Default for ReportOptions {
-    fn default() -> Self {
-        Self {
-            min_interval_ms: 100,
-            bytes_per_s: 40_000,
-            silent_ms: 3_000,
-            forget_ms: 60_000,
-        }
-    }
-}
-
 /// Connections and waiting.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TrafficOptions {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -181,6 +181,7 @@
 ) -> PlatformError {
     let options = gateway.settings.store;
     loop {
+        let begun = clock::now();
         gateway
             .metrics
             .store_calls
@@ -201,6 +202,8 @@
             .filter_map(|event| apply(gateway, event))
             .collect();
         gateway.directory_changed(&applied, "watch");
+        let took_ms = clock::now().since_ms(begun.steady_ms);
+        sleep_ms(options.watch_interval_ms.saturating_sub(took_ms)).await;
     }
 }
 
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -224,10 +224,11 @@
         }
     }
 
-    /// The number of gateways that share the budgets, this one included.
-    pub fn set_fleet_size(&mut self, size: usize) {
-        if size != self.fleet_size {
-            self.fleet_size = size.max(1);
+    /// This many gateways share the budgets, this one included. A smaller number changes
+    /// nothing: those that are not heard any more may be cut off and go on repeating.
+    pub fn fleet_seen(&mut self, size: usize) {
+        if size > self.fleet_size {
+            self.fleet_size = size;
             self.share_budgets();
         }
     }
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod endpoint_load;
 pub mod freshness;
+pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
 pub mod route_table;
--- a/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
+++ b/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
@@ -22,8 +22,8 @@
     pub memory_part: f64,
     /// The most parts that are remembered of one endpoint.
     pub max_parts: usize,
-    /// Uses are told to peers for this long, since a report may be lost.
-    pub tell_ms: u64,
+    /// Uses are told to peers for this many intervals of reports, since one may be lost.
+    pub told_intervals: u64,
 }
 
 impl Default for PromptCacheOptions {
@@ -31,7 +31,7 @@
         Self {
             memory_part: 0.7,
             max_parts: 1_024,
-            tell_ms: 250,
+            told_intervals: 3,
         }
     }
 }
@@ -127,9 +127,9 @@
         }
     }
 
-    /// This gateway's latest uses for its peers.
-    pub fn report(&mut self, now: Now) -> PromptUses {
-        let tell_ms = self.options.tell_ms;
+    /// This gateway's latest uses for its peers, who get a report every `interval_ms`.
+    pub fn report(&mut self, interval_ms: u64, now: Now) -> PromptUses {
+        let tell_ms = self.options.told_intervals * interval_ms;
         while self
             .told
             .front()
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -24,8 +24,8 @@
     pub loads: Vec<LoadLine>,
     /// The prompts that the sender sent to endpoints lately.
     pub prompts: PromptUses,
-    /// What customers asked the sender for.
-    pub shares: Vec<ShareLine>,
+    /// What customers asked the sender for; none where nothing is told this time.
+    pub shares: Option<Vec<ShareLine>>,
     /// Requests that may crash endpoints.
     pub suspicions: Suspicions,
 }
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -91,7 +91,9 @@
             },
             ..ControlOptions::default()
         });
-        control.set_fleet_size(9);
+        control.fleet_seen(9);
+        // Gateways that are cut off spend their part too.
+        control.fleet_seen(4);
         for step in 0..100 {
             control.arrived("model", "customer", &RequestHints::default(), at(step * 10));
             // Every request fails everywhere, and would be sent again twice.
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod directory;
 mod freshness;
+mod peering;
 mod placement;
 mod route_table;
 mod shares;
--- /dev/null
+++ b/crates/curranttrestle/tests/gateway/peering.rs
@@ -0,0 +1,102 @@
+use std::net::SocketAddr;
+
+use curranttrestle::coordination::gateway::peering::{PeerChange, Peering, PeeringOptions};
+
+use super::support::at;
+
+fn address(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index], 7_400))
+}
+
+/// Nine gateways, of which the first three are seeds, that start within 0.3 s. Returns for
+/// each how many others it hears and how many full reports it got.
+fn play(until_ms: u64, is_cut: impl Fn(usize, usize, u64) -> bool) -> Vec<(usize, u32)> {
+    let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
+    let mut fleet: Vec<Peering> = (0..9)
+        .map(|index| Peering::new(address(index), &seeds, PeeringOptions::default(), at(0)))
+        .collect();
+    let mut full = [0; 9];
+    for now_ms in (0..until_ms).step_by(50) {
+        let now = at(now_ms);
+        for from in 0..9 {
+            // Each has its own start, so rounds are not in step.
+            if now_ms < from as u64 * 37 {
+                continue;
+            }
+            fleet[from].sweep(now);
+            let Some(round) = fleet[from].round(now) else {
+                continue;
+            };
+            let named = if round.is_full {
+                fleet[from].named()
+            } else {
+                Vec::new()
+            };
+            for (target, _) in &round.targets {
+                let to = usize::from(match target {
+                    SocketAddr::V4(target) => target.ip().octets()[3],
+                    SocketAddr::V6(_) => unreachable!(),
+                });
+                if !is_cut(from, to, now_ms) {
+                    full[to] += u32::from(round.is_full);
+                    let from = address(u8::try_from(from).unwrap());
+                    fleet[to].heard(from, None, &named, now);
+                }
+            }
+        }
+    }
+    fleet
+        .iter()
+        .zip(full)
+        .map(|(peering, full)| (peering.live() - 1, full))
+        .collect()
+}
+
+#[test]
+fn all_hear_each_other_within_seconds_and_all_get_full_reports() {
+    for (index, (heard, full)) in play(3_000, |_, _, _| false).into_iter().enumerate() {
+        assert_eq!(heard, 8, "gateway {index}");
+        // Five a second from each of eight, less the first second.
+        assert!(full > 60, "gateway {index} got {full} full reports");
+    }
+}
+
+#[test]
+fn gateways_that_are_cut_off_are_lost_and_found_again() {
+    let is_cut = |from: usize, to: usize, now_ms: u64| {
+        let crosses = (from < 3) != (to < 3);
+        crosses && (4_000..10_000).contains(&now_ms)
+    };
+    let during = play(9_000, is_cut);
+    assert!(
+        during[..3].iter().all(|(heard, _)| *heard == 2),
+        "{during:?}"
+    );
+    assert!(
+        during[3..].iter().all(|(heard, _)| *heard == 5),
+        "{during:?}"
+    );
+    let after = play(12_000, is_cut);
+    assert!(after.iter().all(|(heard, _)| *heard == 8), "{after:?}");
+}
+
+#[test]
+fn reports_keep_within_their_bytes() {
+    let mut peering = Peering::new(address(0), &[address(1)], PeeringOptions::default(), at(0));
+    assert!(peering.round(at(0)).is_some());
+    peering.sent(50_000);
+    assert_eq!(peering.interval_ms(), 500);
+    assert!(peering.round(at(400)).is_none());
+    assert!(peering.round(at(500)).is_some());
+}
+
+#[test]
+fn a_peer_that_stays_silent_is_forgotten_unless_it_is_a_seed() {
+    let mut peering = Peering::new(address(0), &[address(1)], PeeringOptions::default(), at(0));
+    let change = peering.heard(address(2), None, &[address(1)], at(0));
+    assert_eq!(change, Some(PeerChange::Back(address(2))));
+    assert_eq!(peering.sweep(at(3_000)), [PeerChange::Lost(address(2))]);
+    peering.sweep(at(63_000));
+    let round = peering.round(at(63_000)).unwrap();
+    assert_eq!(round.targets, [(address(1), None)]);
+}
--- a/crates/curranttrestle/tests/gateway/placement.rs
+++ b/crates/curranttrestle/tests/gateway/placement.rs
@@ -133,16 +133,16 @@
     let key = EndpointKey::of(&choice.entry.endpoint);
     let told_first = {
         there.keep(&choice, &hints);
-        there.cache.report(at(0))
+        there.cache.report(100, at(0))
     };
     there.cache.used(key, &[], 150_000, at(100));
-    let told_again = there.cache.report(at(100));
+    let told_again = there.cache.report(100, at(100));
     assert_eq!(told_again.uses.len(), 2);
     for told in [&told_first, &told_again, &told_again, &told_again] {
         here.cache.report_received(1, told);
     }
     assert_eq!(here.choose(&hints, at(100)).read_tokens, 2_890);
-    assert_eq!(there.cache.report(at(1_000)).uses.len(), 0);
+    assert_eq!(there.cache.report(100, at(1_000)).uses.len(), 0);
 }
 
 #[test]
