--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -282,6 +282,7 @@
     let declared = headers.get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if declared.is_some_and(|length| length > limits.body_bytes) {
+        discard(body).await;
         return Err(too_large());
     }
     let reserved = declared.unwrap_or_default();
@@ -311,6 +312,19 @@
     }
 }
 
+/// How long the rest of a body that is too large is read.
+const DISCARD_MS: u64 = 1_000;
+
+/// Reads a body to its end for a while. A connection that is closed with unread bytes is
+/// reset, and the client would not see the answer.
+async fn discard(mut body: Incoming) {
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    let expire = async {
+        Timer::after(Duration::from_millis(DISCARD_MS)).await;
+    };
+    read.or(expire).await;
+}
+
 fn digest(path: &str, customer: &str, body: &[u8]) -> [u8; 16] {
     let mut hasher = Xxh3::new();
     for part in [path.as_bytes(), customer.as_bytes(), body] {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -136,6 +136,7 @@
         };
         if error == PlatformError::HistoryGone {
             log::info!("kind=directory-history-gone");
+            sleep_ms(gateway.settings.store.min_backoff_ms).await;
             continue;
         }
         gateway
@@ -196,6 +197,8 @@
             Err(error) => return error,
         };
         revision = changes.revision;
+        let now = clock::now();
+        gateway.control.borrow_mut().directory.store_answered(now);
         let applied: Vec<DirectoryChange> = changes
             .events
             .into_iter()
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -76,6 +76,13 @@
         self.is_loaded
     }
 
+    /// The store answered.
+    pub fn store_answered(&mut self, now: Now) {
+        if std::mem::take(&mut self.is_away) {
+            self.returned_ms = Some(now.steady_ms);
+        }
+    }
+
     /// The store did not answer, or turned the call away.
     pub fn store_failed(&mut self) {
         self.is_away = true;
@@ -83,7 +90,7 @@
 
     /// Takes the complete list of the store.
     pub fn replace(&mut self, entries: Vec<EndpointEntry>, now: Now) -> Vec<DirectoryChange> {
-        self.returned(now);
+        self.store_answered(now);
         self.is_loaded = true;
         let mut changes = Vec::new();
         let listed: Vec<EndpointId> = entries.iter().map(|entry| entry.endpoint.clone()).collect();
@@ -142,7 +149,7 @@
         let is_returning = self
             .returned_ms
             .is_some_and(|returned| now.since_ms(returned) < self.options.lapse_grace_ms);
-        if is_returning {
+        if self.is_away || is_returning {
             known.is_missing = true;
             return None;
         }
@@ -191,12 +198,6 @@
     pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
         self.endpoints.values().map(|known| &known.entry)
     }
-
-    fn returned(&mut self, now: Now) {
-        if std::mem::take(&mut self.is_away) {
-            self.returned_ms = Some(now.steady_ms);
-        }
-    }
 }
 
 impl Known {
--- a/crates/curranttrestle/tests/gateway/directory.rs
+++ b/crates/curranttrestle/tests/gateway/directory.rs
@@ -96,3 +96,16 @@
     assert_eq!(change, Some(DirectoryChange::Restarted(endpoint.clone())));
     assert!(directory.takes_work(&endpoint));
 }
+
+#[test]
+fn removals_that_are_heard_while_the_store_is_away_are_lapses() {
+    let mut directory = loaded(1);
+    let endpoint = entry("model", 0).endpoint;
+    // One call failed, and a watch that was waiting brings the removal.
+    directory.store_failed();
+    assert_eq!(directory.remove(&endpoint, at(10_000)), None);
+    assert_eq!(usable(&directory), 1);
+    directory.store_answered(at(15_000));
+    assert!(directory.sweep(at(16_900)).is_empty());
+    assert_eq!(directory.sweep(at(17_000)).len(), 1);
+}
