Spare calls to the store by peers' proofs; share out connections; log late answers

Unused connections are kept up to this gateway's part of half of what an endpoint takes, and none of bookings, which always open a new one: on the grown deployment 69 gateways kept so many that requests were reset. Late answers are logged with what made them late.

--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::{Placement, Wanted};
 use curranttrestle::coordination::quarantine::RequestDigest;
-use curranttrestle::state::gateway::{RequestHints, Route};
+use curranttrestle::state::gateway::{Repeat, RequestHints, Route};
 use curranttrestle::state::{EndpointId, Now};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::upstream::Connection;
 
 /// One request of a client: what it wants, and what became of it so far.
 #[derive(Debug)]
@@ -110,6 +111,21 @@
                 .try_repeat(&self.service, now)
     }
 
+    /// Keeps a connection for the next request, where one will use it. An endpoint takes a
+    /// limited number of connections from all gateways together.
+    pub fn release(&self, connection: Connection) {
+        let max_idle = match self.route.repeat {
+            // Such requests always open a new connection.
+            Repeat::AtMostOnce => 0,
+            Repeat::Idempotent | Repeat::Stream { .. } => self
+                .gateway
+                .control
+                .borrow()
+                .connection_share(&self.service),
+        };
+        self.gateway.pool.put_back(connection, max_idle);
+    }
+
     /// Logs that the request goes to another endpoint.
     pub fn log_repeat(&self, why: &str, from: &EndpointId) {
         log::info!(
--- a/crates/curranttrestle-gateway/src/front/relay.rs
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -134,7 +134,11 @@
         };
         let next = frame.or(expire).await;
         if matches!(next, Next::Data(_)) {
-            self.heard_ms = clock::now().steady_ms;
+            let now = clock::now();
+            if self.has_events {
+                self.ending.paused(now.since_ms(self.heard_ms));
+            }
+            self.heard_ms = now.steady_ms;
         }
         next
     }
@@ -202,7 +206,7 @@
                 .quarantine
                 .finished(&self.exchange.digest, false, now);
             drop(control);
-            self.exchange.gateway.pool.put_back(head.connection);
+            self.exchange.release(head.connection);
         }
         self.ending.ended("answered", "complete", now);
     }
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -35,7 +35,10 @@
     route: String,
     customer: String,
     arrived: Now,
+    target_ms: u64,
+    max_pause_ms: u64,
     first_event_ms: Option<u64>,
+    longest_pause_ms: u64,
     placed: Option<Placed>,
     is_told: bool,
 }
@@ -57,7 +60,10 @@
             route: String::new(),
             customer: String::new(),
             arrived,
+            target_ms: u64::MAX,
+            max_pause_ms: u64::MAX,
             first_event_ms: None,
+            longest_pause_ms: 0,
             placed: None,
             is_told: false,
         }
@@ -77,18 +83,33 @@
         self.first_event_ms = Some(now.since_ms(self.arrived.steady_ms));
     }
 
+    /// The endpoint was silent for so long between two events.
+    pub fn paused(&mut self, pause_ms: u64) {
+        self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+    }
+
+    /// Why a complete answer was late for its client; none where it was on time.
+    fn lateness(&self) -> Option<&'static str> {
+        if self.first_event_ms.is_some_and(|ms| ms > self.target_ms) {
+            return Some("late-start");
+        }
+        (self.longest_pause_ms > self.max_pause_ms).then_some("late-pause")
+    }
+
     /// The request ended. Calm successes are logged now and then, all else always.
     pub fn ended(&mut self, outcome: &'static str, reason: &str, now: Now) {
         if std::mem::replace(&mut self.is_told, true) {
             return;
         }
         let metrics = &self.gateway.metrics;
+        let late = self.lateness().filter(|_| outcome == "answered");
+        let reason = late.unwrap_or(reason);
         metrics.requests.with_label_values(&[outcome, reason]).inc();
         let elapsed_ms = now.since_ms(self.arrived.steady_ms);
         #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
         let seconds = elapsed_ms as f64 / 1_000.0;
         metrics.times.with_label_values(&["whole"]).observe(seconds);
-        let is_calm = outcome == "answered";
+        let is_calm = outcome == "answered" && late.is_none();
         if is_calm {
             let answered = self.gateway.answered.get() + 1;
             self.gateway.answered.set(answered);
@@ -103,9 +124,10 @@
                 placed.endpoint, placed.wait_ms, placed.predicted_ms
             )
         });
-        let first_event = self
-            .first_event_ms
-            .map_or_else(String::new, |ms| format!(" first_event_ms={ms}"));
+        let first_event = self.first_event_ms.map_or_else(String::new, |ms| {
+            let (target_ms, pause_ms) = (self.target_ms, self.longest_pause_ms);
+            format!(" first_event_ms={ms} target_ms={target_ms} longest_pause_ms={pause_ms}")
+        });
         log::info!(
             "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{first_event}{placed}",
             self.id,
@@ -179,6 +201,10 @@
     let now = clock::now();
     let resolved = resolve(gateway, &host, parts.uri.path(), &hints, now)?;
     ending.route.clone_from(&resolved.route.name);
+    ending.target_ms = resolved.route.target_latency_ms;
+    if resolved.route.max_pause_ms > 0 {
+        ending.max_pause_ms = resolved.route.max_pause_ms;
+    }
     ending.customer = resolved.customer.clone().unwrap_or_default();
     let wait_ms = hints
         .deadline_ms
@@ -524,7 +550,7 @@
     let gateway = Rc::clone(&exchange.gateway);
     if status.is_server_error() {
         note_failure(&exchange, &guard.endpoint, FailureKind::Failed, now);
-        gateway.pool.put_back(connection);
+        exchange.release(connection);
         if exchange.route.repeat.may_run_again() && may_try_elsewhere(&exchange, now) {
             let failure = Failure {
                 kind: FailureKind::Failed,
@@ -539,7 +565,7 @@
         control.succeeded(&guard.endpoint, now);
         control.quarantine.finished(&exchange.digest, false, now);
         drop(control);
-        gateway.pool.put_back(connection);
+        exchange.release(connection);
     }
     if is_false_promise(status) {
         // These statuses promise that the request did not run, which nobody said.
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -69,7 +69,8 @@
 /// The pace of calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
-    /// The time between two reads of the configuration.
+    /// The greatest age of the proof that the configuration is the newest one; then it is
+    /// read again.
     pub config_interval_ms: u64,
     /// The least time between two watches of the directory. Changes that come in between
     /// arrive together.
@@ -87,9 +88,9 @@
 impl Default for StoreOptions {
     fn default() -> Self {
         Self {
-            config_interval_ms: 1_200,
+            config_interval_ms: 1_400,
             watch_interval_ms: 700,
-            watch_ms: 2_000,
+            watch_ms: 3_000,
             timeout_ms: 700,
             min_backoff_ms: 100,
             max_backoff_ms: 500,
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -74,26 +74,19 @@
     let options = gateway.settings.store;
     let mut store = Dependency::new("store-config");
     loop {
+        proof_grows_old(&gateway).await;
         let sent = clock::now();
         let read = platform.config(options.timeout_ms).await;
-        gateway
-            .metrics
-            .store_calls
-            .with_label_values(&["config"])
-            .inc();
+        let calls = &gateway.metrics.store_calls;
+        calls.with_label_values(&["config"]).inc();
         match read {
             Ok(read) => {
                 store.succeeded();
                 config_read(&gateway, read, sent);
-                let took_ms = clock::now().since_ms(sent.steady_ms);
-                sleep_ms(options.config_interval_ms.saturating_sub(took_ms)).await;
             }
             Err(error) => {
-                gateway
-                    .metrics
-                    .store_failures
-                    .with_label_values(&["config"])
-                    .inc();
+                let failures = &gateway.metrics.store_failures;
+                failures.with_label_values(&["config"]).inc();
                 if error != PlatformError::Missing {
                     gateway.control.borrow_mut().directory.store_failed();
                 }
@@ -104,6 +97,21 @@
     }
 }
 
+/// Waits until the last proof that the configuration is the newest one is old. Peers pass
+/// theirs on, so that few of all gateways have to read; each waits for another time, and the
+/// first one to read spares the others.
+async fn proof_grows_old(gateway: &Gateway) {
+    let longest_ms = gateway.settings.store.config_interval_ms;
+    let limit_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
+    loop {
+        let age_ms = gateway.control.borrow().freshness.age_ms(clock::now());
+        match age_ms {
+            Some(age_ms) if age_ms < limit_ms => sleep_ms(limit_ms - age_ms).await,
+            _ => return,
+        }
+    }
+}
+
 /// Takes an answer of the store to a read that was sent at `sent`.
 fn config_read(gateway: &Gateway, read: ConfigRead, sent: Now) {
     let mut control = gateway.control.borrow_mut();
--- a/crates/curranttrestle-gateway/src/upstream/call.rs
+++ b/crates/curranttrestle-gateway/src/upstream/call.rs
@@ -91,7 +91,7 @@
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
             let body = body.collect().await;
             let body = body.map_err(|error| CallError::Answer(error.to_string()))?;
-            self.pool.put_back(connection);
+            self.pool.put_back(connection, usize::MAX);
             return Ok((status, body.to_bytes()));
         }
     }
--- a/crates/curranttrestle-gateway/src/upstream/pool.rs
+++ b/crates/curranttrestle-gateway/src/upstream/pool.rs
@@ -63,15 +63,16 @@
         Connection::open(&self.executor, address, timeout_ms, unacknowledged_ms).await
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn put_back(&self, mut connection: Connection) {
-        if connection.closes() {
+    /// Keeps a connection whose answer was read to its end, and no more than `max_idle` of
+    /// them to the same address.
+    pub fn put_back(&self, mut connection: Connection, max_idle: usize) {
+        if connection.closes() || max_idle == 0 {
             return;
         }
         connection.used_ms = clock::now().steady_ms;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address()).or_default();
-        if connections.len() >= self.options.max_idle {
+        if connections.len() >= max_idle.min(self.options.max_idle) {
             connections.remove(0);
         }
         connections.push(connection);
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -239,6 +239,21 @@
         self.fleet_size
     }
 
+    /// How many unused connections to an endpoint of `service` this gateway may keep: its part
+    /// of half of what the endpoint takes. The other half is left to requests.
+    #[must_use]
+    pub fn connection_share(&self, service: &str) -> usize {
+        let service = self
+            .routes
+            .as_ref()
+            .and_then(|table| table.service(service));
+        let limit = service.map_or(0, |service| service.max_connections);
+        if limit == 0 {
+            return usize::MAX;
+        }
+        (usize::try_from(limit).unwrap_or(usize::MAX) / 2 / self.fleet_size).max(1)
+    }
+
     /// A request for `service` arrived.
     pub fn arrived(&mut self, service: &str, customer: &str, hints: &RequestHints, now: Now) {
         self.budget(service).record_first(now);
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -124,3 +124,14 @@
     assert!(control.is_quarantined(&digest, at(10_000)));
     assert!(!control.is_quarantined(&[8; 16], at(10_000)));
 }
+
+/// The grown deployment: 69 gateways kept up to 64 unused connections each to endpoints that
+/// take 540 from all of them, and requests beyond that were reset.
+#[test]
+fn unused_connections_of_all_gateways_leave_room_for_requests() {
+    let mut control = ready(1);
+    control.fleet_seen(69);
+    assert!(69 * control.connection_share("model") <= 370 / 2);
+    assert!(control.connection_share("model") >= 1);
+    assert_eq!(control.connection_share("unknown"), usize::MAX);
+}
--- a/crates/curranttrestle/tests/gateway/peering.rs
+++ b/crates/curranttrestle/tests/gateway/peering.rs
@@ -82,7 +82,11 @@
 
 #[test]
 fn reports_keep_within_their_bytes() {
-    let mut peering = Peering::new(address(0), &[address(1)], PeeringOptions::default(), at(0));
+    let options = PeeringOptions {
+        bytes_per_s: 100_000,
+        ..PeeringOptions::default()
+    };
+    let mut peering = Peering::new(address(0), &[address(1)], options, at(0));
     assert!(peering.round(at(0)).is_some());
     peering.sent(50_000);
     assert_eq!(peering.interval_ms(), 500);
