Let what peers sent be read one request after the other

Each peer's report was thinned by what an engine reads in the age of the report, so before many gateways an engine seemed to read as many times as fast: of 40,000 tokens of 20 peers nothing was left after 0.1 s, where 36,000 wait (test). Found by reading, after the grown deployment had put the median draft past its target.

--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -228,17 +228,25 @@
             view.add(line, f64::from(line.waiting_tokens));
             view.slowness = view.slowness.max(self.overdue(attempts, now));
         }
+        let mut waiting_tokens = 0.0;
+        let mut token_ages = 0.0;
         for report in self.peers.values() {
             let age_ms = now.since_ms(report.at_ms);
             if age_ms >= self.options.report_life_ms {
                 continue;
             }
             if let Some(line) = report.lines.get(&endpoint) {
-                // The endpoint went on reading since the report.
-                let read = age_ms as f64 * self.options.read_tokens_per_ms / view.slowness;
-                view.add(*line, (f64::from(line.waiting_tokens) - read).max(0.0));
+                view.add(*line, 0.0);
+                waiting_tokens += f64::from(line.waiting_tokens);
+                token_ages += f64::from(line.waiting_tokens) * age_ms as f64;
             }
         }
+        if waiting_tokens > 0.0 {
+            // The endpoint went on reading since the reports, one request after the other.
+            let age_ms = token_ages / waiting_tokens;
+            let read_tokens = age_ms * self.options.read_tokens_per_ms / view.slowness;
+            view.waiting_tokens += (waiting_tokens - read_tokens).max(0.0);
+        }
         view
     }
 
--- a/crates/curranttrestle/tests/gateway/placement.rs
+++ b/crates/curranttrestle/tests/gateway/placement.rs
@@ -158,6 +158,26 @@
     assert_eq!(fleet.choose(&hints, at(500)).entry, first.entry);
 }
 
+/// Many gateways before one engine: what they sent is read one request after the other, not
+/// at once.
+#[test]
+fn what_many_peers_sent_is_not_read_at_once() {
+    let mut fleet = Fleet::new(1);
+    let hints = prompt(7, 0, 2_890);
+    let first = fleet.choose(&hints, at(0));
+    for number in 0..20 {
+        let mut peer = Fleet::new(1);
+        peer.send(&first, 2_000, at(0));
+        fleet
+            .load
+            .report_received(number, &peer.load.report(), at(0));
+    }
+    let key = EndpointKey::of(&first.entry.endpoint);
+    // 40,000 tokens take a second at 40 tokens a millisecond.
+    let waiting = fleet.load.view(key, at(100)).waiting_tokens;
+    assert!((35_000.0..=37_000.0).contains(&waiting), "{waiting}");
+}
+
 #[test]
 fn an_engine_without_memory_is_not_chosen() {
     let mut fleet = Fleet::new(2);
