Give a request up at a silent endpoint only where another one takes it

Cause: on the grown deployment 13,045 answers were 504: requests that waited at a busy engine for two targets were cut there, also when no engine could take them or the budget of repeats was spent. Ruled out: endpoints that went silent, which were few. The test keeps one engine that answers after 1.3 s and failed before with 504.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -102,8 +102,8 @@
     }
 }
 
-/// Sends a request to the chosen endpoint and waits for the head of the answer until
-/// `wait_until_ms` at the latest.
+/// Sends a request to the chosen endpoint and waits for the head of the answer. From
+/// `wait_until_ms` on it is given up as soon as another endpoint would take it.
 ///
 /// # Errors
 ///
@@ -132,8 +132,11 @@
             let request = addressed(exchange, &guard.endpoint, last_event_id);
             let sending = exchange_head(exchange, connection, request);
             let expire = async {
-                let left_ms = wait_until_ms.saturating_sub(clock::now().steady_ms);
-                Timer::after(Duration::from_millis(left_ms)).await;
+                sleep_until(wait_until_ms).await;
+                let sends = exchange.sends.get() + 1;
+                if !exchange.may_move(&guard.endpoint, sends, is_resumed, clock::now()) {
+                    sleep_until(exchange.limit_ms).await;
+                }
                 Err(Failure::unknown(FailureKind::Silent))
             };
             sending.or(expire).await
@@ -152,6 +155,11 @@
     }
 }
 
+async fn sleep_until(steady_ms: u64) {
+    let left_ms = steady_ms.saturating_sub(clock::now().steady_ms);
+    Timer::after(Duration::from_millis(left_ms)).await;
+}
+
 /// Opens or reuses a connection.
 async fn connect(exchange: &Exchange, address: SocketAddr) -> Result<Connection, ConnectError> {
     let options = &exchange.gateway.settings.traffic;
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -44,6 +44,8 @@
     pub limit_ms: u64,
     /// Endpoints that it was sent to.
     pub sends: Cell<u32>,
+    /// A repeat was taken out of the budget and is not used yet.
+    pub has_repeat: Cell<bool>,
     /// Endpoints that failed it.
     pub excluded: Vec<EndpointId>,
     /// Releases the memory of the body.
@@ -101,6 +103,9 @@
     /// left. Takes the repeat out of the budget.
     #[must_use]
     pub fn may_repeat(&self, now: Now) -> bool {
+        if self.has_repeat.take() {
+            return true;
+        }
         let has_time = self.left_ms(now) > self.gateway.settings.traffic.min_left_ms;
         has_time
             && self.sends.get() < self.route.max_attempts
@@ -111,6 +116,26 @@
                 .try_repeat(&self.service, now)
     }
 
+    /// Whether a request that waits at a silent endpoint, the `sends`-th that it was sent to,
+    /// is better given up there. It is not where nobody else would take it, since a late
+    /// answer is better than none. Takes the repeat out of the budget.
+    #[must_use]
+    pub fn may_move(&self, from: &EndpointId, sends: u32, is_resumed: bool, now: Now) -> bool {
+        if sends >= self.route.max_attempts || self.obstacle(now).is_some() {
+            return false;
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.push(from.clone());
+        let wanted = Wanted {
+            excluded: &excluded,
+            ..self.wanted(is_resumed)
+        };
+        let placement = self.gateway.control.borrow().place(wanted, now);
+        let is_granted = matches!(placement, Placement::Send(_)) && self.may_repeat(now);
+        self.has_repeat.set(is_granted);
+        is_granted
+    }
+
     /// Keeps a connection for the next request, where one will use it. An endpoint takes a
     /// limited number of connections from all gateways together.
     pub fn release(&self, connection: Connection) {
--- a/crates/curranttrestle-gateway/src/front/relay.rs
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -31,6 +31,8 @@
     has_events: bool,
     /// When the endpoint was heard last.
     heard_ms: u64,
+    /// Since when its silence counts: when it was heard last, or was given more time.
+    silent_since_ms: u64,
     /// The predicted time to the first event of the present attempt.
     predicted_ms: f64,
     ending: Ending,
@@ -56,6 +58,7 @@
             cutter: EventCutter::default(),
             has_events: false,
             heard_ms: clock::now().steady_ms,
+            silent_since_ms: clock::now().steady_ms,
             predicted_ms,
             ending,
             is_over: false,
@@ -91,6 +94,10 @@
                     return None;
                 }
                 Next::Complete => FailureKind::Broken,
+                Next::Failed(FailureKind::Silent) if !self.may_move() => {
+                    self.silent_since_ms = clock::now().steady_ms;
+                    continue;
+                }
                 Next::Failed(kind) => kind,
                 Next::TimeUp => return Some(Err(self.break_off("time-limit"))),
             };
@@ -106,7 +113,7 @@
         let silent_ms = self.silent_limit_ms();
         let limit_ms = self.exchange.left_ms(now);
         let wait_ms = silent_ms.map_or(limit_ms, |silent_ms| {
-            (self.heard_ms + silent_ms)
+            (self.silent_since_ms + silent_ms)
                 .saturating_sub(now.steady_ms)
                 .min(limit_ms)
         });
@@ -139,10 +146,20 @@
                 self.ending.paused(now.since_ms(self.heard_ms));
             }
             self.heard_ms = now.steady_ms;
+            self.silent_since_ms = now.steady_ms;
         }
         next
     }
 
+    /// Whether another endpoint would go on with the stream.
+    fn may_move(&self) -> bool {
+        let exchange = &self.exchange;
+        let sends = exchange.sends.get();
+        self.head
+            .as_ref()
+            .is_some_and(|head| exchange.may_move(&head.guard.endpoint, sends, true, clock::now()))
+    }
+
     /// How long an endpoint may say nothing; no limit where nobody else may go on.
     fn silent_limit_ms(&self) -> Option<u64> {
         let exchange = &self.exchange;
@@ -239,6 +256,7 @@
                 Ok(head) => {
                     self.head = Some(head);
                     self.heard_ms = clock::now().steady_ms;
+                    self.silent_since_ms = self.heard_ms;
                     return Ok(());
                 }
                 Err(Some(failure)) => failed = failure.kind,
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -233,6 +233,7 @@
         arrived,
         limit_ms: arrived.steady_ms.saturating_add(wait_ms),
         sends: std::cell::Cell::new(0),
+        has_repeat: std::cell::Cell::new(false),
         excluded: Vec::new(),
         memory,
     })
