Split the handling of requests, refuse heads over the limit, drop unused fields

request.rs had grown to 600 lines: how requests end and how bodies are read are modules of their own. Fields of routes, entries and limits that no decision used are gone.

--- a/crates/curranttrestle-gateway/src/front/headers.rs
+++ b/crates/curranttrestle-gateway/src/front/headers.rs
@@ -38,3 +38,20 @@
         headers.remove(name);
     }
 }
+
+/// The length of all headers as they are sent.
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderValue};
+/// let mut headers = HeaderMap::new();
+/// headers.insert("x-a", HeaderValue::from_static("12"));
+/// assert_eq!(curranttrestle_gateway::front::headers::head_bytes(&headers), "x-a: 12\r\n".len());
+/// ```
+#[must_use]
+pub fn head_bytes(headers: &HeaderMap) -> usize {
+    let separators = ": \r\n".len();
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + separators)
+        .sum()
+}
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod body;
+pub mod ending;
 pub mod events;
 pub mod exchange;
 pub mod headers;
--- a/crates/curranttrestle-gateway/src/front/relay.rs
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -1,13 +1,12 @@
 //! Passes a stream of events on as they come, and goes on at another endpoint where the
 //! stream may be resumed.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::Placement;
 use curranttrestle::coordination::gateway::trust::FailureKind;
-use curranttrestle::state::Now;
+use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -16,9 +15,9 @@
 
 use super::answer::{AnswerBody, BrokenOff};
 use super::attempt::{self, Failure, Head};
+use super::ending::Ending;
 use super::events::{EventCutter, Events};
 use super::exchange::Exchange;
-use super::request::Ending;
 use crate::clock;
 
 /// A stream on its way to the client.
@@ -272,7 +271,7 @@
     /// Opens the stream at another endpoint. `Err(None)`: there is none, or no permission.
     async fn reopen(
         &mut self,
-        from: &curranttrestle::state::EndpointId,
+        from: &EndpointId,
         failed: FailureKind,
         now: Now,
     ) -> Result<Head, Option<Failure>> {
@@ -314,13 +313,8 @@
 }
 
 /// Notes that an endpoint failed a request.
-pub fn note_failure(
-    exchange: &Exchange,
-    endpoint: &curranttrestle::state::EndpointId,
-    kind: FailureKind,
-    now: Now,
-) {
-    let gateway: &Rc<crate::gateway::Gateway> = &exchange.gateway;
+pub fn note_failure(exchange: &Exchange, endpoint: &EndpointId, kind: FailureKind, now: Now) {
+    let gateway = &exchange.gateway;
     gateway
         .metrics
         .attempts
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -3,153 +3,35 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::Placement;
-use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::trust::FailureKind;
+use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{Repeat, RequestHints, Route};
-use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
 use smol::Timer;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::answer::{Answer, BrokenOff, OwnAnswer, whole};
+use super::answer::{Answer, OwnAnswer, whole};
 use super::attempt::{self, Failure, Head};
-use super::exchange::{BodyMemory, Exchange};
-use super::headers::remove_hop_by_hop;
+use super::body::read_body;
+use super::ending::Ending;
+use super::exchange::Exchange;
+use super::headers::{head_bytes, remove_hop_by_hop};
 use super::relay::{Relay, note_failure};
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
 
-/// Counts and logs how a request ended; dropped without a word, its client left.
-#[derive(Debug)]
-pub struct Ending {
-    gateway: Rc<Gateway>,
-    id: String,
-    route: String,
-    customer: String,
-    arrived: Now,
-    target_ms: u64,
-    max_pause_ms: u64,
-    first_event_ms: Option<u64>,
-    longest_pause_ms: u64,
-    placed: Option<Placed>,
-    is_told: bool,
-}
-
-/// Where a request went last, and what was predicted.
-#[derive(Clone, Debug)]
-struct Placed {
-    endpoint: EndpointId,
-    wait_ms: f64,
-    predicted_ms: f64,
-}
-
-impl Ending {
-    fn new(gateway: &Rc<Gateway>, id: &str, arrived: Now) -> Self {
-        gateway.open_requests.set(gateway.open_requests.get() + 1);
-        Self {
-            gateway: Rc::clone(gateway),
-            id: id.to_owned(),
-            route: String::new(),
-            customer: String::new(),
-            arrived,
-            target_ms: u64::MAX,
-            max_pause_ms: u64::MAX,
-            first_event_ms: None,
-            longest_pause_ms: 0,
-            placed: None,
-            is_told: false,
-        }
-    }
-
-    /// The request is sent to an endpoint.
-    pub fn placed(&mut self, choice: &Choice) {
-        self.placed = Some(Placed {
-            endpoint: choice.entry.endpoint.clone(),
-            wait_ms: choice.wait_ms,
-            predicted_ms: choice.predicted_ms,
-        });
-    }
-
-    /// The first event went to the client.
-    pub fn first_event(&mut self, now: Now) {
-        self.first_event_ms = Some(now.since_ms(self.arrived.steady_ms));
-    }
-
-    /// The endpoint was silent for so long between two events.
-    pub fn paused(&mut self, pause_ms: u64) {
-        self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
-    }
-
-    /// Why a complete answer was late for its client; none where it was on time.
-    fn lateness(&self) -> Option<&'static str> {
-        if self.first_event_ms.is_some_and(|ms| ms > self.target_ms) {
-            return Some("late-start");
-        }
-        (self.longest_pause_ms > self.max_pause_ms).then_some("late-pause")
-    }
-
-    /// The request ended. Calm successes are logged now and then, all else always.
-    pub fn ended(&mut self, outcome: &'static str, reason: &str, now: Now) {
-        if std::mem::replace(&mut self.is_told, true) {
-            return;
-        }
-        let metrics = &self.gateway.metrics;
-        let late = self.lateness().filter(|_| outcome == "answered");
-        let reason = late.unwrap_or(reason);
-        metrics.requests.with_label_values(&[outcome, reason]).inc();
-        let elapsed_ms = now.since_ms(self.arrived.steady_ms);
-        #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-        let seconds = elapsed_ms as f64 / 1_000.0;
-        metrics.times.with_label_values(&["whole"]).observe(seconds);
-        let is_calm = outcome == "answered" && late.is_none();
-        if is_calm {
-            let answered = self.gateway.answered.get() + 1;
-            self.gateway.answered.set(answered);
-            let sample = self.gateway.settings.log_sample;
-            if sample == 0 || !answered.is_multiple_of(sample) {
-                return;
-            }
-        }
-        let placed = self.placed.as_ref().map_or_else(String::new, |placed| {
-            format!(
-                " endpoint={} wait_ms={:.0} predicted_ms={:.0}",
-                placed.endpoint, placed.wait_ms, placed.predicted_ms
-            )
-        });
-        let first_event = self.first_event_ms.map_or_else(String::new, |ms| {
-            let (target_ms, pause_ms) = (self.target_ms, self.longest_pause_ms);
-            format!(" first_event_ms={ms} target_ms={target_ms} longest_pause_ms={pause_ms}")
-        });
-        log::info!(
-            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{first_event}{placed}",
-            self.id,
-            self.route,
-            self.customer,
-        );
-    }
-}
-
-impl Drop for Ending {
-    fn drop(&mut self) {
-        self.ended("client-gone", "connection-closed", clock::now());
-        let open = self.gateway.open_requests.get().saturating_sub(1);
-        self.gateway.open_requests.set(open);
-    }
-}
-
 /// Answers a request.
 pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
-    let mut ending = Ending::new(&gateway, "", arrived);
+    let mut ending = Ending::new(&gateway, arrived);
     let is_leaving = gateway.phase.get() != Phase::Running;
     let mut answer = match admit(&gateway, parts, body, &mut ending, arrived).await {
         Ok(exchange) => serve(exchange, ending).await,
@@ -181,6 +63,11 @@
     arrived: Now,
 ) -> Result<Exchange, OwnAnswer> {
     let bad = |reason| OwnAnswer::new(StatusCode::BAD_REQUEST, reason);
+    let limits = gateway.control.borrow().client_limits();
+    if head_bytes(&parts.headers) > limits.header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(OwnAnswer::new(status, "head-too-large"));
+    }
     let is_ambiguous = parts.headers.contains_key(header::TRANSFER_ENCODING)
         && parts.headers.contains_key(header::CONTENT_LENGTH);
     if is_ambiguous {
@@ -193,19 +80,14 @@
             log::info!("kind=request-unreadable error={error:?}");
             bad("unreadable-header")
         })?;
-    ending.id.clone_from(&hints.attempt_id);
+    ending.identified(&hints.attempt_id);
     let host = host(&parts).ok_or_else(|| bad("no-host"))?;
     resolve(gateway, &host, parts.uri.path(), &hints, arrived)?;
     let (body, memory) = read_body(gateway, &parts.headers, body, &hints).await?;
     // The body may have taken long; the newest configuration decides.
     let now = clock::now();
     let resolved = resolve(gateway, &host, parts.uri.path(), &hints, now)?;
-    ending.route.clone_from(&resolved.route.name);
-    ending.target_ms = resolved.route.target_latency_ms;
-    if resolved.route.max_pause_ms > 0 {
-        ending.max_pause_ms = resolved.route.max_pause_ms;
-    }
-    ending.customer = resolved.customer.clone().unwrap_or_default();
+    ending.resolved(&resolved.route, resolved.customer.as_deref());
     let wait_ms = hints
         .deadline_ms
         .unwrap_or(u64::MAX)
@@ -294,64 +176,6 @@
     })
 }
 
-async fn read_body(
-    gateway: &Rc<Gateway>,
-    headers: &HeaderMap,
-    body: Incoming,
-    hints: &RequestHints,
-) -> Result<(Bytes, BodyMemory), OwnAnswer> {
-    let limits = gateway.control.borrow().client_limits();
-    let too_large = || OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
-    let no_memory = || {
-        let retry_ms = gateway.settings.traffic.stale_retry_ms;
-        OwnAnswer::refused("body-memory", retry_ms)
-    };
-    let declared = headers.get(header::CONTENT_LENGTH);
-    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limits.body_bytes) {
-        discard(body).await;
-        return Err(too_large());
-    }
-    let reserved = declared.unwrap_or_default();
-    let memory = BodyMemory::take(gateway, reserved).ok_or_else(no_memory)?;
-    let wait_ms = hints.deadline_ms.unwrap_or(limits.idle_timeout_ms);
-    let collect = async { Some(Limited::new(body, limits.body_bytes).collect().await) };
-    let expire = async {
-        Timer::after(Duration::from_millis(wait_ms)).await;
-        None
-    };
-    match collect.or(expire).await {
-        Some(Ok(body)) => {
-            let body = body.to_bytes();
-            if declared.is_some() {
-                return Ok((body, memory));
-            }
-            drop(memory);
-            let memory = BodyMemory::take(gateway, body.len()).ok_or_else(no_memory)?;
-            Ok((body, memory))
-        }
-        Some(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Some(Err(error)) => {
-            log::debug!("kind=body-unreadable error={error:?}");
-            Err(OwnAnswer::new(StatusCode::BAD_REQUEST, "unreadable-body"))
-        }
-        None => Err(OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "body-too-slow")),
-    }
-}
-
-/// How long the rest of a body that is too large is read.
-const DISCARD_MS: u64 = 1_000;
-
-/// Reads a body to its end for a while. A connection that is closed with unread bytes is
-/// reset, and the client would not see the answer.
-async fn discard(mut body: Incoming) {
-    let read = async { while let Some(Ok(_)) = body.frame().await {} };
-    let expire = async {
-        Timer::after(Duration::from_millis(DISCARD_MS)).await;
-    };
-    read.or(expire).await;
-}
-
 fn digest(path: &str, customer: &str, body: &[u8]) -> [u8; 16] {
     let mut hasher = Xxh3::new();
     for part in [path.as_bytes(), customer.as_bytes(), body] {
@@ -508,11 +332,11 @@
     let is_stream = content_type.is_some_and(|value| value.starts_with("text/event-stream"))
         || exchange.route.repeat.is_stream();
     if status.is_success() && is_stream {
-        let (parts, ()) = without_body(&head);
+        let parts = without_body(&head);
         let relay = Relay::new(exchange, head, predicted_ms, ending);
         return Passed::Answered(with_body(parts, relay.into_body()));
     }
-    let (parts, ()) = without_body(&head);
+    let parts = without_body(&head);
     let Head {
         response,
         marks,
@@ -607,19 +431,17 @@
     )
 }
 
-fn without_body(head: &Head) -> (Response<()>, ()) {
+/// The head of the answer as the client gets it.
+fn without_body(head: &Head) -> Response<()> {
     let mut parts = Response::new(());
     *parts.status_mut() = head.response.status();
     let mut headers = head.response.headers().clone();
     remove_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     *parts.headers_mut() = headers;
-    (parts, ())
+    parts
 }
 
 fn with_body(parts: Response<()>, body: super::answer::AnswerBody) -> Answer {
     parts.map(|()| body)
 }
-
-/// Kept so that a broken body names its type where it is made.
-pub type BodyError = BrokenOff;
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -14,12 +14,10 @@
 use smol::{Async, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use super::ACCEPT_PAUSE_MS;
 use crate::clock;
 use crate::gateway::Gateway;
 
-/// How long accepting pauses after an error.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// How long a connection may be idle.
 const IDLE_MS: u64 = 10_000;
 
--- a/crates/curranttrestle/src/state/gateway/config.rs
+++ b/crates/curranttrestle/src/state/gateway/config.rs
@@ -38,8 +38,6 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub anonymous: bool,
-    /// Whether requests name the parts of their prompt.
-    pub has_prompt: bool,
 }
 
 /// A service that a route sends to.
@@ -125,9 +123,7 @@
     pub header_bytes: usize,
     /// The longest body of a request.
     pub body_bytes: usize,
-    /// How long a client may take to send a head.
-    pub header_timeout_ms: u64,
-    /// How long a connection may be idle.
+    /// How long a connection may be idle, or take to send a head.
     pub idle_timeout_ms: u64,
     /// The tokens that all engines serve in a second: each one read counts once, each one
     /// generated twice. Zero: not known.
@@ -139,7 +135,6 @@
         Self {
             header_bytes: 16_384,
             body_bytes: 4_194_304,
-            header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
             tokens_per_s: 0,
         }
--- a/crates/curranttrestle/src/state/gateway/entry.rs
+++ b/crates/curranttrestle/src/state/gateway/entry.rs
@@ -28,8 +28,6 @@
     pub state: EntryState,
     /// Requests that it works on at the same time.
     pub slots: u32,
-    /// How much longer it stays slow after its start.
-    pub warmup_left_ms: u64,
     /// When it started, as a Unix time; tells two starts under one id apart.
     pub started_unix_ms: u64,
 }
--- a/crates/curranttrestle/tests/gateway/support.rs
+++ b/crates/curranttrestle/tests/gateway/support.rs
@@ -25,7 +25,6 @@
         data_centre: "a".to_owned(),
         state: EntryState::Ready,
         slots: 64,
-        warmup_left_ms: 0,
         started_unix_ms: 1,
     }
 }
@@ -45,7 +44,6 @@
         }],
         max_attempts: 2,
         anonymous: false,
-        has_prompt: true,
     }
 }
 
