Pass over engines that cannot be reached when a stream goes on; more log lines

A stream that broke off was cut when the engine chosen to go on refused the connection, although a third one could take it and an attempt was left. Refusals tell what the customer asked for and got; lines for proofs that grow old and are renewed, and for requests that are quarantined.

--- a/crates/curranttrestle-gateway/src/front/relay.rs
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::Placement;
+use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::trust::FailureKind;
 use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
@@ -14,7 +15,7 @@
 use smol::Timer;
 
 use super::answer::{AnswerBody, BrokenOff};
-use super::attempt::{self, Failure, Head};
+use super::attempt::{self, Head};
 use super::ending::Ending;
 use super::events::{EventCutter, Events};
 use super::exchange::Exchange;
@@ -236,79 +237,60 @@
 
     /// Goes on at another endpoint after the last event that was passed on.
     async fn resume(&mut self, failed: FailureKind) -> Result<(), BrokenOff> {
+        let Some(head) = self.head.take() else {
+            return Err(self.break_off("not-resumed"));
+        };
+        let mut from = head.guard.endpoint.clone();
+        // The connection is closed before anybody else goes on.
+        drop(head);
+        self.cutter.clear();
         let mut failed = failed;
         loop {
-            // The connection is closed before anybody else goes on.
-            let Some(head) = self.head.take() else {
-                return Err(self.break_off("not-resumed"));
-            };
-            let endpoint = head.guard.endpoint.clone();
-            drop(head);
-            self.cutter.clear();
             let now = clock::now();
-            note_failure(&self.exchange, &endpoint, failed, now);
-            self.exchange.excluded.push(endpoint.clone());
-            if !self.exchange.route.repeat.may_run_again() {
+            note_failure(&self.exchange, &from, failed, now);
+            self.exchange.excluded.push(from.clone());
+            let may_run_again = self.exchange.route.repeat.may_run_again();
+            if !may_run_again || self.exchange.obstacle(now).is_some() {
                 return Err(self.break_off(failed.as_str()));
             }
-            match self.reopen(&endpoint, failed, now).await {
+            let Placement::Send(choice) = self.exchange.place(true, now) else {
+                return Err(self.break_off(failed.as_str()));
+            };
+            if !self.exchange.may_repeat(now) {
+                return Err(self.break_off(failed.as_str()));
+            }
+            self.exchange.log_repeat(failed.as_str(), &from);
+            match self.reopen(&choice).await {
                 Ok(head) => {
                     self.head = Some(head);
                     self.heard_ms = clock::now().steady_ms;
                     self.silent_since_ms = self.heard_ms;
                     return Ok(());
                 }
-                Err(Some(failure)) => failed = failure.kind,
-                Err(None) => return Err(self.break_off(failed.as_str())),
-            }
-            // The failed endpoint is in the list already; another one is tried, or none.
-            if self.exchange.sends.get() >= self.exchange.route.max_attempts {
-                return Err(self.break_off(failed.as_str()));
+                Err(kind) => failed = kind,
             }
+            from = choice.entry.endpoint;
         }
     }
 
-    /// Opens the stream at another endpoint. `Err(None)`: there is none, or no permission.
-    async fn reopen(
-        &mut self,
-        from: &EndpointId,
-        failed: FailureKind,
-        now: Now,
-    ) -> Result<Head, Option<Failure>> {
-        if self.exchange.obstacle(now).is_some() || !self.exchange.may_repeat(now) {
-            return Err(None);
-        }
-        let Placement::Send(choice) = self.exchange.place(true, now) else {
-            return Err(None);
-        };
-        self.exchange.log_repeat(failed.as_str(), from);
-        self.ending.placed(&choice);
+    /// Opens the stream at another endpoint.
+    async fn reopen(&mut self, choice: &Choice) -> Result<Head, FailureKind> {
+        self.ending.placed(choice);
         self.predicted_ms = choice.predicted_ms;
         let limit_ms = self.exchange.limit_ms;
-        let sent = attempt::send(&self.exchange, &choice, true, self.last_event_id, limit_ms).await;
+        let sent = attempt::send(&self.exchange, choice, true, self.last_event_id, limit_ms).await;
         if sent
             .as_ref()
             .map_or_else(|failure| failure.arrived, |_| true)
         {
             self.exchange.sends.set(self.exchange.sends.get() + 1);
         }
-        let head = match sent {
-            Ok(head) => head,
-            Err(failure) => {
-                note_failure(
-                    &self.exchange,
-                    &choice.entry.endpoint,
-                    failure.kind,
-                    clock::now(),
-                );
-                self.exchange.excluded.push(choice.entry.endpoint);
-                return Err(None);
-            }
-        };
-        if !head.response.status().is_success() {
-            return Err(None);
+        let head = sent.map_err(|failure| failure.kind)?;
+        if head.response.status().is_success() {
+            Ok(head)
+        } else {
+            Err(FailureKind::Failed)
         }
-        Ok(head)
     }
 }
 
@@ -322,9 +304,14 @@
         .inc();
     let mut control = gateway.control.borrow_mut();
     if kind == FailureKind::Broken {
+        let was_refused = control.is_quarantined(&exchange.digest, now);
         control
             .quarantine
             .endpoint_died(endpoint, &[exchange.digest], false, now);
+        if !was_refused && control.is_quarantined(&exchange.digest, now) {
+            let id = &exchange.hints.attempt_id;
+            log::warn!("kind=request-quarantined id={id} endpoint={endpoint}");
+        }
     }
     if control.failed(endpoint, kind, now) {
         log::warn!(
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -258,10 +258,14 @@
 }
 
 fn log_refusal(exchange: &Exchange, reason: &str, predicted_ms: f64, retry_after_ms: f64) {
+    let control = exchange.gateway.control.borrow();
+    let customer = exchange.customer.as_deref().unwrap_or_default();
+    let (asked, admitted) = control.shares.window(customer, clock::now());
     log::info!(
-        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} target_ms={} retry_after_ms={retry_after_ms:.0}",
+        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={asked:.0} admitted_tokens={admitted:.0} gateways={}",
         exchange.hints.attempt_id,
-        exchange.route.target_latency_ms
+        exchange.route.target_latency_ms,
+        control.fleet_size()
     );
 }
 
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -80,6 +80,8 @@
     pub phase: Cell<Phase>,
     /// Requests answered, for sampling lines.
     pub answered: Cell<u64>,
+    /// Whether requests with a key passed at the last look.
+    is_fresh: Cell<bool>,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -129,6 +131,24 @@
     fn tick(&self, now: Now) {
         let changes = self.control.borrow_mut().directory.sweep(now);
         self.directory_changed(&changes, "lapse-sweep");
+        self.note_freshness(now);
+    }
+
+    /// Logs when the proof that the configuration is the newest one grows too old for
+    /// requests with a key, and when it is renewed.
+    fn note_freshness(&self, now: Now) {
+        let control = self.control.borrow();
+        let is_fresh = control.freshness.is_fresh(now);
+        if self.is_fresh.replace(is_fresh) == is_fresh {
+            return;
+        }
+        let revision = control.freshness.revision();
+        let age_ms = control.freshness.age_ms(now).unwrap_or_default();
+        if is_fresh {
+            log::info!("kind=proof-renewed revision={revision} age_ms={age_ms}");
+        } else {
+            log::warn!("kind=proof-old revision={revision} age_ms={age_ms}");
+        }
     }
 }
 
@@ -181,6 +201,7 @@
         body_bytes: Cell::new(0),
         phase: Cell::new(Phase::Running),
         answered: Cell::new(0),
+        is_fresh: Cell::new(false),
         executor: Rc::clone(&executor),
         settings,
     });
--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -145,6 +145,16 @@
         lines.filter(|line| line.asked_tokens > 0).collect()
     }
 
+    /// The tokens that a customer asked for in the window, and those that were admitted.
+    #[must_use]
+    pub fn window(&self, customer: &str, now: Now) -> (f64, f64) {
+        let totals = self.totals(now);
+        totals
+            .get(&CustomerKey::of(customer))
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Where a customer stands when all engines together serve `tokens_per_s` at best.
     ///
     /// Engines may serve less than that. Then something is refused although the nominal rate
