Close clients' connections where there are too many, and buffer less for each

Ruled out: bodies, which are bounded at 32 MB and were 18 kB each, and the log queue.

Now a connection ends with its answer while more than 512 are open, and 24 kB are buffered at most, which is the longest head and a little more.

--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -28,8 +28,9 @@
 /// How long accepting pauses after an error such as too many open files.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
-/// The most bytes of a connection that are buffered.
-const MAX_BUFFER_BYTES: usize = 65_536;
+/// The most bytes of a connection that are buffered: the longest head and a little more. The
+/// buffer of an unused connection stays, and there may be thousands.
+const MAX_BUFFER_BYTES: usize = 24_576;
 
 /// The connections of clients.
 #[derive(Clone, Debug)]
@@ -92,9 +93,11 @@
         }
         let limits = self.gateway.control.borrow().client_limits();
         let gateway = Rc::clone(&self.gateway);
+        let open = Rc::clone(&self.open);
         let service = service_fn(move |request| {
             let gateway = Rc::clone(&gateway);
-            async move { Ok::<_, Infallible>(request::handle(gateway, request).await) }
+            let is_crowded = open.get() > gateway.settings.traffic.max_kept_clients;
+            async move { Ok::<_, Infallible>(request::handle(gateway, request, is_crowded).await) }
         });
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -27,8 +27,8 @@
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
 
-/// Answers a request.
-pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+/// Answers a request. Where too many clients are connected, the connection ends with it.
+pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, is_crowded: bool) -> Answer {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
     let mut ending = Ending::new(&gateway, arrived);
@@ -37,7 +37,7 @@
         Ok(exchange) => serve(exchange, ending).await,
         Err(own) => finish_own(own, &mut ending),
     };
-    if is_leaving || gateway.phase.get() != Phase::Running {
+    if is_crowded || is_leaving || gateway.phase.get() != Phase::Running {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -121,6 +121,9 @@
     pub whole_answer_bytes: usize,
     /// Memory for the bodies of all requests together.
     pub body_memory_bytes: usize,
+    /// Open connections of clients from which on each is closed after its answer. A flood
+    /// would fill the memory with unused ones.
+    pub max_kept_clients: usize,
     /// The least time left with which a request is still sent to an endpoint.
     pub min_left_ms: u64,
     /// How long sent bytes may stay unacknowledged.
@@ -142,6 +145,7 @@
             silent_pauses: 5.0,
             whole_answer_bytes: 262_144,
             body_memory_bytes: 33_554_432,
+            max_kept_clients: 512,
             min_left_ms: 20,
             unacknowledged_ms: 5_000,
             stale_retry_ms: 500.0,
