Write waiting, accepting, failures and suspicions once

Cause: on reading the change again, eight places wrote their own timeout, both listeners their own accept loop, and a request's silent start, its endpoint's failure and success were noted in two files each.

Change: timer.rs holds sleep_ms, sleep_until and within; front::accept_each serves both listeners; Exchange holds silent_start_ms, note_failure and note_success; Quarantine::broadcast takes the place of made-up members in the peers' module; admit decides in one match.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::placement::Choice;
@@ -14,12 +13,12 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::{Request, Response, Uri};
-use smol::Timer;
 
 use super::exchange::Exchange;
 use crate::clock;
 use crate::edge::{Address, AnswerMarks};
 use crate::gateway::Gateway;
+use crate::timer::sleep_until;
 use crate::upstream::connection::SendError;
 use crate::upstream::{ConnectError, Connection};
 
@@ -59,7 +58,9 @@
         }
     }
 
-    fn unknown(kind: FailureKind) -> Self {
+    /// The request arrived, and may have run.
+    #[must_use]
+    pub fn unknown(kind: FailureKind) -> Self {
         Self {
             kind,
             not_run: false,
@@ -76,8 +77,6 @@
     number: u64,
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// Where it listens.
-    pub address: SocketAddr,
 }
 
 impl AttemptGuard {
@@ -103,7 +102,8 @@
 }
 
 /// Sends a request to the chosen endpoint and waits for the head of the answer. From
-/// `wait_until_ms` on it is given up as soon as another endpoint would take it.
+/// `wait_until_ms` on it is given up as soon as another endpoint would take it. Counts the
+/// endpoint where the request arrived there.
 ///
 /// # Errors
 ///
@@ -125,9 +125,8 @@
         gateway: Rc::clone(gateway),
         number,
         endpoint: choice.entry.endpoint.clone(),
-        address: choice.entry.address,
     };
-    let result = match connect(exchange, guard.address).await {
+    let result = match connect(exchange, choice.entry.address).await {
         Ok(connection) => {
             let request = addressed(exchange, &guard.endpoint, last_event_id);
             let sending = exchange_head(exchange, connection, request);
@@ -149,15 +148,15 @@
             Err(Failure::not_sent(FailureKind::Unreachable))
         }
     };
-    match result {
-        Ok((response, connection)) => judge(exchange, response, connection, guard),
-        Err(failure) => Err(failure),
+    let head =
+        result.and_then(|(response, connection)| judge(exchange, response, connection, guard));
+    if head
+        .as_ref()
+        .map_or_else(|failure| failure.arrived, |_| true)
+    {
+        exchange.sends.set(exchange.sends.get() + 1);
     }
-}
-
-async fn sleep_until(steady_ms: u64) {
-    let left_ms = steady_ms.saturating_sub(clock::now().steady_ms);
-    Timer::after(Duration::from_millis(left_ms)).await;
+    head
 }
 
 /// Opens or reuses a connection.
--- a/crates/curranttrestle-gateway/src/front/body.rs
+++ b/crates/curranttrestle-gateway/src/front/body.rs
@@ -1,20 +1,18 @@
 //! Reads the bodies of requests.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use curranttrestle::state::gateway::RequestHints;
-use futures_lite::FutureExt;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
-use smol::Timer;
 
 use super::answer::OwnAnswer;
 use super::exchange::BodyMemory;
 use crate::gateway::Gateway;
+use crate::timer::within;
 
 /// Reads the whole body of a request, within the limits of clients and of memory.
 ///
@@ -42,12 +40,8 @@
     let reserved = declared.unwrap_or_default();
     let memory = BodyMemory::take(gateway, reserved).ok_or_else(no_memory)?;
     let wait_ms = hints.deadline_ms.unwrap_or(limits.idle_timeout_ms);
-    let collect = async { Some(Limited::new(body, limits.body_bytes).collect().await) };
-    let expire = async {
-        Timer::after(Duration::from_millis(wait_ms)).await;
-        None
-    };
-    match collect.or(expire).await {
+    let collect = Limited::new(body, limits.body_bytes).collect();
+    match within(wait_ms, collect).await {
         Some(Ok(body)) => {
             let body = body.to_bytes();
             if declared.is_some() {
@@ -73,8 +67,6 @@
 /// reset, and the client would not see the answer.
 async fn discard(mut body: Incoming) {
     let read = async { while let Some(Ok(_)) = body.frame().await {} };
-    let expire = async {
-        Timer::after(Duration::from_millis(DISCARD_MS)).await;
-    };
-    read.or(expire).await;
+    // However far it came, the answer follows.
+    let _ = within(DISCARD_MS, read).await;
 }
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::{Placement, Wanted};
+use curranttrestle::coordination::gateway::trust::FailureKind;
 use curranttrestle::coordination::quarantine::RequestDigest;
 use curranttrestle::state::gateway::{Repeat, RequestHints, Route};
 use curranttrestle::state::{EndpointId, Now};
@@ -136,6 +137,53 @@
         is_granted
     }
 
+    /// How long an endpoint may say nothing before the first sign of an answer that was
+    /// predicted to take `predicted_ms`.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "positive durations far below 2^52"
+    )]
+    pub fn silent_start_ms(&self, predicted_ms: f64) -> u64 {
+        let options = &self.gateway.settings.traffic;
+        let target_ms = self.route.target_latency_ms as f64;
+        let silent_ms = (options.silent_targets * target_ms.max(predicted_ms)) as u64;
+        match self.route.repeat {
+            Repeat::Stream { .. } => silent_ms.max(options.min_silent_ms),
+            Repeat::Idempotent | Repeat::AtMostOnce => silent_ms,
+        }
+    }
+
+    /// Notes that an endpoint failed the request.
+    pub fn note_failure(&self, endpoint: &EndpointId, kind: FailureKind, now: Now) {
+        let attempts = &self.gateway.metrics.attempts;
+        attempts.with_label_values(&[kind.as_str()]).inc();
+        let mut control = self.gateway.control.borrow_mut();
+        if kind == FailureKind::Broken {
+            let was_refused = control.is_quarantined(&self.digest, now);
+            control
+                .quarantine
+                .endpoint_died(endpoint, &[self.digest], false, now);
+            if !was_refused && control.is_quarantined(&self.digest, now) {
+                let id = &self.hints.attempt_id;
+                log::warn!("kind=request-quarantined id={id} endpoint={endpoint}");
+            }
+        }
+        if control.failed(endpoint, kind, now) {
+            let why = kind.as_str();
+            log::warn!("kind=endpoint-avoided endpoint={endpoint} why={why}");
+        }
+    }
+
+    /// Notes that an endpoint answered the request to its end.
+    pub fn note_success(&self, endpoint: &EndpointId, now: Now) {
+        let mut control = self.gateway.control.borrow_mut();
+        control.succeeded(endpoint, now);
+        control.quarantine.finished(&self.digest, false, now);
+    }
+
     /// Keeps a connection for the next request, where one will use it. An endpoint takes a
     /// limited number of connections from all gateways together.
     pub fn release(&self, connection: Connection) {
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -20,10 +20,11 @@
 use futures_lite::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use smol::{Async, Timer};
+use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::gateway::Gateway;
+use crate::timer::sleep_ms;
 
 /// How long accepting pauses after an error such as too many open files.
 const ACCEPT_PAUSE_MS: u64 = 50;
@@ -68,18 +69,11 @@
 
     /// Accepts connections for ever.
     pub async fn accept(self, listener: Async<TcpListener>) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, address)) => {
-                    let serving = self.clone().serve(stream, address);
-                    self.gateway.executor().spawn(serving).detach();
-                }
-                Err(error) => {
-                    log::warn!("kind=accept-failed error={:?}", error.to_string());
-                    Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-                }
-            }
-        }
+        accept_each(&listener, |stream, address| {
+            let serving = self.clone().serve(stream, address);
+            self.gateway.executor().spawn(serving).detach();
+        })
+        .await;
     }
 
     async fn serve(self, stream: Async<TcpStream>, address: SocketAddr) {
@@ -125,6 +119,19 @@
     }
 }
 
+/// Hands each new connection to `serve`, for ever.
+async fn accept_each(listener: &Async<TcpListener>, serve: impl Fn(Async<TcpStream>, SocketAddr)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => serve(stream, address),
+            Err(error) => {
+                log::warn!("kind=accept-failed error={:?}", error.to_string());
+                sleep_ms(ACCEPT_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
 /// Counts a connection while it is open.
 struct OpenGuard(Rc<Cell<usize>>);
 
--- a/crates/curranttrestle-gateway/src/front/relay.rs
+++ b/crates/curranttrestle-gateway/src/front/relay.rs
@@ -1,18 +1,13 @@
 //! Passes a stream of events on as they come, and goes on at another endpoint where the
 //! stream may be resumed.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::Placement;
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::trust::FailureKind;
-use curranttrestle::state::{EndpointId, Now};
-use futures_lite::FutureExt;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use smol::Timer;
 
 use super::answer::{AnswerBody, BrokenOff};
 use super::attempt::{self, Head};
@@ -20,6 +15,7 @@
 use super::events::{EventCutter, Events};
 use super::exchange::Exchange;
 use crate::clock;
+use crate::timer::within;
 
 /// A stream on its way to the client.
 pub struct Relay {
@@ -121,25 +117,16 @@
             return Next::Failed(FailureKind::Broken);
         };
         let body = head.response.body_mut();
-        let frame = async {
-            match body.frame().await {
-                None => Next::Complete,
-                Some(Ok(frame)) => Next::Data(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => {
-                    log::debug!("kind=stream-failed error={error:?}");
-                    Next::Failed(FailureKind::Broken)
-                }
+        let next = match within(wait_ms, body.frame()).await {
+            Some(None) => Next::Complete,
+            Some(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+            Some(Some(Err(error))) => {
+                log::debug!("kind=stream-failed error={error:?}");
+                Next::Failed(FailureKind::Broken)
             }
+            None if wait_ms >= limit_ms => Next::TimeUp,
+            None => Next::Failed(FailureKind::Silent),
         };
-        let expire = async {
-            Timer::after(Duration::from_millis(wait_ms)).await;
-            if wait_ms >= limit_ms {
-                Next::TimeUp
-            } else {
-                Next::Failed(FailureKind::Silent)
-            }
-        };
-        let next = frame.or(expire).await;
         if matches!(next, Next::Data(_)) {
             let now = clock::now();
             if self.has_events {
@@ -169,19 +156,18 @@
             return None;
         }
         let options = &exchange.gateway.settings.traffic;
-        #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-        let limit_ms = if self.has_events {
-            options.silent_pauses * exchange.route.max_pause_ms as f64
-        } else {
-            let targets = options.silent_targets * exchange.route.target_latency_ms as f64;
-            targets.max(options.silent_targets * self.predicted_ms)
-        };
         #[expect(
+            clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "a positive duration"
+            reason = "a positive duration far below 2^52"
         )]
-        Some((limit_ms as u64).max(options.min_silent_ms))
+        let limit_ms = if self.has_events {
+            (options.silent_pauses * exchange.route.max_pause_ms as f64) as u64
+        } else {
+            exchange.silent_start_ms(self.predicted_ms)
+        };
+        Some(limit_ms.max(options.min_silent_ms))
     }
 
     /// Notes the ids of events; returns what the client gets. Events that it has already
@@ -217,12 +203,7 @@
         self.is_over = true;
         let now = clock::now();
         if let Some(head) = self.head.take() {
-            let mut control = self.exchange.gateway.control.borrow_mut();
-            control.succeeded(&head.guard.endpoint, now);
-            control
-                .quarantine
-                .finished(&self.exchange.digest, false, now);
-            drop(control);
+            self.exchange.note_success(&head.guard.endpoint, now);
             self.exchange.release(head.connection);
         }
         self.ending.ended("answered", "complete", now);
@@ -247,7 +228,7 @@
         let mut failed = failed;
         loop {
             let now = clock::now();
-            note_failure(&self.exchange, &from, failed, now);
+            self.exchange.note_failure(&from, failed, now);
             self.exchange.excluded.push(from.clone());
             let may_run_again = self.exchange.route.repeat.may_run_again();
             if !may_run_again || self.exchange.obstacle(now).is_some() {
@@ -279,12 +260,6 @@
         self.predicted_ms = choice.predicted_ms;
         let limit_ms = self.exchange.limit_ms;
         let sent = attempt::send(&self.exchange, choice, true, self.last_event_id, limit_ms).await;
-        if sent
-            .as_ref()
-            .map_or_else(|failure| failure.arrived, |_| true)
-        {
-            self.exchange.sends.set(self.exchange.sends.get() + 1);
-        }
         let head = sent.map_err(|failure| failure.kind)?;
         if head.response.status().is_success() {
             Ok(head)
@@ -293,30 +268,3 @@
         }
     }
 }
-
-/// Notes that an endpoint failed a request.
-pub fn note_failure(exchange: &Exchange, endpoint: &EndpointId, kind: FailureKind, now: Now) {
-    let gateway = &exchange.gateway;
-    gateway
-        .metrics
-        .attempts
-        .with_label_values(&[kind.as_str()])
-        .inc();
-    let mut control = gateway.control.borrow_mut();
-    if kind == FailureKind::Broken {
-        let was_refused = control.is_quarantined(&exchange.digest, now);
-        control
-            .quarantine
-            .endpoint_died(endpoint, &[exchange.digest], false, now);
-        if !was_refused && control.is_quarantined(&exchange.digest, now) {
-            let id = &exchange.hints.attempt_id;
-            log::warn!("kind=request-quarantined id={id} endpoint={endpoint}");
-        }
-    }
-    if control.failed(endpoint, kind, now) {
-        log::warn!(
-            "kind=endpoint-avoided endpoint={endpoint} why={}",
-            kind.as_str()
-        );
-    }
-}
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -1,31 +1,30 @@
 //! A request of a client, from its arrival to its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use curranttrestle::coordination::gateway::control::Placement;
 use curranttrestle::coordination::gateway::trust::FailureKind;
 use curranttrestle::state::Now;
-use curranttrestle::state::gateway::{Repeat, RequestHints, Route};
-use futures_lite::FutureExt;
+use curranttrestle::state::gateway::{RequestHints, Route};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
-use smol::Timer;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::answer::{Answer, OwnAnswer, whole};
+use super::answer::{Answer, AnswerBody, OwnAnswer, whole};
 use super::attempt::{self, Failure, Head};
 use super::body::read_body;
 use super::ending::Ending;
 use super::exchange::Exchange;
 use super::headers::{head_bytes, remove_hop_by_hop};
-use super::relay::{Relay, note_failure};
+use super::relay::Relay;
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
+use crate::timer::within;
 
 /// Answers a request. Where too many clients are connected, the connection ends with it.
 pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>, is_crowded: bool) -> Answer {
@@ -114,8 +113,8 @@
         digest,
         arrived,
         limit_ms: arrived.steady_ms.saturating_add(wait_ms),
-        sends: std::cell::Cell::new(0),
-        has_repeat: std::cell::Cell::new(false),
+        sends: Cell::new(0),
+        has_repeat: Cell::new(false),
         excluded: Vec::new(),
         memory,
     })
@@ -210,12 +209,6 @@
         let wait_until_ms = wait_until_ms(&exchange, choice.predicted_ms, now);
         let last_event_id = exchange.hints.last_event_id;
         let sent = attempt::send(&exchange, &choice, false, last_event_id, wait_until_ms).await;
-        if sent
-            .as_ref()
-            .map_or_else(|failure| failure.arrived, |_| true)
-        {
-            exchange.sends.set(exchange.sends.get() + 1);
-        }
         let endpoint = choice.entry.endpoint.clone();
         let failure = match sent {
             Ok(head) => match pass_on(exchange, head, choice.predicted_ms, ending).await {
@@ -229,7 +222,7 @@
         };
         let now = clock::now();
         if failure.kind != FailureKind::Failed {
-            note_failure(&exchange, &endpoint, failure.kind, now);
+            exchange.note_failure(&endpoint, failure.kind, now);
         }
         exchange.excluded.push(endpoint.clone());
         last = Some(worse(last, failure));
@@ -306,19 +299,7 @@
     if !may_repeat {
         return exchange.limit_ms;
     }
-    let options = &exchange.gateway.settings.traffic;
-    #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-    let targets_ms = options.silent_targets * exchange.route.target_latency_ms as f64;
-    let silent_ms = targets_ms.max(options.silent_targets * predicted_ms);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a positive duration"
-    )]
-    let silent_ms = match exchange.route.repeat {
-        Repeat::Stream { .. } => (silent_ms as u64).max(options.min_silent_ms),
-        Repeat::Idempotent | Repeat::AtMostOnce => silent_ms as u64,
-    };
+    let silent_ms = exchange.silent_start_ms(predicted_ms);
     exchange.limit_ms.min(now.steady_ms + silent_ms)
 }
 
@@ -335,12 +316,11 @@
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let is_stream = content_type.is_some_and(|value| value.starts_with("text/event-stream"))
         || exchange.route.repeat.is_stream();
+    let parts = without_body(&head);
     if status.is_success() && is_stream {
-        let parts = without_body(&head);
         let relay = Relay::new(exchange, head, predicted_ms, ending);
         return Passed::Answered(with_body(parts, relay.into_body()));
     }
-    let parts = without_body(&head);
     let Head {
         response,
         marks,
@@ -349,51 +329,30 @@
     } = head;
     let left_ms = exchange.left_ms(clock::now());
     let max_bytes = exchange.gateway.settings.traffic.whole_answer_bytes;
-    let collect = async {
-        let body = Limited::new(response.into_body(), max_bytes)
-            .collect()
-            .await;
-        body.map_err(|error| {
+    let collect = Limited::new(response.into_body(), max_bytes).collect();
+    let body = match within(left_ms, collect).await {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) => {
             log::debug!("kind=answer-broken error={error:?}");
-            FailureKind::Broken
-        })
-    };
-    let expire = async {
-        Timer::after(Duration::from_millis(left_ms)).await;
-        Err(FailureKind::Silent)
-    };
-    let body = match collect.or(expire).await {
-        Ok(body) => body.to_bytes(),
-        Err(kind) => {
-            let failure = Failure {
-                kind,
-                not_run: false,
-                arrived: true,
-                retry_after_ms: None,
-            };
+            let failure = Failure::unknown(FailureKind::Broken);
+            return Passed::Failed(failure, Box::new((exchange, ending)));
+        }
+        None => {
+            let failure = Failure::unknown(FailureKind::Silent);
             return Passed::Failed(failure, Box::new((exchange, ending)));
         }
     };
     let now = clock::now();
     guard.first_event(now);
-    let gateway = Rc::clone(&exchange.gateway);
     if status.is_server_error() {
-        note_failure(&exchange, &guard.endpoint, FailureKind::Failed, now);
+        exchange.note_failure(&guard.endpoint, FailureKind::Failed, now);
         exchange.release(connection);
         if exchange.route.repeat.may_run_again() && may_try_elsewhere(&exchange, now) {
-            let failure = Failure {
-                kind: FailureKind::Failed,
-                not_run: false,
-                arrived: true,
-                retry_after_ms: None,
-            };
+            let failure = Failure::unknown(FailureKind::Failed);
             return Passed::Failed(failure, Box::new((exchange, ending)));
         }
     } else {
-        let mut control = gateway.control.borrow_mut();
-        control.succeeded(&guard.endpoint, now);
-        control.quarantine.finished(&exchange.digest, false, now);
-        drop(control);
+        exchange.note_success(&guard.endpoint, now);
         exchange.release(connection);
     }
     if is_false_promise(status) {
@@ -446,6 +405,6 @@
     parts
 }
 
-fn with_body(parts: Response<()>, body: super::answer::AnswerBody) -> Answer {
+fn with_body(parts: Response<()>, body: AnswerBody) -> Answer {
     parts.map(|()| body)
 }
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -11,10 +11,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use smol::{Async, Timer};
+use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use super::ACCEPT_PAUSE_MS;
+use super::accept_each;
 use crate::clock;
 use crate::gateway::Gateway;
 
@@ -26,18 +26,11 @@
 
 /// Serves readiness and metrics for ever.
 pub async fn serve(gateway: Rc<Gateway>, listener: Async<TcpListener>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let serving = serve_connection(Rc::clone(&gateway), stream);
-                gateway.executor().spawn(serving).detach();
-            }
-            Err(error) => {
-                log::warn!("kind=accept-failed error={:?}", error.to_string());
-                Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-            }
-        }
-    }
+    accept_each(&listener, |stream, _address| {
+        let serving = serve_connection(Rc::clone(&gateway), stream);
+        gateway.executor().spawn(serving).detach();
+    })
+    .await;
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, stream: Async<TcpStream>) {
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -6,13 +6,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::state::Now;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use smol::{Async, LocalExecutor, Timer};
+use smol::{Async, LocalExecutor};
 use thiserror::Error;
 
 use crate::clock;
@@ -23,6 +22,7 @@
 use crate::peers::Peers;
 use crate::settings::GatewaySettings;
 use crate::store;
+use crate::timer::sleep_ms;
 use crate::upstream::Pool;
 
 /// The time between two looks at signals, timers and peers.
@@ -273,7 +273,7 @@
     let clients = front::Clients::new(Rc::clone(&gateway));
     let accepting = executor.spawn(clients.clone().accept(listeners.clients));
     while !flags.stop.load(Ordering::Relaxed) {
-        Timer::after(Duration::from_millis(TICK_MS)).await;
+        sleep_ms(TICK_MS).await;
         let now = clock::now();
         gateway.tick(now);
         gateway.pool.sweep();
@@ -319,7 +319,7 @@
     );
     let mut accepting = Some(accepting);
     loop {
-        Timer::after(Duration::from_millis(TICK_MS)).await;
+        sleep_ms(TICK_MS).await;
         let now = clock::now();
         gateway.tick(now);
         peers.send_due(gateway, now);
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod settings;
 pub mod store;
+pub mod timer;
 pub mod upstream;
 
 pub use gateway::{Gateway, StartError, run};
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -8,10 +8,8 @@
 
 use curranttrestle::coordination::gateway::endpoint_load::PeerKey;
 use curranttrestle::coordination::gateway::peering::{PeerChange, Peering};
-use curranttrestle::coordination::quarantine::Quarantine;
 use curranttrestle::protocol::gateway::{GatewayReport, ProofEcho};
-use curranttrestle::protocol::peer::{PeerMessage, Suspicions};
-use curranttrestle::state::{Incarnation, InstanceId, Member, MemberView, Now};
+use curranttrestle::state::Now;
 use smol::Async;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,7 +24,6 @@
 #[derive(Debug)]
 pub struct Peers {
     socket: Async<UdpSocket>,
-    me: Member,
     key: PeerKey,
     peering: RefCell<Peering>,
 }
@@ -40,7 +37,6 @@
         let peering = Peering::new(settings.peers, &settings.seeds, settings.reports, now);
         Self {
             key: xxh3_64(instance.as_bytes()),
-            me: member(settings.peers),
             peering: RefCell::new(peering),
             socket,
         }
@@ -137,27 +133,10 @@
             loads: control.load.report(),
             prompts: control.cache.report(peering.interval_ms(), now),
             shares: is_full.then(|| control.shares.report(now)),
-            suspicions: self.suspicions(&mut control.quarantine, now),
+            suspicions: control.quarantine.broadcast(now),
         }
     }
 
-    /// What is to be told of requests that may crash endpoints.
-    fn suspicions(&self, quarantine: &mut Quarantine, now: Now) -> Suspicions {
-        // Reports go to all peers, so one stand-in for them is enough here.
-        let everybody = member(SocketAddr::from(([0, 0, 0, 0], 0)));
-        let view = MemberView {
-            me: self.me.clone(),
-            live: vec![everybody, self.me.clone()],
-        };
-        let mut suspicions = Suspicions::default();
-        for (_, message) in quarantine.tick(&view, now) {
-            if let PeerMessage::Suspicions(told) = message {
-                suspicions.suspects.extend(told.suspects);
-            }
-        }
-        suspicions
-    }
-
     /// Sends a report; returns its length.
     fn send(&self, gateway: &Gateway, address: SocketAddr, report: &GatewayReport) -> u64 {
         let bytes = match postcard::to_stdvec(report) {
@@ -190,13 +169,3 @@
         PeerChange::Lost(peer) => log::warn!("kind=peer-lost peer={peer}"),
     }
 }
-
-/// A peer as the quarantine knows members: its address is its name.
-fn member(address: SocketAddr) -> Member {
-    Member {
-        instance: InstanceId::new(&address.to_string()),
-        incarnation: Incarnation::default(),
-        data_centre: "".into(),
-        address,
-    }
-}
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -1,16 +1,15 @@
 //! Keeps the configuration and the directory up to date.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::state::Now;
 use rand::Rng;
-use smol::Timer;
 
 use crate::clock;
 use crate::edge::{ConfigRead, EndpointEvent, Platform, PlatformError};
 use crate::gateway::Gateway;
+use crate::timer::sleep_ms;
 
 /// Logs the first failure of a run of them, and its end.
 #[derive(Debug)]
@@ -64,10 +63,6 @@
     }
 }
 
-async fn sleep_ms(duration_ms: u64) {
-    Timer::after(Duration::from_millis(duration_ms)).await;
-}
-
 /// Reads the configuration again and again. Each read is also the proof that it is the
 /// newest one, so it is dated by its sending.
 pub async fn keep_config<P: Platform>(gateway: Rc<Gateway>, platform: Rc<P>) {
--- a/crates/curranttrestle-gateway/src/upstream/call.rs
+++ b/crates/curranttrestle-gateway/src/upstream/call.rs
@@ -2,17 +2,15 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
-use smol::Timer;
 use thiserror::Error;
 
 use super::connection::{ConnectError, SendError};
 use super::pool::Pool;
+use crate::timer::within;
 
 /// The longest answer that is read.
 const MAX_ANSWER_BYTES: usize = 8 * 1_048_576;
@@ -58,11 +56,9 @@
         request: Request<Full<Bytes>>,
         timeout_ms: u64,
     ) -> Result<(u16, Bytes), CallError> {
-        let expire = async {
-            Timer::after(Duration::from_millis(timeout_ms)).await;
-            Err(CallError::Timeout(timeout_ms))
-        };
-        self.exchange(address, request, timeout_ms).or(expire).await
+        let exchange = self.exchange(address, request, timeout_ms);
+        let in_time = within(timeout_ms, exchange).await;
+        in_time.unwrap_or(Err(CallError::Timeout(timeout_ms)))
     }
 
     async fn exchange(
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -2,21 +2,20 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response};
 use smol::net::TcpStream;
-use smol::{LocalExecutor, Task, Timer};
+use smol::{LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
 use crate::clock;
+use crate::timer::within;
 
 /// Why no connection could be opened. Nothing was sent.
 #[derive(Debug, Error)]
@@ -69,12 +68,8 @@
         timeout_ms: u64,
         unacknowledged_ms: u32,
     ) -> Result<Self, ConnectError> {
-        let connect = async { Ok(TcpStream::connect(address).await?) };
-        let expire = async {
-            Timer::after(Duration::from_millis(timeout_ms)).await;
-            Err(ConnectError::Timeout(timeout_ms))
-        };
-        let stream = connect.or(expire).await?;
+        let connected = within(timeout_ms, TcpStream::connect(address)).await;
+        let stream = connected.ok_or(ConnectError::Timeout(timeout_ms))??;
         stream.set_nodelay(true)?;
         // A peer that vanished must not hold a connection for ever.
         if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms) {
--- a/crates/curranttrestle/src/coordination/gateway/admission.rs
+++ b/crates/curranttrestle/src/coordination/gateway/admission.rs
@@ -84,17 +84,16 @@
     standing: Standing,
     options: &AdmissionOptions,
 ) -> Verdict {
-    let part = match standing {
-        Standing::Within => options.target_part,
+    let (part, leaves_idle_moments) = match standing {
+        Standing::Within => (options.target_part, false),
         // The further beyond, the less is left to it, so that those beyond become equal too.
-        Standing::Beyond { times } => options.beyond_share_part / times,
+        Standing::Beyond { times } => (
+            options.beyond_share_part / times,
+            times >= options.idle_times,
+        ),
     };
     let limit_ms = target_latency_ms * part;
     let wait_limit_ms = limit_ms - (choice.predicted_ms - choice.wait_ms);
-    let leaves_idle_moments = match standing {
-        Standing::Within => false,
-        Standing::Beyond { times } => times >= options.idle_times,
-    };
     let is_idle = choice.wait_ms < 1.0 && !leaves_idle_moments;
     if choice.is_full {
         let retry_after_ms = bounded(target_latency_ms, options);
--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -279,29 +279,55 @@
             .map(|member| &member.instance)
             .filter(|instance| **instance != members.me.instance)
             .collect();
-        let news = std::mem::take(&mut self.news);
         let mut messages = Vec::new();
-        if let Some(message) = self.message(news.iter()) {
-            messages.extend(others.iter().map(|to| ((*to).clone(), message.clone())));
+        if let Some(news) = self.take_news() {
+            let news = PeerMessage::Suspicions(news);
+            messages.extend(others.iter().map(|to| ((*to).clone(), news.clone())));
         }
-        if now.steady_ms < self.next_gossip_ms {
+        if !self.is_repeat_due(now) || others.is_empty() {
             return messages;
         }
+        let receiver = others[self.round % others.len()];
+        if let Some(known) = self.next_known() {
+            messages.push((receiver.clone(), PeerMessage::Suspicions(known)));
+        }
+        messages
+    }
+
+    /// What is due to be told to everybody at once: news, and some of what is known.
+    pub fn broadcast(&mut self, now: Now) -> Suspicions {
+        let mut told = self.take_news().unwrap_or_default();
+        if self.is_repeat_due(now)
+            && let Some(known) = self.next_known()
+        {
+            told.suspects.extend(known.suspects);
+        }
+        told
+    }
+
+    fn take_news(&mut self) -> Option<Suspicions> {
+        let news = std::mem::take(&mut self.news);
+        self.suspicions(news.iter())
+    }
+
+    /// Whether it is time to repeat what is known; it is not again for an interval.
+    fn is_repeat_due(&mut self, now: Now) -> bool {
+        if now.steady_ms < self.next_gossip_ms {
+            return false;
+        }
         self.next_gossip_ms = now.steady_ms + self.options.gossip_interval_ms;
         self.forget_expired(now);
-        if others.is_empty() {
-            return messages;
-        }
-        let receiver = others[self.round % others.len()];
+        true
+    }
+
+    /// Some of what is known, other requests each time.
+    fn next_known(&mut self) -> Option<Suspicions> {
         let first = self.round * self.options.max_gossip;
         self.round += 1;
         let count = self.suspects.len().min(self.options.max_gossip);
         let known = self.suspects.keys().cycle();
         let known = known.skip(first % self.suspects.len().max(1)).take(count);
-        if let Some(message) = self.message(known) {
-            messages.push((receiver.clone(), message));
-        }
-        messages
+        self.suspicions(known)
     }
 
     /// The number of requests that are suspected or refused.
@@ -310,7 +336,10 @@
         self.suspects.len()
     }
 
-    fn message<'a>(&self, digests: impl Iterator<Item = &'a RequestDigest>) -> Option<PeerMessage> {
+    fn suspicions<'a>(
+        &self,
+        digests: impl Iterator<Item = &'a RequestDigest>,
+    ) -> Option<Suspicions> {
         let suspects: Vec<Suspicion> = digests
             .filter_map(|digest| {
                 let suspect = self.suspects.get(digest)?;
@@ -322,7 +351,7 @@
                 })
             })
             .collect();
-        (!suspects.is_empty()).then_some(PeerMessage::Suspicions(Suspicions { suspects }))
+        (!suspects.is_empty()).then_some(Suspicions { suspects })
     }
 
     /// Forgets what decides nothing any more.
