Put the log lines of gateways on one line of time

Cause: to follow a failed request over several gateways an operator had to grep each log and guess which of the other lines mattered.

With `--context-s` it also shows what the gateways of the chosen requests logged of themselves and of the requests' endpoints.

Ruled out: a command of its own; the filters and the question are the same.

--- a/crates/curranttrestle-cli/src/commands/timeline.rs
+++ b/crates/curranttrestle-cli/src/commands/timeline/mod.rs
@@ -1,5 +1,8 @@
-//! `timeline`: what happened, over all routers in order.
+//! `timeline`: what happened, over all routers or gateways in order.
 
+mod log_lines;
+
+use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Args;
@@ -18,9 +21,9 @@
 /// How far back each question goes, because the clocks of routers differ.
 const FOLLOW_OVERLAP_MS: u64 = 5_000;
 
-/// Shows what happened, over all routers in order.
+/// Shows what happened, over all routers or gateways in order.
 ///
-/// The events of all routers are merged by a clock that orders causes before effects. Each
+/// With `--log` the log lines of gateways are read from files. Otherwise routers are asked: the events of all routers are merged by a clock that orders causes before effects. Each
 /// router holds a bounded number of its newest events. With `--follow`, events of a router
 /// whose clock is more than five seconds behind the others may be missed.
 #[derive(Debug, Args)]
@@ -30,11 +33,20 @@
   curranttrestle timeline --fleet fleet.toml --customer atelier --last-s 60
   curranttrestle timeline --fleet fleet.toml --kind refused --kind retried --json
   curranttrestle timeline --fleet fleet.toml --customer atelier --last-s 10 --follow
+  curranttrestle timeline --log rennes-1.log --log brest-1.log --request 6e26a900fff5af6d --context-s 5
 
 Exit code 1 when a router did not answer, so that events may be missing; 3 when none did.")]
 pub struct Arguments {
     #[command(flatten)]
     fleet: FleetOptions,
+    /// A file with log lines of gateways, `-` for standard input; may be repeated. No router
+    /// is asked then.
+    #[arg(long = "log", value_name = "FILE", conflicts_with = "follow")]
+    logs: Vec<PathBuf>,
+    /// Also shows what the gateways of the chosen requests logged of themselves and of the
+    /// endpoints of those requests, from this many seconds before each request to its end.
+    #[arg(long, value_name = "S", requires = "logs")]
+    context_s: Option<u64>,
     /// Only the events of this request.
     #[arg(long, value_name = "ID")]
     request: Option<String>,
@@ -47,7 +59,7 @@
     /// Only events of this kind, such as `refused`; may be repeated.
     #[arg(long = "kind", value_name = "KIND")]
     kinds: Vec<String>,
-    /// Only events of the last seconds.
+    /// Only events of the last seconds; of log lines, before the newest one.
     #[arg(long, value_name = "S")]
     last_s: Option<u64>,
     /// Goes on and prints events as they happen, until it is interrupted.
@@ -80,6 +92,9 @@
 
 /// Runs the command.
 pub async fn run(arguments: &Arguments) -> Result<(), CliError> {
+    if !arguments.logs.is_empty() {
+        return log_lines::show(arguments);
+    }
     let clients = arguments.fleet.clients()?;
     let mut shown = Shown::default();
     let failures = show_next(arguments, &clients, arguments.first_ms(), &mut shown).await?;
