--- a/crates/curranttrestle-gateway/src/front/ending.rs
+++ b/crates/curranttrestle-gateway/src/front/ending.rs
@@ -9,6 +9,9 @@
 use crate::clock;
 use crate::gateway::Gateway;
 
+/// Why a request with a key is refused while the configuration may have changed.
+pub const STALE_CONFIGURATION: &str = "stale-configuration";
+
 /// Counts and logs how a request ended; dropped without a word, its client left.
 #[derive(Debug)]
 pub struct Ending {
@@ -17,6 +20,8 @@
     route: String,
     customer: String,
     arrived: Now,
+    /// How long it may take; none before its route is known.
+    limit_ms: Option<u64>,
     target_ms: u64,
     max_pause_ms: u64,
     first_event_ms: Option<u64>,
@@ -44,6 +49,7 @@
             route: String::new(),
             customer: String::new(),
             arrived,
+            limit_ms: None,
             target_ms: u64::MAX,
             max_pause_ms: u64::MAX,
             first_event_ms: None,
@@ -58,8 +64,10 @@
         attempt_id.clone_into(&mut self.id);
     }
 
-    /// The route and the customer are known.
-    pub fn resolved(&mut self, route: &Route, customer: Option<&str>) {
+    /// The route and the customer are known, and how long the request may take by its route
+    /// and its client.
+    pub fn resolved(&mut self, route: &Route, customer: Option<&str>, limit_ms: u64) {
+        self.limit_ms = Some(limit_ms);
         self.route.clone_from(&route.name);
         customer.unwrap_or_default().clone_into(&mut self.customer);
         self.target_ms = route.target_latency_ms;
@@ -127,13 +135,28 @@
             let (target_ms, pause_ms) = (self.target_ms, self.longest_pause_ms);
             format!(" first_event_ms={ms} target_ms={target_ms} longest_pause_ms={pause_ms}")
         });
+        let limit = self.limit_ms.filter(|_| outcome != "answered");
+        let limit = limit.map_or_else(String::new, |ms| format!(" limit_ms={ms}"));
+        let proof = self.proof_of(reason);
         log::info!(
-            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{first_event}{placed}",
+            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{limit}{first_event}{placed}{proof}",
             self.id,
             self.route,
             self.customer,
         );
     }
+
+    /// The proof that a request was refused for.
+    fn proof_of(&self, reason: &str) -> String {
+        if reason != STALE_CONFIGURATION {
+            return String::new();
+        }
+        let control = self.gateway.control.borrow();
+        let revision = control.freshness.revision();
+        let age = control.freshness.age_ms(clock::now());
+        let age = age.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string());
+        format!(" revision={revision} proof_age_ms={age}")
+    }
 }
 
 impl Drop for Ending {
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 
+use super::ending::STALE_CONFIGURATION;
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::upstream::Connection;
@@ -92,7 +93,7 @@
         }
         let customer = self.customer.as_deref()?;
         if !control.freshness.is_fresh(now) {
-            return Some("stale-configuration");
+            return Some(STALE_CONFIGURATION);
         }
         // The key may have been taken away since the request arrived.
         let key = self.hints.credential.as_deref()?;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -18,7 +18,7 @@
 use super::answer::{Answer, AnswerBody, OwnAnswer, whole};
 use super::attempt::{self, Failure, Head};
 use super::body::read_body;
-use super::ending::Ending;
+use super::ending::{Ending, STALE_CONFIGURATION};
 use super::exchange::Exchange;
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::relay::Relay;
@@ -86,11 +86,11 @@
     // The body may have taken long; the newest configuration decides.
     let now = clock::now();
     let resolved = resolve(gateway, &host, parts.uri.path(), &hints, now)?;
-    ending.resolved(&resolved.route, resolved.customer.as_deref());
     let wait_ms = hints
         .deadline_ms
         .unwrap_or(u64::MAX)
         .min(resolved.route.timeout_ms);
+    ending.resolved(&resolved.route, resolved.customer.as_deref(), wait_ms);
     let mut headers = parts.headers;
     remove_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -155,7 +155,7 @@
     };
     let customer = if table.has_customers() && !route.anonymous {
         if !is_fresh {
-            return Err(OwnAnswer::refused("stale-configuration", retry_ms));
+            return Err(OwnAnswer::refused(STALE_CONFIGURATION, retry_ms));
         }
         let key = hints.credential.as_deref().unwrap_or_default();
         let Some(customer) = table.customer(key) else {
--- a/crates/curranttrestle/src/state/finding.rs
+++ b/crates/curranttrestle/src/state/finding.rs
@@ -17,6 +17,35 @@
     pub key: Option<String>,
 }
 
+impl Place {
+    /// The place of a byte `offset` of `text`; none where the finding concerns the whole text.
+    ///
+    /// ```
+    /// use curranttrestle::state::Place;
+    /// let place = Place::at("a.toml", "x = 1\ny = 2", Some(10), "y");
+    /// assert_eq!(place.to_string(), "a.toml:2:5 (y)");
+    /// ```
+    #[must_use]
+    pub fn at(file: &str, text: &str, offset: Option<usize>, key: &str) -> Self {
+        let position = offset.map(|offset| position(text, offset));
+        Self {
+            file: file.to_owned(),
+            line: position.map(|(line, _)| line),
+            column: position.map(|(_, column)| column),
+            key: Some(key.to_owned()).filter(|key| !key.is_empty()),
+        }
+    }
+}
+
+/// The line and the column of a byte offset, both from one; columns count characters.
+fn position(text: &str, offset: usize) -> (u64, u64) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    let line = before.matches('\n').count() + 1;
+    let column = before[line_start..].chars().count() + 1;
+    (line as u64, column as u64)
+}
+
 impl fmt::Display for Place {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(&self.file)?;
--- a/crates/curranttrestle/src/state/settings/reader.rs
+++ b/crates/curranttrestle/src/state/settings/reader.rs
@@ -151,25 +151,11 @@
     }
 
     fn place(&self, span: Option<&Range<usize>>, key: &str) -> Place {
-        let position = span.map(|span| position(&self.text, span.start));
-        Place {
-            file: self.file_name.clone(),
-            line: position.map(|(line, _)| line),
-            column: position.map(|(_, column)| column),
-            key: Some(key.to_owned()).filter(|key| !key.is_empty()),
-        }
+        let offset = span.map(|span| span.start);
+        Place::at(&self.file_name, &self.text, offset, key)
     }
 }
 
-/// The line and the column of a byte offset, both from one; columns count characters.
-fn position(text: &str, offset: usize) -> (u64, u64) {
-    let before = text.get(..offset).unwrap_or(text);
-    let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
-    let line = before.matches('\n').count() + 1;
-    let column = before[line_start..].chars().count() + 1;
-    (line as u64, column as u64)
-}
-
 fn read_instance(mut section: Section<'_, '_>) -> Instance {
     let name = section.name("name").unwrap_or_default();
     let data_centre = section.name("data_centre").unwrap_or_default();
