Pass on news of loads over relays in a large fleet

Cause: with 69 gateways reports to all peers come every 0.5 s.

Change: each gateway also tells its loads and prompt uses every 50 ms to one gateway of its data centre, which passes them on to its members and to the relays of the other data centres. All rank gateways alike; a silent relay is passed over. Reports to all peers stay. Small fleets use no relay.

--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -1,4 +1,4 @@
-//! Reports between gateways: one datagram to each peer, several times a second.
+//! Reports and news between gateways: datagrams to peers, several times a second.
 //!
 //! A lost datagram is replaced by the next one, so nothing is acknowledged or sent again.
 
@@ -6,9 +6,15 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
+use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::endpoint_load::PeerKey;
 use curranttrestle::coordination::gateway::peering::{PeerChange, Peering};
-use curranttrestle::protocol::gateway::{GatewayReport, ProofEcho};
+use curranttrestle::coordination::gateway::relaying::{
+    DataCentreKey, NewsRound, RelayChange, Relaying, data_centre_key,
+};
+use curranttrestle::protocol::gateway::{
+    GatewayMessage, GatewayReport, LoadNews, ProofEcho, RelayedNews,
+};
 use curranttrestle::state::Now;
 use smol::Async;
 use xxhash_rust::xxh3::xxh3_64;
@@ -17,15 +23,22 @@
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
 
-/// The longest datagram that is read.
-const MAX_DATAGRAM_BYTES: usize = 32_768;
+/// The longest datagram that is read; UDP has no longer ones.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+
+/// News that a relay passes on in one datagram. Those of a gateway with hundreds of running
+/// requests take 4 kB.
+const MAX_PASSED_ON: usize = 15;
 
 /// The other gateways.
 #[derive(Debug)]
 pub struct Peers {
     socket: Async<UdpSocket>,
     key: PeerKey,
+    data_centre: DataCentreKey,
+    news_interval_ms: u64,
     peering: RefCell<Peering>,
+    relaying: RefCell<Relaying>,
 }
 
 impl Peers {
@@ -35,31 +48,46 @@
         let instance = format!("{}@{}", settings.instance, settings.peers);
         let now = clock::now();
         let peering = Peering::new(settings.peers, &settings.seeds, settings.reports, now);
+        let data_centre = &settings.control.data_centre;
+        let relaying = Relaying::new(settings.peers, data_centre, settings.relays);
         Self {
             key: xxh3_64(instance.as_bytes()),
+            data_centre: data_centre_key(data_centre),
+            news_interval_ms: settings.relays.interval_ms,
             peering: RefCell::new(peering),
+            relaying: RefCell::new(relaying),
             socket,
         }
     }
 
-    /// Sends the reports that are due.
+    /// Sends the reports and the news that are due.
     pub fn send_due(&self, gateway: &Gateway, now: Now) {
         let mut peering = self.peering.borrow_mut();
         let changes = peering.sweep(now);
         changes.into_iter().for_each(log_change);
-        let Some(round) = peering.round(now) else {
-            return;
-        };
-        let mut report = self.report(gateway, &mut peering, round.is_full, now);
-        let mut round_bytes = 0;
-        for (address, echo) in round.targets {
-            report.proof = echo;
-            round_bytes += self.send(gateway, address, &report);
+        if let Some(round) = peering.round(now) {
+            let report = self.report(gateway, &mut peering, round.is_full, now);
+            let mut round_bytes = 0;
+            for (address, proof) in round.targets {
+                let report = GatewayReport {
+                    proof,
+                    ..report.clone()
+                };
+                round_bytes += self.send(gateway, &[address], &GatewayMessage::Report(report));
+            }
+            peering.sent(round_bytes);
+        }
+        let mut relaying = self.relaying.borrow_mut();
+        let (round, change) = relaying.round(&peering.live_peers(), peering.interval_ms(), now);
+        if let Some(change) = change {
+            log_relay(change);
+        }
+        if let Some(round) = round {
+            self.send_news(gateway, round, now);
         }
-        peering.sent(round_bytes);
     }
 
-    /// Receives reports for ever.
+    /// Receives reports and news for ever.
     pub async fn receive(self: Rc<Self>, gateway: Rc<Gateway>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -71,8 +99,8 @@
                     continue;
                 }
             };
-            match postcard::from_bytes::<GatewayReport>(&buffer[..length]) {
-                Ok(report) => self.received(&gateway, from, report, clock::now()),
+            match postcard::from_bytes::<GatewayMessage>(&buffer[..length]) {
+                Ok(message) => self.received(&gateway, from, message, clock::now()),
                 Err(error) => {
                     count(&gateway, "unreadable");
                     log::debug!("kind=peer-report-unreadable from={from} error={error:?}");
@@ -81,20 +109,48 @@
         }
     }
 
-    fn received(&self, gateway: &Gateway, from: SocketAddr, report: GatewayReport, now: Now) {
-        if report.sender == self.key {
-            return;
-        }
-        count(gateway, "received");
+    fn received(&self, gateway: &Gateway, from: SocketAddr, message: GatewayMessage, now: Now) {
         let mut control = gateway.control.borrow_mut();
+        match message {
+            GatewayMessage::Report(report) if report.news.sender != self.key => {
+                count(gateway, "received");
+                self.report_received(&mut control, from, report, now);
+            }
+            GatewayMessage::News(news) => {
+                count(gateway, "news");
+                if self.relaying.borrow_mut().news_received(from, &news, now) {
+                    learn(&mut control, &news, 0, now);
+                }
+            }
+            GatewayMessage::PassedOn(mut all) => {
+                count(gateway, "passed-on");
+                all.retain(|relayed| relayed.news.sender != self.key);
+                let new = self.relaying.borrow_mut().passed_on(from, all, now);
+                for relayed in new {
+                    learn(&mut control, &relayed.news, relayed.held_ms, now);
+                }
+            }
+            // The network delivered it to its own sender.
+            GatewayMessage::Report(_) => (),
+        }
+    }
+
+    fn report_received(
+        &self,
+        control: &mut Control,
+        from: SocketAddr,
+        report: GatewayReport,
+        now: Now,
+    ) {
         let age_ms = control.freshness.age_ms(now);
         let echo = age_ms.map(|age_ms| ProofEcho {
-            your_sent_ms: report.sent_ms,
+            your_sent_ms: report.news.sent_ms,
             revision: control.freshness.revision(),
             age_ms,
         });
         let mut peering = self.peering.borrow_mut();
-        if let Some(change) = peering.heard(from, echo, &report.peers, now) {
+        let data_centre = report.data_centre;
+        if let Some(change) = peering.heard(from, data_centre, echo, &report.peers, now) {
             log_change(change);
         }
         if let Some(proof) = report.proof
@@ -104,14 +160,16 @@
             let proved_ms = proof.your_sent_ms.saturating_sub(proof.age_ms);
             control.freshness.confirmed(proof.revision, proved_ms);
         }
-        control
-            .load
-            .report_received(report.sender, &report.loads, now);
-        control
-            .cache
-            .report_received(report.sender, &report.prompts);
+        let news = &report.news;
+        if self
+            .relaying
+            .borrow_mut()
+            .is_newer(news.sender, news.sent_ms)
+        {
+            learn(control, news, 0, now);
+        }
         if let Some(shares) = report.shares {
-            control.shares.report_received(report.sender, shares, now);
+            control.shares.report_received(news.sender, shares, now);
         }
         control.quarantine.receive(&report.suspicions, now);
         control.fleet_seen(peering.live());
@@ -126,35 +184,81 @@
     ) -> GatewayReport {
         let mut control = gateway.control.borrow_mut();
         GatewayReport {
-            sender: self.key,
-            sent_ms: now.steady_ms,
+            news: LoadNews {
+                sender: self.key,
+                sent_ms: now.steady_ms,
+                loads: control.load.report(),
+                prompts: control.cache.report(peering.interval_ms(), now),
+            },
+            data_centre: self.data_centre,
             proof: None,
             peers: if is_full { peering.named() } else { Vec::new() },
-            loads: control.load.report(),
-            prompts: control.cache.report(peering.interval_ms(), now),
             shares: is_full.then(|| control.shares.report(now)),
             suspicions: control.quarantine.broadcast(now),
         }
     }
 
-    /// Sends a report; returns its length.
-    fn send(&self, gateway: &Gateway, address: SocketAddr, report: &GatewayReport) -> u64 {
-        let bytes = match postcard::to_stdvec(report) {
+    /// Sends a round of news.
+    fn send_news(&self, gateway: &Gateway, round: NewsRound, now: Now) {
+        let own = {
+            let control = gateway.control.borrow();
+            LoadNews {
+                sender: self.key,
+                sent_ms: now.steady_ms,
+                loads: control.load.report(),
+                prompts: control.cache.latest(self.news_interval_ms, now),
+            }
+        };
+        if let Some(relay) = round.relay {
+            self.send(gateway, &[relay], &GatewayMessage::News(own));
+            return;
+        }
+        let mut near = round.of_members;
+        near.push(RelayedNews {
+            news: own,
+            held_ms: 0,
+        });
+        let everybody = [&round.members[..], &round.relays[..]].concat();
+        for news in near.chunks(MAX_PASSED_ON) {
+            let message = GatewayMessage::PassedOn(news.to_vec());
+            self.send(gateway, &everybody, &message);
+        }
+        for news in round.of_relays.chunks(MAX_PASSED_ON) {
+            let message = GatewayMessage::PassedOn(news.to_vec());
+            self.send(gateway, &round.members, &message);
+        }
+    }
+
+    /// Sends a message to several peers; returns the bytes that all of them got.
+    fn send(&self, gateway: &Gateway, targets: &[SocketAddr], message: &GatewayMessage) -> u64 {
+        let bytes = match postcard::to_stdvec(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("kind=peer-report-failed error={error:?}");
                 return 0;
             }
         };
-        // A full socket buffer drops this report; the next one replaces it.
-        if let Err(error) = self.socket.get_ref().send_to(&bytes, address) {
-            count(gateway, "unsent");
-            log::debug!("kind=peer-send-failed peer={address} error={error:?}");
+        for target in targets {
+            // A full socket buffer drops this message; the next one replaces it.
+            if let Err(error) = self.socket.get_ref().send_to(&bytes, target) {
+                count(gateway, "unsent");
+                log::debug!("kind=peer-send-failed peer={target} error={error:?}");
+            }
         }
-        bytes.len() as u64
+        (bytes.len() * targets.len()) as u64
     }
 }
 
+/// Takes the news of another gateway that were on their way for `held_ms`.
+fn learn(control: &mut Control, news: &LoadNews, held_ms: u64, now: Now) {
+    let told = Now {
+        steady_ms: now.steady_ms.saturating_sub(held_ms),
+        ..now
+    };
+    control.load.report_received(news.sender, &news.loads, told);
+    control.cache.report_received(news.sender, &news.prompts);
+}
+
 fn count(gateway: &Gateway, outcome: &str) {
     gateway
         .metrics
@@ -169,3 +273,13 @@
         PeerChange::Lost(peer) => log::warn!("kind=peer-lost peer={peer}"),
     }
 }
+
+fn log_relay(change: RelayChange) {
+    let name =
+        |relay: Option<SocketAddr>| relay.map_or("none".to_owned(), |relay| relay.to_string());
+    let relay = name(change.relay);
+    match change.silent {
+        Some(silent) => log::warn!("kind=relay-changed relay={relay} silent={silent}"),
+        None => log::info!("kind=relay-changed relay={relay}"),
+    }
+}
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use curranttrestle::coordination::gateway::control::{ControlOptions, RepeatOptions};
 use curranttrestle::coordination::gateway::freshness::FreshnessOptions;
 use curranttrestle::coordination::gateway::peering::PeeringOptions;
+use curranttrestle::coordination::gateway::relaying::RelayOptions;
 
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +30,8 @@
     pub store: StoreOptions,
     /// Reports between gateways.
     pub reports: PeeringOptions,
+    /// News that relays pass on in a large fleet.
+    pub relays: RelayOptions,
     /// Connections and waiting.
     pub traffic: TrafficOptions,
     /// Stopping.
@@ -51,6 +54,7 @@
             control: ControlOptions::default(),
             store: StoreOptions::default(),
             reports: PeeringOptions::default(),
+            relays: RelayOptions::default(),
             traffic: TrafficOptions::default(),
             stop: StopOptions::default(),
             log_sample: 50,
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
+pub mod relaying;
 pub mod route_table;
 pub mod shares;
 pub mod trust;
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 
+use super::relaying::{DataCentreKey, LivePeer};
 use crate::protocol::gateway::ProofEcho;
 use crate::state::Now;
 
@@ -71,6 +72,8 @@
     since_ms: u64,
     sent_ms: Option<u64>,
     echo: Option<ProofEcho>,
+    /// Where it runs; none before it was heard.
+    data_centre: Option<DataCentreKey>,
 }
 
 /// The other gateways.
@@ -167,10 +170,28 @@
         self.interval_ms = interval_ms.max(self.options.min_interval_ms);
     }
 
-    /// A report came from a peer; the next one to it carries `echo`.
+    /// The peers that were heard lately.
+    #[must_use]
+    pub fn live_peers(&self) -> Vec<LivePeer> {
+        let live = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.heard_ms.is_some());
+        live.filter_map(|(address, peer)| {
+            let data_centre = peer.data_centre?;
+            Some(LivePeer {
+                address: *address,
+                data_centre,
+            })
+        })
+        .collect()
+    }
+
+    /// A report came from a peer in a data centre; the next one to it carries `echo`.
     pub fn heard(
         &mut self,
         from: SocketAddr,
+        data_centre: DataCentreKey,
         echo: Option<ProofEcho>,
         named: &[SocketAddr],
         now: Now,
@@ -183,6 +204,7 @@
         let is_back = peer.heard_ms.is_none();
         peer.heard_ms = Some(now.steady_ms);
         peer.echo = echo;
+        peer.data_centre = Some(data_centre);
         is_back.then_some(PeerChange::Back(from))
     }
 
@@ -217,6 +239,7 @@
             since_ms: now.steady_ms,
             sent_ms: None,
             echo: None,
+            data_centre: None,
         });
     }
 }
--- a/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
+++ b/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
@@ -128,6 +128,7 @@
     }
 
     /// This gateway's latest uses for its peers, who get a report every `interval_ms`.
+    /// Older ones are not told any more.
     pub fn report(&mut self, interval_ms: u64, now: Now) -> PromptUses {
         let tell_ms = self.options.told_intervals * interval_ms;
         while self
@@ -137,13 +138,20 @@
         {
             self.told.pop_front();
         }
+        self.latest(interval_ms, now)
+    }
+
+    /// The latest of the uses that are still told, for those who hear of them every
+    /// `interval_ms`.
+    #[must_use]
+    pub fn latest(&self, interval_ms: u64, now: Now) -> PromptUses {
+        let tell_ms = self.options.told_intervals * interval_ms;
+        let is_latest = |(used_ms, _): &&(u64, PromptUse)| now.since_ms(*used_ms) <= tell_ms;
+        let count = self.told.iter().rev().take_while(is_latest).count();
+        let uses = self.told.iter().skip(self.told.len() - count);
         PromptUses {
-            first: self.next_use - self.told.len() as u64,
-            uses: self
-                .told
-                .iter()
-                .map(|(_, prompt_use)| prompt_use.clone())
-                .collect(),
+            first: self.next_use - count as u64,
+            uses: uses.map(|(_, prompt_use)| prompt_use.clone()).collect(),
         }
     }
 
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod freshness;
 mod peering;
 mod placement;
+mod relaying;
 mod route_table;
 mod shares;
 mod support;
--- a/crates/curranttrestle/tests/gateway/peering.rs
+++ b/crates/curranttrestle/tests/gateway/peering.rs
@@ -40,7 +40,7 @@
                 if !is_cut(from, to, now_ms) {
                     full[to] += u32::from(round.is_full);
                     let from = address(u8::try_from(from).unwrap());
-                    fleet[to].heard(from, None, &named, now);
+                    fleet[to].heard(from, 0, None, &named, now);
                 }
             }
         }
@@ -97,7 +97,7 @@
 #[test]
 fn a_peer_that_stays_silent_is_forgotten_unless_it_is_a_seed() {
     let mut peering = Peering::new(address(0), &[address(1)], PeeringOptions::default(), at(0));
-    let change = peering.heard(address(2), None, &[address(1)], at(0));
+    let change = peering.heard(address(2), 0, None, &[address(1)], at(0));
     assert_eq!(change, Some(PeerChange::Back(address(2))));
     assert_eq!(peering.sweep(at(3_000)), [PeerChange::Lost(address(2))]);
     peering.sweep(at(63_000));
--- /dev/null
+++ b/crates/curranttrestle/tests/gateway/relaying.rs
@@ -0,0 +1,246 @@
+//! News over relays in a fleet of 69 gateways in three data centres.
+
+use std::net::SocketAddr;
+
+use curranttrestle::coordination::gateway::relaying::{
+    LivePeer, NewsRound, RelayOptions, Relaying, data_centre_key,
+};
+use curranttrestle::protocol::gateway::{LoadNews, RelayedNews};
+
+use super::support::at;
+
+const COUNT: usize = 69;
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// The time between two reports to all peers in a fleet of this size.
+const DIRECT_MS: u64 = 500;
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(index).unwrap()], 7_400))
+}
+
+fn data_centre(index: usize) -> &'static str {
+    DATA_CENTRES[index % DATA_CENTRES.len()]
+}
+
+/// A fleet in which every gateway is believed to live by all others.
+struct Fleet {
+    gateways: Vec<Relaying>,
+    /// When the newest news that one gateway has of another one were sent.
+    known: Vec<Vec<u64>>,
+    relays: Vec<Option<SocketAddr>>,
+    bytes: u64,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let gateway =
+            |index| Relaying::new(address(index), data_centre(index), RelayOptions::default());
+        Self {
+            gateways: (0..COUNT).map(gateway).collect(),
+            known: vec![vec![0; COUNT]; COUNT],
+            relays: vec![None; COUNT],
+            bytes: 0,
+        }
+    }
+
+    /// Plays from one time to another. What `is_cut` names is not delivered.
+    fn play(&mut self, from_ms: u64, until_ms: u64, is_cut: impl Fn(usize, usize) -> bool) {
+        let peers: Vec<LivePeer> = (0..COUNT)
+            .map(|index| LivePeer {
+                address: address(index),
+                data_centre: data_centre_key(data_centre(index)),
+            })
+            .collect();
+        for now_ms in from_ms..until_ms {
+            for from in 0..COUNT {
+                // Each ticks in its own moment.
+                if !(now_ms + from as u64 * 7).is_multiple_of(50) {
+                    continue;
+                }
+                let others: Vec<LivePeer> = peers
+                    .iter()
+                    .copied()
+                    .filter(|peer| peer.address != address(from))
+                    .collect();
+                let (round, change) = self.gateways[from].round(&others, DIRECT_MS, at(now_ms));
+                if let Some(change) = change {
+                    self.relays[from] = change.relay;
+                }
+                if let Some(round) = round {
+                    self.deliver(from, round, now_ms, &is_cut);
+                }
+            }
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        from: usize,
+        round: NewsRound,
+        now_ms: u64,
+        is_cut: &impl Fn(usize, usize) -> bool,
+    ) {
+        let own = LoadNews {
+            sender: from as u64,
+            sent_ms: now_ms + 1,
+            ..LoadNews::default()
+        };
+        if let Some(relay) = round.relay {
+            let to = index_of(relay);
+            if !is_cut(from, to) && self.gateways[to].news_received(address(from), &own, at(now_ms))
+            {
+                self.known[to][from] = now_ms;
+            }
+            return;
+        }
+        let mut near = round.of_members;
+        near.push(RelayedNews {
+            news: own,
+            held_ms: 0,
+        });
+        let all = [&near[..], &round.of_relays[..]].concat();
+        let to_members = round.members.iter().map(|member| (*member, &all));
+        let to_relays = round.relays.iter().map(|relay| (*relay, &near));
+        for (to, news) in to_members.chain(to_relays) {
+            self.bytes += 450 * news.len() as u64;
+            let to = index_of(to);
+            if is_cut(from, to) {
+                continue;
+            }
+            let mut news = news.clone();
+            news.retain(|relayed| relayed.news.sender != to as u64);
+            let new = self.gateways[to].passed_on(address(from), news, at(now_ms));
+            for relayed in new {
+                let sender = usize::try_from(relayed.news.sender).unwrap();
+                self.known[to][sender] = relayed.news.sent_ms - 1;
+                // The time on the way is told truly.
+                assert_eq!(relayed.held_ms, now_ms + 1 - relayed.news.sent_ms);
+            }
+        }
+    }
+
+    /// How many pairs of gateways `(of, at)` of those chosen have no news of the last
+    /// `age_ms`.
+    fn stale(&self, now_ms: u64, age_ms: u64, is_chosen: impl Fn(usize, usize) -> bool) -> usize {
+        let pairs = (0..COUNT).flat_map(|of| (0..COUNT).map(move |at| (of, at)));
+        let pairs = pairs.filter(|(of, at)| of != at && is_chosen(*of, *at));
+        pairs
+            .filter(|(of, at)| now_ms - self.known[*at][*of] > age_ms)
+            .count()
+    }
+
+    fn relay_of(&self, data_centre_of: usize) -> usize {
+        let used = (0..COUNT)
+            .filter(|index| data_centre(*index) == data_centre(data_centre_of))
+            .filter_map(|index| self.relays[index]);
+        index_of(used.max_by_key(|address| self.users(*address)).unwrap())
+    }
+
+    fn users(&self, relay: SocketAddr) -> usize {
+        let used = self.relays.iter().flatten();
+        used.filter(|address| **address == relay).count()
+    }
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => usize::from(address.ip().octets()[3]),
+        SocketAddr::V6(_) => unreachable!(),
+    }
+}
+
+#[test]
+fn all_know_of_all_within_a_quarter_of_a_second() {
+    let mut fleet = Fleet::new();
+    fleet.play(0, 2_000, |_, _| false);
+    // Three hops of up to 50 ms each.
+    assert_eq!(fleet.stale(2_000, 200, |_, _| true), 0);
+    // One relay a data centre.
+    let mut relays: Vec<SocketAddr> = fleet.relays.iter().flatten().copied().collect();
+    relays.sort_unstable();
+    relays.dedup();
+    assert_eq!(relays.len(), 3, "{relays:?}");
+    // Of 69 gateways, each gets the news of all the others twenty times a second at most.
+    assert!(fleet.bytes / 2 <= 69 * 72 * 450 * 20, "{}", fleet.bytes);
+}
+
+#[test]
+fn a_dead_relay_is_passed_over_within_half_a_second() {
+    let mut fleet = Fleet::new();
+    fleet.play(0, 1_000, |_, _| false);
+    let dead = fleet.relay_of(0);
+    let is_cut = |from, to| from == dead || to == dead;
+    fleet.play(1_000, 1_700, is_cut);
+    assert_eq!(fleet.stale(1_700, 250, |of, at| !is_cut(of, at)), 0);
+}
+
+#[test]
+fn a_relay_that_hears_its_members_but_is_not_heard_is_passed_over() {
+    let mut fleet = Fleet::new();
+    fleet.play(0, 1_000, |_, _| false);
+    let mute = fleet.relay_of(1);
+    fleet.play(1_000, 1_700, |from, _| from == mute);
+    assert_eq!(
+        fleet.stale(1_700, 250, |of, at| of != mute && at != mute),
+        0
+    );
+    // It is used again once it is heard, as the peers believe it to live.
+    fleet.play(1_700, 6_000, |_, _| false);
+    assert_eq!(fleet.relay_of(1), mute);
+    assert_eq!(fleet.stale(6_000, 200, |_, _| true), 0);
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_goes_on_by_itself() {
+    let mut fleet = Fleet::new();
+    fleet.play(0, 1_000, |_, _| false);
+    let crosses = |from: usize, to: usize| from.is_multiple_of(3) != to.is_multiple_of(3);
+    fleet.play(1_000, 2_000, crosses);
+    assert_eq!(fleet.stale(2_000, 200, |of, at| !crosses(of, at)), 0);
+    fleet.play(2_000, 2_500, |_, _| false);
+    assert_eq!(fleet.stale(2_500, 200, |_, _| true), 0);
+}
+
+#[test]
+fn members_that_reach_different_relays_still_know_of_each_other() {
+    let mut fleet = Fleet::new();
+    fleet.play(0, 1_000, |_, _| false);
+    let relay = fleet.relay_of(0);
+    // A third of its members does not reach it.
+    let is_cut = |from: usize, to: usize| {
+        let is_far = |index: usize| index % 9 == relay % 3;
+        (from == relay && is_far(to)) || (to == relay && is_far(from))
+    };
+    fleet.play(1_000, 2_000, is_cut);
+    assert_eq!(fleet.stale(2_000, 300, |of, at| !is_cut(of, at)), 0);
+}
+
+#[test]
+fn a_small_fleet_uses_no_relay() {
+    let peers: Vec<LivePeer> = (1..9)
+        .map(|index| LivePeer {
+            address: address(index),
+            data_centre: data_centre_key("a"),
+        })
+        .collect();
+    let mut gateway = Relaying::new(address(0), "a", RelayOptions::default());
+    assert_eq!(gateway.round(&peers, 100, at(0)), (None, None));
+    assert!(gateway.round(&peers, DIRECT_MS, at(50)).0.is_some());
+}
+
+#[test]
+fn older_news_and_news_twice_are_left_out() {
+    let mut gateway = Relaying::new(address(0), "a", RelayOptions::default());
+    let news = |sent_ms| LoadNews {
+        sender: 7,
+        sent_ms,
+        ..LoadNews::default()
+    };
+    assert!(gateway.news_received(address(7), &news(20_000), at(0)));
+    assert!(!gateway.news_received(address(7), &news(20_000), at(1)));
+    assert!(!gateway.news_received(address(7), &news(19_900), at(2)));
+    assert!(gateway.news_received(address(7), &news(20_050), at(3)));
+    // Its clock began anew.
+    assert!(gateway.news_received(address(7), &news(40), at(4)));
+}
