Keep the sums of share reports in place of making them anew

Each refusal added up the reports of 68 peers with 30 customers each, twice.

Change: the sum of the peers' reports is kept as they come, are replaced and grow old. Whole numbers are added, so all decisions stay the same; a test compares the sum with the reports over 2,000 random steps.

Ruled out: a cached sum of some milliseconds; it would be a second age.

--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -84,6 +84,13 @@
     at_ms: u64,
 }
 
+/// Tokens that customers asked for and got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Total {
+    asked_tokens: u64,
+    admitted_tokens: u64,
+}
+
 /// What all customers asked for and got lately.
 ///
 /// ```
@@ -102,6 +109,9 @@
     options: ShareOptions,
     customers: IndexMap<CustomerKey, [Slice; SLICES]>,
     peers: IndexMap<PeerKey, PeerReport>,
+    /// The sum of the reports in `peers`, the old ones too. A flood asks for it far more often
+    /// than reports come.
+    reported: IndexMap<CustomerKey, Total>,
 }
 
 impl ShareBook {
@@ -112,6 +122,7 @@
             options,
             customers: IndexMap::new(),
             peers: IndexMap::new(),
+            reported: IndexMap::new(),
         }
     }
 
@@ -127,11 +138,25 @@
 
     /// Takes a peer's report; it replaces the one before.
     pub fn report_received(&mut self, peer: PeerKey, lines: Vec<ShareLine>, now: Now) {
+        let life_ms = self.options.report_life_ms;
+        let reported = &mut self.reported;
+        self.peers.retain(|known, report| {
+            let is_kept = *known != peer && now.since_ms(report.at_ms) < life_ms;
+            if !is_kept {
+                report
+                    .lines
+                    .iter()
+                    .for_each(|line| subtract(reported, line));
+            }
+            is_kept
+        });
+        for line in &lines {
+            let total = reported.entry(line.customer).or_default();
+            total.asked_tokens += u64::from(line.asked_tokens);
+            total.admitted_tokens += u64::from(line.admitted_tokens);
+        }
         let at_ms = now.steady_ms;
         self.peers.insert(peer, PeerReport { lines, at_ms });
-        let life_ms = self.options.report_life_ms;
-        self.peers
-            .retain(|_, report| now.since_ms(report.at_ms) < life_ms);
     }
 
     /// This gateway's report for its peers.
@@ -199,24 +224,28 @@
         reason = "token counts are far below 2^52"
     )]
     fn totals(&self, now: Now) -> IndexMap<CustomerKey, (f64, f64)> {
-        let mut totals: IndexMap<CustomerKey, (f64, f64)> = IndexMap::new();
-        for (customer, slices) in &self.customers {
-            let (asked, admitted) = self.sums(slices, now);
-            let total = totals.entry(*customer).or_default();
-            total.0 += asked as f64;
-            total.1 += admitted as f64;
-        }
+        let mut totals = self.reported.clone();
         for report in self.peers.values() {
             if now.since_ms(report.at_ms) >= self.options.report_life_ms {
-                continue;
-            }
-            for line in &report.lines {
-                let total = totals.entry(line.customer).or_default();
-                total.0 += f64::from(line.asked_tokens);
-                total.1 += f64::from(line.admitted_tokens);
+                report
+                    .lines
+                    .iter()
+                    .for_each(|line| subtract(&mut totals, line));
             }
         }
+        for (customer, slices) in &self.customers {
+            let (asked, admitted) = self.sums(slices, now);
+            let total = totals.entry(*customer).or_default();
+            total.asked_tokens += asked;
+            total.admitted_tokens += admitted;
+        }
+        let totals = totals.into_iter();
         totals
+            .map(|(customer, total)| {
+                let tokens = (total.asked_tokens as f64, total.admitted_tokens as f64);
+                (customer, tokens)
+            })
+            .collect()
     }
 
     fn sums(&self, slices: &[Slice], now: Now) -> (u64, u64) {
@@ -259,6 +288,18 @@
     }
 }
 
+/// Takes a line of a report out of a sum that holds it.
+fn subtract(totals: &mut IndexMap<CustomerKey, Total>, line: &ShareLine) {
+    let Some(total) = totals.get_mut(&line.customer) else {
+        return;
+    };
+    total.asked_tokens -= u64::from(line.asked_tokens);
+    total.admitted_tokens -= u64::from(line.admitted_tokens);
+    if *total == Total::default() {
+        totals.swap_remove(&line.customer);
+    }
+}
+
 /// The most that anybody gets when `capacity` is shared out by max-min fairness.
 ///
 /// ```
--- a/crates/curranttrestle/tests/gateway/shares.rs
+++ b/crates/curranttrestle/tests/gateway/shares.rs
@@ -1,7 +1,10 @@
 use curranttrestle::coordination::gateway::shares::{
     ShareBook, ShareOptions, Standing, fair_level,
 };
+use indexmap::IndexMap;
 use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use super::support::at;
 
@@ -96,6 +99,38 @@
     assert_eq!(here.standing("flood", 10_000, at(2_100)), Standing::Within);
 }
 
+/// The sum of the reports is kept, not made anew; it must be what the reports say, whatever
+/// the order in which they come, are replaced and grow old.
+#[test]
+fn the_sum_of_the_reports_is_that_of_those_in_force() {
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut book = ShareBook::new(ShareOptions::default());
+    let customers = ["a", "b", "c", "d"];
+    let mut latest: IndexMap<u64, (u64, [u64; 4])> = IndexMap::new();
+    let mut now_ms = 0;
+    for _ in 0..2_000 {
+        now_ms += random.random_range(0..400);
+        let peer = random.random_range(0..9);
+        let mut there = ShareBook::new(ShareOptions::default());
+        let asked = std::array::from_fn(|_| random.random_range(0..3) * 100);
+        for (customer, tokens) in customers.iter().zip(asked) {
+            there.asked(customer, tokens, at(now_ms));
+        }
+        book.report_received(peer, there.report(at(now_ms)), at(now_ms));
+        latest.insert(peer, (now_ms, asked));
+        now_ms += random.random_range(0..1_000);
+        for (place, customer) in customers.into_iter().enumerate() {
+            let in_force = latest.values().filter(|(at_ms, _)| now_ms - at_ms < 2_000);
+            let sum: u64 = in_force.map(|(_, asked)| asked[place]).sum();
+            #[expect(clippy::cast_precision_loss)]
+            let sum = sum as f64;
+            let (asked, admitted) = book.window(customer, at(now_ms));
+            assert!((asked - sum).abs() < 0.5, "{customer}: {asked} of {sum}");
+            assert!(admitted.abs() < 0.5);
+        }
+    }
+}
+
 #[test]
 fn what_was_asked_before_the_window_is_forgotten() {
     let mut book = ShareBook::new(ShareOptions::default());
