Log refusals up to a rate

Change: up to 100 refused requests a second are logged, the others counted in a metric and in one line a second. Failures, late answers and changes of belief are all logged as before.

--- a/crates/curranttrestle-gateway/src/front/ending.rs
+++ b/crates/curranttrestle-gateway/src/front/ending.rs
@@ -28,6 +28,8 @@
     longest_pause_ms: u64,
     placed: Option<Placed>,
     is_told: bool,
+    /// Whether its refusal is logged; none before that was asked.
+    is_refusal_logged: Option<bool>,
 }
 
 /// Where a request went last, and what was predicted.
@@ -56,6 +58,7 @@
             longest_pause_ms: 0,
             placed: None,
             is_told: false,
+            is_refusal_logged: None,
         }
     }
 
@@ -95,6 +98,14 @@
         self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
     }
 
+    /// Whether the refusal of this request is logged, or only counted since there are many.
+    pub fn is_refusal_logged(&mut self, now: Now) -> bool {
+        let rate = &self.gateway.refusals;
+        *self
+            .is_refusal_logged
+            .get_or_insert_with(|| rate.borrow_mut().is_told(now))
+    }
+
     /// Why a complete answer was late for its client; none where it was on time.
     fn lateness(&self) -> Option<&'static str> {
         if self.first_event_ms.is_some_and(|ms| ms > self.target_ms) {
@@ -125,6 +136,9 @@
                 return;
             }
         }
+        if outcome == "refused" && !self.is_refusal_logged(now) {
+            return;
+        }
         let placed = self.placed.as_ref().map_or_else(String::new, |placed| {
             format!(
                 " endpoint={} wait_ms={:.0} predicted_ms={:.0}",
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -200,7 +200,9 @@
                 retry_after_ms,
                 predicted_ms,
             } => {
-                log_refusal(&exchange, reason, predicted_ms, retry_after_ms);
+                if ending.is_refusal_logged(now) {
+                    log_refusal(&exchange, reason, predicted_ms, retry_after_ms);
+                }
                 let own = own_failure(&exchange, last, reason, retry_after_ms);
                 return finish_own(own, &mut ending);
             }
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -103,4 +103,5 @@
         .as_ref()
         .map_or(0, crate::log::LogLines::dropped);
     set("log_lines_dropped", dropped);
+    set("refusals_not_logged", gateway.refusals.borrow().left_out());
 }
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::edge::{Dialect, Platform};
 use crate::front;
-use crate::log::LogLines;
+use crate::log::{EventRate, LogLines};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::GatewaySettings;
@@ -72,6 +72,8 @@
     pub metrics: Metrics,
     /// Log lines that were lost.
     pub log_lines: Option<LogLines>,
+    /// Which refusals are logged.
+    pub refusals: RefCell<EventRate>,
     /// Requests without a complete answer.
     pub open_requests: Cell<usize>,
     /// Memory of the bodies of open requests.
@@ -132,6 +134,9 @@
         let changes = self.control.borrow_mut().directory.sweep(now);
         self.directory_changed(&changes, "lapse-sweep");
         self.note_freshness(now);
+        if let Some(count) = self.refusals.borrow_mut().take_left_out(now) {
+            log::warn!("kind=refusals-not-logged count={count}");
+        }
     }
 
     /// Logs when the proof that the configuration is the newest one grows too old for
@@ -197,6 +202,7 @@
         pool,
         dialect,
         log_lines,
+        refusals: RefCell::new(EventRate::new(settings.logged_refusals_per_s)),
         open_requests: Cell::new(0),
         body_bytes: Cell::new(0),
         phase: Cell::new(Phase::Running),
--- a/crates/curranttrestle-gateway/src/log/mod.rs
+++ b/crates/curranttrestle-gateway/src/log/mod.rs
@@ -1,5 +1,7 @@
 //! Log lines on standard output, through a bounded queue that never blocks a request.
 
+mod rate;
+
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,6 +12,8 @@
 use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
 use log::{LevelFilter, Record};
 
+pub use rate::EventRate;
+
 /// Lines that wait for the reader of standard output. Beyond them lines are dropped.
 const MAX_WAITING_LINES: usize = 2_048;
 
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub stop: StopOptions,
     /// Lines of calm successes that are written: one in this many; zero for none.
     pub log_sample: u64,
+    /// Refused requests that are logged in a second; a flood has many that look alike.
+    pub logged_refusals_per_s: u64,
 }
 
 impl Default for GatewaySettings {
@@ -58,6 +60,7 @@
             traffic: TrafficOptions::default(),
             stop: StopOptions::default(),
             log_sample: 50,
+            logged_refusals_per_s: 100,
         }
     }
 }
