Read the configuration more rarely in a large fleet, at once when a peer has a newer one

With 69 gateways proofs of peers arrive 0.4 to 0.9 s old, by the pace of the reports, so most gateways read for themselves at 0.7 to 1.4 s.

A peer's proof of a newer revision ends the wait.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -47,6 +47,33 @@
     Metrics(#[from] prometheus::Error),
 }
 
+/// Wakes one task. Hints that come while it is busy count once.
+#[derive(Debug)]
+pub struct Hint {
+    sender: async_channel::Sender<()>,
+    receiver: async_channel::Receiver<()>,
+}
+
+impl Default for Hint {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self { sender, receiver }
+    }
+}
+
+impl Hint {
+    /// Wakes the task, now or when it waits next.
+    pub fn tell(&self) {
+        // A full channel holds a hint that was not taken yet.
+        let _ = self.sender.try_send(());
+    }
+
+    /// Waits for a hint; true once it came.
+    pub async fn is_told(&self) -> bool {
+        self.receiver.recv().await.is_ok()
+    }
+}
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -74,6 +101,8 @@
     pub log_lines: Option<LogLines>,
     /// Which refusals are logged.
     pub refusals: RefCell<EventRate>,
+    /// Tells that a peer knows a newer configuration.
+    pub newer_config: Hint,
     /// Requests without a complete answer.
     pub open_requests: Cell<usize>,
     /// Memory of the bodies of open requests.
@@ -203,6 +232,7 @@
         dialect,
         log_lines,
         refusals: RefCell::new(EventRate::new(settings.logged_refusals_per_s)),
+        newer_config: Hint::default(),
         open_requests: Cell::new(0),
         body_bytes: Cell::new(0),
         phase: Cell::new(Phase::Running),
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -114,6 +114,10 @@
         match message {
             GatewayMessage::Report(report) if report.news.sender != self.key => {
                 count(gateway, "received");
+                let newest = report.proof.map_or(0, |proof| proof.revision);
+                if newest > control.freshness.revision() {
+                    gateway.newer_config.tell();
+                }
                 self.report_received(&mut control, from, report, now);
             }
             GatewayMessage::News(news) => {
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -79,6 +79,11 @@
     /// The greatest age of the proof that the configuration is the newest one; then it is
     /// read again.
     pub config_interval_ms: u64,
+    /// The same in a large fleet, for each gateway: the proofs of peers are older there.
+    pub config_interval_ms_per_gateway: u64,
+    /// The greatest such age: a new configuration must be in force in time, also where no peer
+    /// tells of it.
+    pub max_config_interval_ms: u64,
     /// The least time between two watches of the directory. Changes that come in between
     /// arrive together.
     pub watch_interval_ms: u64,
@@ -96,6 +101,8 @@
     fn default() -> Self {
         Self {
             config_interval_ms: 1_400,
+            config_interval_ms_per_gateway: 30,
+            max_config_interval_ms: 1_400,
             watch_interval_ms: 700,
             watch_ms: 3_000,
             timeout_ms: 700,
@@ -105,6 +112,28 @@
     }
 }
 
+impl StoreOptions {
+    /// The greatest age of a proof in a fleet of so many gateways.
+    ///
+    /// ```
+    /// use curranttrestle_gateway::settings::StoreOptions;
+    /// let options = StoreOptions {
+    ///     max_config_interval_ms: 2_400,
+    ///     ..StoreOptions::default()
+    /// };
+    /// assert_eq!(options.config_interval_in(9), 1_400);
+    /// assert_eq!(options.config_interval_in(69), 2_070);
+    /// assert_eq!(options.config_interval_in(350), 2_400);
+    /// ```
+    #[must_use]
+    pub fn config_interval_in(&self, gateways: usize) -> u64 {
+        let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
+        let spread_ms = gateways.saturating_mul(self.config_interval_ms_per_gateway);
+        let interval_ms = spread_ms.max(self.config_interval_ms);
+        interval_ms.min(self.max_config_interval_ms)
+    }
+}
+
 /// Connections and waiting.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TrafficOptions {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -4,6 +4,7 @@
 
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::state::Now;
+use futures_lite::FutureExt;
 use rand::Rng;
 
 use crate::clock;
@@ -94,14 +95,23 @@
 
 /// Waits until the last proof that the configuration is the newest one is old. Peers pass
 /// theirs on, so that few of all gateways have to read; each waits for another time, and the
-/// first one to read spares the others.
+/// first one to read spares the others. Waits no longer once a peer knows a newer one.
 async fn proof_grows_old(gateway: &Gateway) {
-    let longest_ms = gateway.settings.store.config_interval_ms;
+    let gateways = gateway.control.borrow().fleet_size();
+    let longest_ms = gateway.settings.store.config_interval_in(gateways);
     let limit_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
     loop {
         let age_ms = gateway.control.borrow().freshness.age_ms(clock::now());
         match age_ms {
-            Some(age_ms) if age_ms < limit_ms => sleep_ms(limit_ms - age_ms).await,
+            Some(age_ms) if age_ms < limit_ms => {
+                let grown = async {
+                    sleep_ms(limit_ms - age_ms).await;
+                    false
+                };
+                if grown.or(gateway.newer_config.is_told()).await {
+                    return;
+                }
+            }
             _ => return,
         }
     }
