Use relays until reports to all peers are clearly fast enough again

Cause: on reading the change again, a fleet whose reports to all come about every 150 ms would begin and end with relays several times a second, with a line each time, as the size of the reports follows the load.

Change: relays are used from 150 ms on and until 110 ms.

Ruled out: a time that relays are used for at least; it would be a second clock.

--- a/crates/curranttrestle/src/coordination/gateway/relaying.rs
+++ b/crates/curranttrestle/src/coordination/gateway/relaying.rs
@@ -30,8 +30,11 @@
 pub struct RelayOptions {
     /// The time between two rounds of news.
     pub interval_ms: u64,
-    /// Where reports to all peers come at least this often, no relay is used.
-    pub direct_interval_ms: u64,
+    /// Where reports to all peers come more rarely than this, relays are used.
+    pub begin_interval_ms: u64,
+    /// Where they come at least this often, relays are not used any more. It is the shorter
+    /// one, since the pace changes with the load.
+    pub end_interval_ms: u64,
     /// A relay that passed nothing on for this long is passed over.
     pub silent_ms: u64,
     /// For this long.
@@ -44,7 +47,8 @@
     fn default() -> Self {
         Self {
             interval_ms: 50,
-            direct_interval_ms: 150,
+            begin_interval_ms: 150,
+            end_interval_ms: 110,
             silent_ms: 400,
             avoid_ms: 3_000,
             member_ms: 1_000,
@@ -108,6 +112,7 @@
     options: RelayOptions,
     me: SocketAddr,
     data_centre: DataCentreKey,
+    is_used: bool,
     relay: Option<Relay>,
     /// Relays that are passed over, with the end of it.
     avoided: IndexMap<SocketAddr, u64>,
@@ -135,6 +140,7 @@
             options,
             me,
             data_centre: data_centre_key(data_centre),
+            is_used: false,
             relay: None,
             avoided: IndexMap::new(),
             members: IndexMap::new(),
@@ -205,7 +211,12 @@
         direct_ms: u64,
         now: Now,
     ) -> (Option<NewsRound>, Option<RelayChange>) {
-        if direct_ms <= self.options.direct_interval_ms {
+        self.is_used = if self.is_used {
+            direct_ms > self.options.end_interval_ms
+        } else {
+            direct_ms > self.options.begin_interval_ms
+        };
+        if !self.is_used {
             self.waiting.clear();
             let change = self.relay.take().map(|_| RelayChange {
                 relay: None,
--- a/crates/curranttrestle/tests/gateway/relaying.rs
+++ b/crates/curranttrestle/tests/gateway/relaying.rs
@@ -226,7 +226,11 @@
         .collect();
     let mut gateway = Relaying::new(address(0), "a", RelayOptions::default());
     assert_eq!(gateway.round(&peers, 100, at(0)), (None, None));
-    assert!(gateway.round(&peers, DIRECT_MS, at(50)).0.is_some());
+    assert_eq!(gateway.round(&peers, 140, at(50)), (None, None));
+    assert!(gateway.round(&peers, DIRECT_MS, at(100)).0.is_some());
+    // The pace of the reports changes with the load; that does not end it at once.
+    assert!(gateway.round(&peers, 140, at(150)).0.is_some());
+    assert_eq!(gateway.round(&peers, 100, at(200)).0, None);
 }
 
 #[test]
