Tell the runs of a gateway apart in its news, and pass on nothing old

Cause, found on reading the change again: news were taken as those of a new process only where their time went back by ten seconds. A machine that lost power seconds after its start would have been ignored until its clock had caught up. A relay that stood still passed on news from before, and the count of refusals without a line was told only once a flood had ended.

Change: news carry a number drawn at the start of the process; relays drop what they hold for a second; the count is told once a second.

Ruled out: a key of the sender drawn at each start; the shares of the run before would count twice for two seconds.

Each has a test; those of the clock and of the relay fail on the code before.

--- a/crates/curranttrestle-gateway/src/log/rate.rs
+++ b/crates/curranttrestle-gateway/src/log/rate.rs
@@ -8,12 +8,15 @@
 /// use curranttrestle::state::Now;
 /// use curranttrestle_gateway::log::EventRate;
 /// let mut rate = EventRate::new(2);
-/// let now = Now::default();
+/// let now = Now::default().plus_ms(5_000);
 /// assert!(rate.is_told(now) && rate.is_told(now) && !rate.is_told(now));
-/// assert_eq!(rate.take_left_out(now), None);
+/// assert_eq!(rate.take_left_out(now), Some(1));
+/// // The flood goes on.
 /// let later = now.plus_ms(1_000);
+/// assert!(rate.is_told(later) && rate.is_told(later) && !rate.is_told(later));
+/// assert_eq!(rate.take_left_out(now.plus_ms(999)), None);
 /// assert_eq!(rate.take_left_out(later), Some(1));
-/// assert!(rate.is_told(later));
+/// assert_eq!(rate.left_out(), 2);
 /// ```
 #[derive(Clone, Debug)]
 pub struct EventRate {
@@ -21,8 +24,9 @@
     /// The start of the present second.
     second_ms: u64,
     told: u64,
-    /// Since it was last taken.
+    /// Events that were left out since that was last asked for, and when it was.
     new: u64,
+    taken_ms: u64,
     left_out: u64,
 }
 
@@ -38,6 +42,7 @@
             second_ms: 0,
             told: 0,
             new: 0,
+            taken_ms: 0,
             left_out: 0,
         }
     }
@@ -57,12 +62,13 @@
         false
     }
 
-    /// How many events of the last second were not told; none before it is over, or where
-    /// all were.
+    /// How many events were not told since it was last asked for; at most once a second, and
+    /// none where all were told.
     pub fn take_left_out(&mut self, now: Now) -> Option<u64> {
-        if self.new == 0 || now.since_ms(self.second_ms) < SECOND_MS {
+        if self.new == 0 || now.since_ms(self.taken_ms) < SECOND_MS {
             return None;
         }
+        self.taken_ms = now.steady_ms;
         Some(std::mem::take(&mut self.new))
     }
 
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -16,6 +16,7 @@
     GatewayMessage, GatewayReport, LoadNews, ProofEcho, RelayedNews,
 };
 use curranttrestle::state::Now;
+use rand::Rng;
 use smol::Async;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -35,6 +36,7 @@
 pub struct Peers {
     socket: Async<UdpSocket>,
     key: PeerKey,
+    run: u32,
     data_centre: DataCentreKey,
     news_interval_ms: u64,
     peering: RefCell<Peering>,
@@ -52,6 +54,7 @@
         let relaying = Relaying::new(settings.peers, data_centre, settings.relays);
         Self {
             key: xxh3_64(instance.as_bytes()),
+            run: rand::rng().random(),
             data_centre: data_centre_key(data_centre),
             news_interval_ms: settings.relays.interval_ms,
             peering: RefCell::new(peering),
@@ -165,11 +168,7 @@
             control.freshness.confirmed(proof.revision, proved_ms);
         }
         let news = &report.news;
-        if self
-            .relaying
-            .borrow_mut()
-            .is_newer(news.sender, news.sent_ms)
-        {
+        if self.relaying.borrow_mut().is_newer(news) {
             learn(control, news, 0, now);
         }
         if let Some(shares) = report.shares {
@@ -190,6 +189,7 @@
         GatewayReport {
             news: LoadNews {
                 sender: self.key,
+                run: self.run,
                 sent_ms: now.steady_ms,
                 loads: control.load.report(),
                 prompts: control.cache.report(peering.interval_ms(), now),
@@ -208,6 +208,7 @@
             let control = gateway.control.borrow();
             LoadNews {
                 sender: self.key,
+                run: self.run,
                 sent_ms: now.steady_ms,
                 loads: control.load.report(),
                 prompts: control.cache.latest(self.news_interval_ms, now),
--- a/crates/curranttrestle/src/coordination/gateway/relaying.rs
+++ b/crates/curranttrestle/src/coordination/gateway/relaying.rs
@@ -121,17 +121,14 @@
     /// Who sent news of others, and when last.
     relays: IndexMap<SocketAddr, u64>,
     waiting: IndexMap<PeerKey, Waiting>,
-    /// The sender's time of the newest report or news of each gateway.
-    newest: IndexMap<PeerKey, u64>,
+    /// The run and its time of the newest report or news of each gateway.
+    newest: IndexMap<PeerKey, (u32, u64)>,
     round_ms: Option<u64>,
 }
 
 /// The most gateways whose newest news are told apart.
 const MAX_SENDERS: usize = 4_096;
 
-/// A sender whose time went back by more than this started anew.
-const RESTART_MS: u64 = 10_000;
-
 impl Relaying {
     /// A gateway at `me` that has heard nobody yet.
     #[must_use]
@@ -151,13 +148,14 @@
         }
     }
 
-    /// Whether a report or news of `sender` is newer than all before, and notes it.
-    pub fn is_newer(&mut self, sender: PeerKey, sent_ms: u64) -> bool {
-        let newest = self.newest.get(&sender).copied();
-        if newest.is_some_and(|newest| sent_ms <= newest && newest - sent_ms < RESTART_MS) {
+    /// Whether news are newer than all of their sender before, and notes it. A process that
+    /// started anew counts its time anew.
+    pub fn is_newer(&mut self, news: &LoadNews) -> bool {
+        let newest = self.newest.get(&news.sender);
+        if newest.is_some_and(|(run, sent_ms)| *run == news.run && news.sent_ms <= *sent_ms) {
             return false;
         }
-        self.newest.insert(sender, sent_ms);
+        self.newest.insert(news.sender, (news.run, news.sent_ms));
         if self.newest.len() > MAX_SENDERS {
             self.newest.shift_remove_index(0);
         }
@@ -190,7 +188,7 @@
     }
 
     fn take(&mut self, news: &LoadNews, held_ms: u64, is_of_member: bool, now: Now) -> bool {
-        if !self.is_newer(news.sender, news.sent_ms) {
+        if !self.is_newer(news) {
             return false;
         }
         let waiting = Waiting {
@@ -278,6 +276,10 @@
                 news: waiting.news,
                 held_ms: waiting.held_ms + now.since_ms(waiting.heard_ms),
             };
+            // This gateway stood still meanwhile.
+            if relayed.held_ms >= self.options.member_ms {
+                continue;
+            }
             if waiting.is_of_member {
                 round.of_members.push(relayed);
             } else {
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -26,7 +26,9 @@
 pub struct LoadNews {
     /// The gateway that knows it.
     pub sender: PeerKey,
-    /// Its clock at the sending; it means something to that gateway only, and orders its news.
+    /// A number that its process drew at its start.
+    pub run: u32,
+    /// Its clock at the sending; it means something to that process only, and orders its news.
     pub sent_ms: u64,
     /// Its requests at the endpoints.
     pub loads: Vec<LoadLine>,
--- a/crates/curranttrestle/tests/gateway/relaying.rs
+++ b/crates/curranttrestle/tests/gateway/relaying.rs
@@ -238,6 +238,7 @@
     let mut gateway = Relaying::new(address(0), "a", RelayOptions::default());
     let news = |sent_ms| LoadNews {
         sender: 7,
+        run: 1,
         sent_ms,
         ..LoadNews::default()
     };
@@ -245,6 +246,31 @@
     assert!(!gateway.news_received(address(7), &news(20_000), at(1)));
     assert!(!gateway.news_received(address(7), &news(19_900), at(2)));
     assert!(gateway.news_received(address(7), &news(20_050), at(3)));
-    // Its clock began anew.
-    assert!(gateway.news_received(address(7), &news(40), at(4)));
+    // Its machine lost power, and its clock began anew.
+    let anew = LoadNews {
+        run: 2,
+        ..news(19_000)
+    };
+    assert!(gateway.news_received(address(7), &anew, at(4)));
+    assert!(!gateway.news_received(address(7), &anew, at(5)));
+}
+
+#[test]
+fn a_relay_that_stood_still_passes_on_nothing_old() {
+    let mut relay = Relaying::new(address(0), "a", RelayOptions::default());
+    let news = |sender| LoadNews {
+        sender,
+        sent_ms: 1,
+        ..LoadNews::default()
+    };
+    relay.news_received(address(7), &news(7), at(0));
+    // It is frozen for five seconds, and a member is heard first of all.
+    relay.news_received(address(8), &news(8), at(5_000));
+    let round = relay.round(&[], DIRECT_MS, at(5_000)).0.unwrap();
+    let senders: Vec<u64> = round
+        .of_members
+        .iter()
+        .map(|news| news.news.sender)
+        .collect();
+    assert_eq!(senders, [8]);
 }
