--- a/crates/curranttrestle-cli/src/commands/timeline/mod.rs
+++ b/crates/curranttrestle-cli/src/commands/timeline/mod.rs
@@ -23,7 +23,8 @@
 
 /// Shows what happened, over all routers or gateways in order.
 ///
-/// With `--log` the log lines of gateways are read from files. Otherwise routers are asked: the events of all routers are merged by a clock that orders causes before effects. Each
+/// With `--log` the log lines of gateways are read from files. Otherwise routers are asked:
+/// the events of all routers are merged by a clock that orders causes before effects. Each
 /// router holds a bounded number of its newest events. With `--follow`, events of a router
 /// whose clock is more than five seconds behind the others may be missed.
 #[derive(Debug, Args)]
@@ -33,7 +34,7 @@
   curranttrestle timeline --fleet fleet.toml --customer atelier --last-s 60
   curranttrestle timeline --fleet fleet.toml --kind refused --kind retried --json
   curranttrestle timeline --fleet fleet.toml --customer atelier --last-s 10 --follow
-  curranttrestle timeline --log rennes-1.log --log brest-1.log --request 6e26a900fff5af6d --context-s 5
+  curranttrestle timeline --log rennes-1.log --log brest-1.log --request 6e26a900fff5af6d
 
 Exit code 1 when a router did not answer, so that events may be missing; 3 when none did.")]
 pub struct Arguments {
