Copy and keep news no more than is sent

Cause, found on reading the change again: each report was copied whole for each of 68 peers to set one field; a relay copied all news once more for each message; a gateway without members kept a copy of every news that came, 1,380 a second in a fleet of 69, only to drop it. A gateway's own news were put together in two places, the loop that parts news into messages as well.

Change: the proof is set in the one message; news are moved into messages; own_news and pass_on stand once; news are kept only where there are members.

--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -9,6 +9,7 @@
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::endpoint_load::PeerKey;
 use curranttrestle::coordination::gateway::peering::{PeerChange, Peering};
+use curranttrestle::coordination::gateway::prompt_cache::PromptUses;
 use curranttrestle::coordination::gateway::relaying::{
     DataCentreKey, NewsRound, RelayChange, Relaying, data_centre_key,
 };
@@ -70,13 +71,13 @@
         changes.into_iter().for_each(log_change);
         if let Some(round) = peering.round(now) {
             let report = self.report(gateway, &mut peering, round.is_full, now);
+            let mut message = GatewayMessage::Report(report);
             let mut round_bytes = 0;
-            for (address, proof) in round.targets {
-                let report = GatewayReport {
-                    proof,
-                    ..report.clone()
-                };
-                round_bytes += self.send(gateway, &[address], &GatewayMessage::Report(report));
+            for (address, echo) in round.targets {
+                if let GatewayMessage::Report(report) = &mut message {
+                    report.proof = echo;
+                }
+                round_bytes += self.send(gateway, &[address], &message);
             }
             peering.sent(round_bytes);
         }
@@ -186,14 +187,9 @@
         now: Now,
     ) -> GatewayReport {
         let mut control = gateway.control.borrow_mut();
+        let prompts = control.cache.report(peering.interval_ms(), now);
         GatewayReport {
-            news: LoadNews {
-                sender: self.key,
-                run: self.run,
-                sent_ms: now.steady_ms,
-                loads: control.load.report(),
-                prompts: control.cache.report(peering.interval_ms(), now),
-            },
+            news: self.own_news(&control, prompts, now),
             data_centre: self.data_centre,
             proof: None,
             peers: if is_full { peering.named() } else { Vec::new() },
@@ -202,17 +198,22 @@
         }
     }
 
+    fn own_news(&self, control: &Control, prompts: PromptUses, now: Now) -> LoadNews {
+        LoadNews {
+            sender: self.key,
+            run: self.run,
+            sent_ms: now.steady_ms,
+            loads: control.load.report(),
+            prompts,
+        }
+    }
+
     /// Sends a round of news.
     fn send_news(&self, gateway: &Gateway, round: NewsRound, now: Now) {
         let own = {
             let control = gateway.control.borrow();
-            LoadNews {
-                sender: self.key,
-                run: self.run,
-                sent_ms: now.steady_ms,
-                loads: control.load.report(),
-                prompts: control.cache.latest(self.news_interval_ms, now),
-            }
+            let prompts = control.cache.latest(self.news_interval_ms, now);
+            self.own_news(&control, prompts, now)
         };
         if let Some(relay) = round.relay {
             self.send(gateway, &[relay], &GatewayMessage::News(own));
@@ -224,13 +225,16 @@
             held_ms: 0,
         });
         let everybody = [&round.members[..], &round.relays[..]].concat();
-        for news in near.chunks(MAX_PASSED_ON) {
-            let message = GatewayMessage::PassedOn(news.to_vec());
-            self.send(gateway, &everybody, &message);
-        }
-        for news in round.of_relays.chunks(MAX_PASSED_ON) {
-            let message = GatewayMessage::PassedOn(news.to_vec());
-            self.send(gateway, &round.members, &message);
+        self.pass_on(gateway, &everybody, near);
+        self.pass_on(gateway, &round.members, round.of_relays);
+    }
+
+    /// Sends news in as many messages as they need.
+    fn pass_on(&self, gateway: &Gateway, targets: &[SocketAddr], news: Vec<RelayedNews>) {
+        let mut news = news.into_iter();
+        while news.len() > 0 {
+            let part = news.by_ref().take(MAX_PASSED_ON).collect();
+            self.send(gateway, targets, &GatewayMessage::PassedOn(part));
         }
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/relaying.rs
+++ b/crates/curranttrestle/src/coordination/gateway/relaying.rs
@@ -191,13 +191,16 @@
         if !self.is_newer(news) {
             return false;
         }
-        let waiting = Waiting {
-            news: news.clone(),
-            heard_ms: now.steady_ms,
-            held_ms,
-            is_of_member,
-        };
-        self.waiting.insert(news.sender, waiting);
+        // Without members nobody gets the news of other relays.
+        if !self.members.is_empty() {
+            let waiting = Waiting {
+                news: news.clone(),
+                heard_ms: now.steady_ms,
+                held_ms,
+                is_of_member,
+            };
+            self.waiting.insert(news.sender, waiting);
+        }
         true
     }
 
