Log the inputs of share decisions and the strain of a gateway

Now request-refused has the wait and slowness in the prediction, the ratio to the fair share, the number of share reports in use and the age of the oldest. gateway-strained, at most one line a second, has the delay of the event loop, the interval and size of report rounds, and the peers without a share report. request-ended has the slowness. Gauges: share_reports, oldest_share_report_ms, loop_delay_ms. No decision changes.

--- a/crates/curranttrestle-gateway/src/front/record.rs
+++ b/crates/curranttrestle-gateway/src/front/record.rs
@@ -39,6 +39,7 @@
     endpoint: EndpointId,
     wait_ms: f64,
     predicted_ms: f64,
+    slowness: f64,
 }
 
 impl RequestRecord {
@@ -86,6 +87,7 @@
             endpoint: choice.entry.endpoint.clone(),
             wait_ms: choice.wait_ms,
             predicted_ms: choice.predicted_ms,
+            slowness: choice.slowness,
         });
     }
 
@@ -147,8 +149,8 @@
             .as_ref()
             .map_or_else(String::new, |placed| {
                 format!(
-                    " endpoint={} wait_ms={:.0} predicted_ms={:.0}",
-                    placed.endpoint, placed.wait_ms, placed.predicted_ms
+                    " endpoint={} wait_ms={:.0} predicted_ms={:.0} slowness={:.2}",
+                    placed.endpoint, placed.wait_ms, placed.predicted_ms, placed.slowness
                 )
             });
         let first_event = self.first_event_ms.map_or_else(String::new, |ms| {
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use curranttrestle::coordination::gateway::control::Placement;
+use curranttrestle::coordination::gateway::control::{Placement, RefusalInputs};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{RequestHints, Route};
@@ -203,10 +203,10 @@
             Placement::Refuse {
                 reason,
                 retry_after_ms,
-                predicted_ms,
+                inputs,
             } => {
                 if record.should_log_refusal(now) {
-                    log_refusal(&exchange, reason, predicted_ms, retry_after_ms);
+                    log_refusal(&exchange, reason, inputs, retry_after_ms);
                 }
                 let local = failure_response(&exchange, last, reason, retry_after_ms);
                 return finish_locally(local, &mut record);
@@ -265,14 +265,24 @@
     }
 }
 
-fn log_refusal(exchange: &Exchange, reason: &str, predicted_ms: f64, retry_after_ms: f64) {
+fn log_refusal(exchange: &Exchange, reason: &str, inputs: RefusalInputs, retry_after_ms: f64) {
     let control = exchange.gateway.control.borrow();
     let customer = exchange.customer.as_deref().unwrap_or_default();
-    let (requested, admitted) = control.shares.window_totals(customer, clock::now());
+    let now = clock::now();
+    let (requested, admitted) = control.shares.window_totals(customer, now);
+    let coverage = control.shares.coverage(now);
+    let RefusalInputs {
+        predicted_ms,
+        wait_ms,
+        slowness,
+        share_ratio,
+    } = inputs;
     log::info!(
-        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={requested:.0} admitted_tokens={admitted:.0} gateways={}",
+        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} wait_ms={wait_ms:.0} slowness={slowness:.2} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={requested:.0} admitted_tokens={admitted:.0} share_ratio={share_ratio:.2} share_reports={} oldest_share_ms={} gateways={}",
         exchange.hints.attempt_id,
         exchange.route.target_latency_ms,
+        coverage.reports,
+        coverage.oldest_age_ms,
         control.fleet_size()
     );
 }
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -101,6 +101,10 @@
         "config_proof_age_ms",
         control.config_freshness.age_ms(now).unwrap_or(u64::MAX),
     );
+    let coverage = control.shares.coverage(now);
+    set("share_reports", count(coverage.reports));
+    set("oldest_share_report_ms", coverage.oldest_age_ms);
+    set("loop_delay_ms", gateway.strain.borrow().delay_ms());
     let dropped = gateway
         .log_lines
         .as_ref()
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::peers::Peers;
 use crate::settings::GatewaySettings;
 use crate::store;
+use crate::strain::StrainMonitor;
 use crate::timer::sleep_ms;
 use crate::upstream::Pool;
 
@@ -112,6 +113,8 @@
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
     pub successes: Cell<u64>,
+    /// Detects a lack of processor time or of information from peers.
+    pub strain: RefCell<StrainMonitor>,
     /// Whether requests with a key were allowed at the last check.
     was_fresh: Cell<bool>,
     executor: Rc<LocalExecutor<'static>>,
@@ -169,6 +172,18 @@
         }
     }
 
+    /// Logs when this gateway lacks processor time or information from its peers. The last timer
+    /// fired after `elapsed_ms`.
+    fn log_strain(&self, peers: &Peers, elapsed_ms: u64, now: Now) {
+        let mut strain = self.strain.borrow_mut();
+        strain.record_tick(elapsed_ms, TICK_INTERVAL_MS);
+        let shares = self.control.borrow().shares.coverage(now);
+        let open_requests = self.open_requests.get();
+        if let Some(line) = strain.log_line(peers.report_state(), shares, open_requests, now) {
+            log::warn!("{line}");
+        }
+    }
+
     /// Logs when the freshness proof of the configuration becomes too old for requests with a key,
     /// and when it is renewed.
     fn log_freshness_change(&self, now: Now) {
@@ -238,6 +253,7 @@
         body_bytes: Cell::new(0),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
+        strain: RefCell::default(),
         was_fresh: Cell::new(false),
         executor: Rc::clone(&executor),
         settings,
@@ -313,10 +329,13 @@
     }
     let clients = front::ClientConnections::new(Rc::clone(&gateway));
     let accepting = executor.spawn(clients.clone().accept(listeners.clients));
+    let mut last_tick_ms = clock::now().steady_ms;
     while !flags.stop.load(Ordering::Relaxed) {
         sleep_ms(TICK_INTERVAL_MS).await;
         let now = clock::now();
         gateway.tick(now);
+        gateway.log_strain(&peers, now.since_ms(last_tick_ms), now);
+        last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
         if flags.reload.swap(false, Ordering::Relaxed) {
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod settings;
 pub mod store;
+pub mod strain;
 pub mod timer;
 pub mod upstream;
 
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -33,6 +33,17 @@
 /// flight takes 4 kB.
 const MAX_UPDATES_PER_MESSAGE: usize = 15;
 
+/// The rate and size of the reports to all peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportState {
+    /// Number of peers from which messages are received.
+    pub live_peers: usize,
+    /// Interval between two reports to the same peer.
+    pub interval_ms: u64,
+    /// Size of the last round of reports.
+    pub round_bytes: u64,
+}
+
 /// Exchanges reports and load updates with the other gateways.
 #[derive(Debug)]
 pub struct Peers {
@@ -92,6 +103,17 @@
         }
     }
 
+    /// The rate and size of the reports to all peers.
+    #[must_use]
+    pub fn report_state(&self) -> ReportState {
+        let peering = self.peering.borrow();
+        ReportState {
+            live_peers: peering.live_count() - 1,
+            interval_ms: peering.interval_ms(),
+            round_bytes: peering.round_bytes(),
+        }
+    }
+
     /// Receives reports and load updates; never returns.
     pub async fn receive(self: Rc<Self>, gateway: Rc<Gateway>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/strain.rs
@@ -0,0 +1,85 @@
+//! Detects that this gateway lacks processor time or information from its peers.
+
+use curranttrestle::coordination::gateway::shares::ShareCoverage;
+use curranttrestle::state::Now;
+
+use crate::peers::ReportState;
+
+/// Minimum interval between two log lines.
+const LOG_INTERVAL_MS: u64 = 1_000;
+
+/// A timer that fires this late indicates a lack of processor time.
+const LOGGED_DELAY_MS: u64 = 100;
+
+/// Tracks how late the timers of the event loop fire.
+///
+/// ```
+/// use curranttrestle::coordination::gateway::shares::ShareCoverage;
+/// use curranttrestle::state::Now;
+/// use curranttrestle_gateway::peers::ReportState;
+/// use curranttrestle_gateway::strain::StrainMonitor;
+/// let mut monitor = StrainMonitor::default();
+/// let reports = ReportState { live_peers: 0, interval_ms: 100, round_bytes: 0 };
+/// let now = Now::default().plus_ms(5_000);
+/// monitor.record_tick(70, 50);
+/// assert_eq!(monitor.log_line(reports, ShareCoverage::default(), 0, now), None);
+/// monitor.record_tick(400, 50);
+/// assert!(monitor.log_line(reports, ShareCoverage::default(), 0, now).is_some());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
+pub struct StrainMonitor {
+    last_delay_ms: u64,
+    /// Maximum delay since the last log line.
+    max_delay_ms: u64,
+    logged_ms: u64,
+}
+
+impl StrainMonitor {
+    /// Records that a timer of `interval_ms` fired after `elapsed_ms`.
+    pub fn record_tick(&mut self, elapsed_ms: u64, interval_ms: u64) {
+        self.last_delay_ms = elapsed_ms.saturating_sub(interval_ms);
+        self.max_delay_ms = self.max_delay_ms.max(self.last_delay_ms);
+    }
+
+    /// How late the last timer fired.
+    #[must_use]
+    pub fn delay_ms(&self) -> u64 {
+        self.last_delay_ms
+    }
+
+    /// Returns a log line if timers fired late, reports are sent rarely or share reports of peers
+    /// are missing, at most once per second.
+    #[must_use]
+    pub fn log_line(
+        &mut self,
+        reports: ReportState,
+        shares: ShareCoverage,
+        open_requests: usize,
+        now: Now,
+    ) -> Option<String> {
+        if now.since_ms(self.logged_ms) < LOG_INTERVAL_MS {
+            return None;
+        }
+        let delay_ms = self.max_delay_ms;
+        let is_strained = delay_ms >= LOGGED_DELAY_MS
+            || reports.interval_ms >= LOG_INTERVAL_MS
+            || shares.reports < reports.live_peers;
+        if !is_strained {
+            return None;
+        }
+        self.logged_ms = now.steady_ms;
+        self.max_delay_ms = 0;
+        Some(format!(
+            "kind=gateway-strained loop_delay_ms={delay_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests}",
+            reports.interval_ms,
+            reports.round_bytes,
+            reports.live_peers,
+            shares.reports,
+            shares.oldest_age_ms,
+        ))
+    }
+}
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -122,11 +122,24 @@
         reason: &'static str,
         /// The retry-after time for the client.
         retry_after_ms: f64,
-        /// The predicted time that led to the refusal.
-        predicted_ms: f64,
+        /// The estimates that led to the refusal.
+        inputs: RefusalInputs,
     },
 }
 
+/// The estimates that led to a refusal, for the log. All are zero if no endpoint is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RefusalInputs {
+    /// Predicted time to the first event.
+    pub predicted_ms: f64,
+    /// The part of it that is spent waiting for other requests.
+    pub wait_ms: f64,
+    /// The slowness of the endpoint.
+    pub slowness: f64,
+    /// Admitted tokens of the customer over its fair share; zero if it is within its share.
+    pub share_ratio: f64,
+}
+
 /// The state of a gateway.
 #[derive(Clone, Debug)]
 pub struct Control {
@@ -293,7 +306,7 @@
             return Placement::Refuse {
                 reason: "no-endpoint",
                 retry_after_ms: self.options.no_endpoint_retry_ms,
-                predicted_ms: 0.0,
+                inputs: RefusalInputs::default(),
             };
         };
         // The response to the client has already begun, so it can no longer be refused.
@@ -311,7 +324,15 @@
             } => Placement::Refuse {
                 reason: RefusalReason::as_str(reason),
                 retry_after_ms,
-                predicted_ms: choice.predicted_ms,
+                inputs: RefusalInputs {
+                    predicted_ms: choice.predicted_ms,
+                    wait_ms: choice.wait_ms,
+                    slowness: choice.slowness,
+                    share_ratio: match share_status {
+                        ShareStatus::Within => 0.0,
+                        ShareStatus::Over { ratio } => ratio,
+                    },
+                },
             },
         }
     }
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -84,6 +84,7 @@
     own_address: SocketAddr,
     peers: IndexMap<SocketAddr, Peer>,
     interval_ms: u64,
+    round_bytes: u64,
     last_round_ms: Option<u64>,
     last_full_ms: Option<u64>,
     next_announced: usize,
@@ -100,6 +101,7 @@
     ) -> Self {
         let mut peering = Self {
             interval_ms: options.min_interval_ms,
+            round_bytes: 0,
             options,
             own_address,
             peers: IndexMap::new(),
@@ -119,6 +121,12 @@
         self.interval_ms
     }
 
+    /// Size of the last round of reports.
+    #[must_use]
+    pub fn round_bytes(&self) -> u64 {
+        self.round_bytes
+    }
+
     /// The number of live gateways, this one included.
     #[must_use]
     pub fn live_count(&self) -> usize {
@@ -172,6 +180,7 @@
 
     /// Adapts the interval to the size of the last round, to stay within the bytes per second.
     pub fn adapt_interval(&mut self, round_bytes: u64) {
+        self.round_bytes = round_bytes;
         let interval_ms = round_bytes.saturating_mul(1_000) / self.options.bytes_per_s.max(1);
         self.interval_ms = interval_ms.max(self.options.min_interval_ms);
     }
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -50,6 +50,8 @@
     pub predicted_ms: f64,
     /// The part of the predicted time that is spent waiting for other requests.
     pub wait_ms: f64,
+    /// The slowness of the endpoint that the prediction includes.
+    pub slowness: f64,
     /// Prompt tokens that the endpoint has to prefill.
     pub prefill_tokens: u64,
     /// Whether the endpoint is at capacity.
@@ -110,6 +112,7 @@
             entry: (*entry).clone(),
             predicted_ms,
             wait_ms,
+            slowness: view.slowness,
             prefill_tokens,
             is_full,
         };
@@ -150,6 +153,7 @@
             entry: entry.clone(),
             predicted_ms: wait_ms + load_options.plain_base_ms * view.slowness,
             wait_ms,
+            slowness: view.slowness,
             prefill_tokens: 0,
             is_full: false,
         };
--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -88,6 +88,15 @@
     at_ms: u64,
 }
 
+/// The peer reports that share decisions are based on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShareCoverage {
+    /// Number of peers with a report that has not expired.
+    pub reports: usize,
+    /// Age of the oldest of these reports.
+    pub oldest_age_ms: u64,
+}
+
 /// Requested and admitted tokens of a customer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Total {
@@ -163,6 +172,17 @@
         self.peers.insert(peer, PeerReport { lines, at_ms });
     }
 
+    /// The peer reports that decisions are based on now.
+    #[must_use]
+    pub fn coverage(&self, now: Now) -> ShareCoverage {
+        let ages = self.peers.values().map(|report| now.since_ms(report.at_ms));
+        let current = ages.filter(|age_ms| *age_ms < self.options.report_max_age_ms);
+        current.fold(ShareCoverage::default(), |coverage, age_ms| ShareCoverage {
+            reports: coverage.reports + 1,
+            oldest_age_ms: coverage.oldest_age_ms.max(age_ms),
+        })
+    }
+
     /// This gateway's report for its peers.
     #[must_use]
     pub fn report(&self, now: Now) -> Vec<ShareLine> {
--- a/crates/curranttrestle/tests/gateway/admission.rs
+++ b/crates/curranttrestle/tests/gateway/admission.rs
@@ -19,6 +19,7 @@
         entry: entry("model", 0),
         predicted_ms: wait_ms + prefill_ms,
         wait_ms,
+        slowness: 1.0,
         prefill_tokens: 0,
         is_full: false,
     }
