--- a/crates/curranttrestle-gateway/src/front/record.rs
+++ b/crates/curranttrestle-gateway/src/front/record.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use curranttrestle::coordination::gateway::endpoint_load::EndpointLoad;
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::state::gateway::Route;
 use curranttrestle::state::{EndpointId, Now};
@@ -39,7 +40,20 @@
     endpoint: EndpointId,
     wait_ms: f64,
     predicted_ms: f64,
-    slowness: f64,
+    load: EndpointLoad,
+}
+
+/// Log fields of the load that a prediction is based on.
+#[must_use]
+pub fn load_fields(load: &EndpointLoad) -> String {
+    format!(
+        "slowness={:.2} waiting_tokens={:.0} reported_tokens={:.0} report_age_ms={:.0} in_flight={}",
+        load.slowness,
+        load.waiting_tokens,
+        load.reported_tokens,
+        load.report_age_ms,
+        load.in_flight
+    )
 }
 
 impl RequestRecord {
@@ -87,7 +101,7 @@
             endpoint: choice.entry.endpoint.clone(),
             wait_ms: choice.wait_ms,
             predicted_ms: choice.predicted_ms,
-            slowness: choice.slowness,
+            load: choice.load,
         });
     }
 
@@ -149,8 +163,11 @@
             .as_ref()
             .map_or_else(String::new, |placed| {
                 format!(
-                    " endpoint={} wait_ms={:.0} predicted_ms={:.0} slowness={:.2}",
-                    placed.endpoint, placed.wait_ms, placed.predicted_ms, placed.slowness
+                    " endpoint={} wait_ms={:.0} predicted_ms={:.0} {}",
+                    placed.endpoint,
+                    placed.wait_ms,
+                    placed.predicted_ms,
+                    load_fields(&placed.load)
                 )
             });
         let first_event = self.first_event_ms.map_or_else(String::new, |ms| {
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -4,7 +4,7 @@
 
 use super::admission::{AdmissionDecision, AdmissionOptions, RefusalReason, admit};
 use super::directory::{Directory, DirectoryChange, DirectoryOptions};
-use super::endpoint_load::{EndpointKey, LoadOptions, LoadTracker, SentRequest};
+use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
 use super::freshness::{Freshness, FreshnessOptions};
 use super::outlier_detection::{FailureKind, OutlierDetector, OutlierOptions};
 use super::placement::{Choice, PlacementContext, PlacementOptions, choose_engine, choose_plain};
@@ -134,8 +134,8 @@
     pub predicted_ms: f64,
     /// The part of it that is spent waiting for other requests.
     pub wait_ms: f64,
-    /// The slowness of the endpoint.
-    pub slowness: f64,
+    /// The load of the endpoint.
+    pub load: EndpointLoad,
     /// Admitted tokens of the customer over its fair share; zero if it is within its share.
     pub share_ratio: f64,
 }
@@ -327,7 +327,7 @@
                 inputs: RefusalInputs {
                     predicted_ms: choice.predicted_ms,
                     wait_ms: choice.wait_ms,
-                    slowness: choice.slowness,
+                    load: choice.load,
                     share_ratio: match share_status {
                         ShareStatus::Within => 0.0,
                         ShareStatus::Over { ratio } => ratio,
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -92,6 +92,10 @@
 pub struct EndpointLoad {
     /// Prompt tokens that wait for prefill.
     pub waiting_tokens: f64,
+    /// The part of them that peers reported, before tokens processed since then are subtracted.
+    pub reported_tokens: f64,
+    /// Mean age of the reports about these tokens.
+    pub report_age_ms: f64,
     /// Requests without a complete response.
     pub in_flight: u64,
     /// Memory of these requests, in tokens.
@@ -256,6 +260,8 @@
             // The endpoint has prefilled some of these tokens since the reports, one request
             // after the other.
             let mean_age_ms = token_ages / waiting_tokens;
+            view.reported_tokens = waiting_tokens;
+            view.report_age_ms = mean_age_ms;
             let processed_tokens = mean_age_ms * self.options.prefill_tokens_per_ms / view.slowness;
             view.waiting_tokens += (waiting_tokens - processed_tokens).max(0.0);
         }
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -50,8 +50,8 @@
     pub predicted_ms: f64,
     /// The part of the predicted time that is spent waiting for other requests.
     pub wait_ms: f64,
-    /// The slowness of the endpoint that the prediction includes.
-    pub slowness: f64,
+    /// The load of the endpoint that the prediction is based on.
+    pub load: EndpointLoad,
     /// Prompt tokens that the endpoint has to prefill.
     pub prefill_tokens: u64,
     /// Whether the endpoint is at capacity.
@@ -112,7 +112,7 @@
             entry: (*entry).clone(),
             predicted_ms,
             wait_ms,
-            slowness: view.slowness,
+            load: view,
             prefill_tokens,
             is_full,
         };
@@ -153,7 +153,7 @@
             entry: entry.clone(),
             predicted_ms: wait_ms + load_options.plain_base_ms * view.slowness,
             wait_ms,
-            slowness: view.slowness,
+            load: view,
             prefill_tokens: 0,
             is_full: false,
         };
--- a/crates/curranttrestle/tests/gateway/admission.rs
+++ b/crates/curranttrestle/tests/gateway/admission.rs
@@ -4,6 +4,7 @@
 use curranttrestle::coordination::gateway::admission::{
     AdmissionDecision, AdmissionOptions, RefusalReason, admit,
 };
+use curranttrestle::coordination::gateway::endpoint_load::EndpointLoad;
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::shares::ShareStatus;
 use rand::{Rng, SeedableRng};
@@ -19,7 +20,7 @@
         entry: entry("model", 0),
         predicted_ms: wait_ms + prefill_ms,
         wait_ms,
-        slowness: 1.0,
+        load: EndpointLoad::default(),
         prefill_tokens: 0,
         is_full: false,
     }
