Send what expires in summaries at a fixed interval

Cause: a report contains the prompt uses of the last three intervals, and the interval is the size of a round over 100 KB/s. With 68 peers and 17 bytes a use, more than 30 placed requests/s make both grow without limit. Shares expire after 2 s and peers count as lost after 3 s, so no other gateway knew of the customer. Now everything that expires at the receiver (shares, proofs, suspicions, that the sender is alive) is sent at least every 0.6 s, in a summary whose size depends only on the number of customers, and a report has at most 128 prompt uses. Older gateways drop the new message and get reports as before.

--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -7,11 +7,12 @@
 use curranttrestle::coordination::gateway::load_relay::{
     DataCentreKey, LoadRelay, RelayChange, RelayRound, data_centre_key,
 };
-use curranttrestle::coordination::gateway::peering::{PeerChange, Peering};
+use curranttrestle::coordination::gateway::peering::{PeerChange, Peering, RoundKind};
 use curranttrestle::coordination::gateway::prompt_cache::PromptUseBatch;
 use curranttrestle::protocol::gateway::{
-    GatewayMessage, GatewayReport, LoadUpdate, ProofEcho, RelayedUpdate,
+    GatewayMessage, GatewayReport, GatewaySummary, LoadUpdate, ProofEcho, RelayedUpdate,
 };
+use curranttrestle::protocol::peer::Suspicions;
 use curranttrestle::state::Now;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -44,7 +45,7 @@
 /// What a received datagram was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Received {
-    /// A peer's report.
+    /// A peer's report or summary.
     Report {
         /// Whether the peer has a newer configuration.
         has_newer_config: bool,
@@ -70,6 +71,16 @@
     pub round_bytes: u64,
 }
 
+/// The common part of a report and a summary.
+#[derive(Clone, Copy, Debug)]
+struct ReceivedSummary<'a> {
+    sent_ms: u64,
+    data_centre: DataCentreKey,
+    proof: Option<ProofEcho>,
+    peers: &'a [SocketAddr],
+    suspicions: &'a Suspicions,
+}
+
 /// Builds the messages for other gateways and applies theirs.
 #[derive(Clone, Debug)]
 pub struct PeerExchange {
@@ -114,19 +125,26 @@
             ..Outgoing::default()
         };
         if let Some(round) = self.peering.round(now) {
-            let report = self.report(control, round.is_full, now);
-            let mut message = GatewayMessage::Report(report);
+            let mut message = match round.kind {
+                RoundKind::Full => GatewayMessage::Report(self.report(control, true, now)),
+                RoundKind::Load => GatewayMessage::Report(self.report(control, false, now)),
+                RoundKind::Summary => GatewayMessage::Summary(self.summary(control, now)),
+            };
             let mut round_bytes = 0;
             for (address, echo) in round.targets {
-                if let GatewayMessage::Report(report) = &mut message {
-                    report.proof = echo;
+                match &mut message {
+                    GatewayMessage::Report(report) => report.proof = echo,
+                    GatewayMessage::Summary(summary) => summary.proof = echo,
+                    GatewayMessage::News(_) | GatewayMessage::PassedOn(_) => (),
                 }
                 if let Some(datagram) = encode(vec![address], &message) {
                     round_bytes += datagram.bytes.len() as u64;
                     outgoing.datagrams.push(datagram);
                 }
             }
-            self.peering.adapt_interval(round_bytes);
+            if round.kind != RoundKind::Summary {
+                self.peering.adapt_interval(round_bytes);
+            }
         }
         let live_peers = self.peering.live_peers();
         let interval_ms = self.peering.interval_ms();
@@ -154,14 +172,37 @@
             GatewayMessage::Report(report) if report.update.sender == self.key => {
                 Ok(Received::OwnReport)
             }
+            GatewayMessage::Summary(summary) if summary.sender == self.key => {
+                Ok(Received::OwnReport)
+            }
             GatewayMessage::Report(report) => {
-                let newest = report.proof.map_or(0, |proof| proof.revision);
-                let has_newer_config = newest > control.config_freshness.revision();
-                let peer_change = self.apply_report(control, from, report, now);
-                Ok(Received::Report {
-                    has_newer_config,
-                    peer_change,
-                })
+                let update = &report.update;
+                if self.load_relay.record_if_newer(update) {
+                    apply_update(control, update, 0, now);
+                }
+                if let Some(shares) = report.shares {
+                    control.shares.apply_report(update.sender, shares, now);
+                }
+                let summary = ReceivedSummary {
+                    sent_ms: update.sent_ms,
+                    data_centre: report.data_centre,
+                    proof: report.proof,
+                    peers: &report.peers,
+                    suspicions: &report.suspicions,
+                };
+                Ok(self.apply_summary(control, from, &summary, now))
+            }
+            GatewayMessage::Summary(summary) => {
+                let GatewaySummary { sender, shares, .. } = summary;
+                control.shares.apply_report(sender, shares, now);
+                let summary = ReceivedSummary {
+                    sent_ms: summary.sent_ms,
+                    data_centre: summary.data_centre,
+                    proof: summary.proof,
+                    peers: &[],
+                    suspicions: &summary.suspicions,
+                };
+                Ok(self.apply_summary(control, from, &summary, now))
             }
             GatewayMessage::News(update) => {
                 if self.load_relay.receive_update(from, &update, now) {
@@ -179,24 +220,26 @@
         }
     }
 
-    fn apply_report(
+    /// Applies everything in a report or summary but load and shares.
+    fn apply_summary(
         &mut self,
         control: &mut Control,
         from: SocketAddr,
-        report: GatewayReport,
+        summary: &ReceivedSummary<'_>,
         now: Now,
-    ) -> Option<PeerChange> {
-        let age_ms = control.config_freshness.age_ms(now);
-        let echo = age_ms.map(|age_ms| ProofEcho {
-            your_sent_ms: report.update.sent_ms,
-            revision: control.config_freshness.revision(),
+    ) -> Received {
+        let freshness = &control.config_freshness;
+        let newest = summary.proof.map_or(0, |proof| proof.revision);
+        let has_newer_config = newest > freshness.revision();
+        let echo = freshness.age_ms(now).map(|age_ms| ProofEcho {
+            your_sent_ms: summary.sent_ms,
+            revision: freshness.revision(),
             age_ms,
         });
-        let data_centre = report.data_centre;
-        let change = self
-            .peering
-            .report_received(from, data_centre, echo, &report.peers, now);
-        if let Some(proof) = report.proof
+        let peer_change =
+            self.peering
+                .report_received(from, summary.data_centre, echo, summary.peers, now);
+        if let Some(proof) = summary.proof
             && proof.revision == control.config_freshness.revision()
             && proof.your_sent_ms <= now.steady_ms
         {
@@ -207,16 +250,23 @@
                 .config_freshness
                 .record_proof(proof.revision, proved_ms);
         }
-        let update = &report.update;
-        if self.load_relay.record_if_newer(update) {
-            apply_update(control, update, 0, now);
+        control.quarantine.receive(summary.suspicions, now);
+        control.observe_fleet_size(self.peering.live_count());
+        Received::Report {
+            has_newer_config,
+            peer_change,
         }
-        if let Some(shares) = report.shares {
-            control.shares.apply_report(update.sender, shares, now);
+    }
+
+    fn summary(&mut self, control: &mut Control, now: Now) -> GatewaySummary {
+        GatewaySummary {
+            sender: self.key,
+            sent_ms: now.steady_ms,
+            data_centre: self.data_centre,
+            proof: None,
+            shares: control.shares.report(now),
+            suspicions: control.quarantine.next_broadcast(now),
         }
-        control.quarantine.receive(&report.suspicions, now);
-        control.observe_fleet_size(self.peering.live_count());
-        change
     }
 
     fn report(&mut self, control: &mut Control, is_full: bool, now: Now) -> GatewayReport {
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -1,7 +1,9 @@
 //! Which peers receive a report, and when.
 //!
 //! Gateways discover each other from seeds and from the peers that reports name. All live peers
-//! receive a report in the same round, so that each of them gets the complete information.
+//! receive a report in the same round, so that each of them gets the complete information. The
+//! interval of reports grows with their size. Information that expires must not wait for a report,
+//! so it is also sent in summaries at a fixed interval.
 
 use std::net::SocketAddr;
 
@@ -23,8 +25,12 @@
     /// Interval between two full rounds, whose reports also contain customer shares and addresses
     /// of peers.
     pub full_interval_ms: u64,
-    /// Maximum bytes per second of all reports of this gateway.
+    /// Maximum bytes per second of all reports of this gateway, without summaries.
     pub bytes_per_s: u64,
+    /// Maximum interval between two messages to the same peer. If reports are sent less often, a
+    /// summary is sent in between. Short enough that shares do not expire and peers are not lost
+    /// when single datagrams are lost.
+    pub max_gap_ms: u64,
     /// A peer that sent nothing for this long counts as lost.
     pub lost_after_ms: u64,
     /// Interval between two reports to a peer that is not live.
@@ -39,6 +45,7 @@
             min_interval_ms: 100,
             full_interval_ms: 200,
             bytes_per_s: 100_000,
+            max_gap_ms: 600,
             lost_after_ms: 3_000,
             retry_ms: 1_000,
             forget_after_ms: 60_000,
@@ -46,13 +53,24 @@
     }
 }
 
-/// One round of reports.
+/// What the messages of a round contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoundKind {
+    /// A report with customer shares and addresses of peers.
+    Full,
+    /// A report without them.
+    Load,
+    /// A summary, whose size does not depend on the interval or the number of endpoints.
+    Summary,
+}
+
+/// One round of messages to all peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReportRound {
-    /// The peers that receive a report, with the proof to echo.
+    /// The peers that receive a message, with the proof to echo.
     pub targets: Vec<(SocketAddr, Option<ProofEcho>)>,
-    /// Whether the reports also contain shares and addresses of peers.
-    pub is_full: bool,
+    /// What the messages contain.
+    pub kind: RoundKind,
 }
 
 /// A change of a peer's state.
@@ -86,6 +104,7 @@
     interval_ms: u64,
     round_bytes: u64,
     last_round_ms: Option<u64>,
+    last_report_ms: Option<u64>,
     last_full_ms: Option<u64>,
     next_announced: usize,
 }
@@ -106,6 +125,7 @@
             own_address,
             peers: IndexMap::new(),
             last_round_ms: None,
+            last_report_ms: None,
             last_full_ms: None,
             next_announced: 0,
         };
@@ -121,7 +141,7 @@
         self.interval_ms
     }
 
-    /// Size of the last round of reports.
+    /// Size of the last round of reports, in bytes.
     #[must_use]
     pub fn round_bytes(&self) -> u64 {
         self.round_bytes
@@ -137,19 +157,30 @@
             .count()
     }
 
-    /// Returns the round of reports if one is due.
+    /// Returns the round of reports or summaries if one is due.
     pub fn round(&mut self, now: Now) -> Option<ReportRound> {
         let is_due = |last: Option<u64>, interval_ms: u64| {
             last.is_none_or(|last| now.since_ms(last) >= interval_ms)
         };
-        if !is_due(self.last_round_ms, self.interval_ms) {
-            return None;
+        let kind = if !is_due(self.last_report_ms, self.interval_ms) {
+            if !is_due(self.last_round_ms, self.options.max_gap_ms) {
+                return None;
+            }
+            RoundKind::Summary
+        } else if is_due(self.last_full_ms, self.options.full_interval_ms) {
+            RoundKind::Full
+        } else {
+            RoundKind::Load
+        };
+        match kind {
+            RoundKind::Full => {
+                self.last_report_ms = Some(now.steady_ms);
+                self.last_full_ms = Some(now.steady_ms);
+            }
+            RoundKind::Load => self.last_report_ms = Some(now.steady_ms),
+            RoundKind::Summary => (),
         }
         self.last_round_ms = Some(now.steady_ms);
-        let is_full = is_due(self.last_full_ms, self.options.full_interval_ms);
-        if is_full {
-            self.last_full_ms = Some(now.steady_ms);
-        }
         let retry_ms = self.options.retry_ms;
         let mut targets = Vec::new();
         for (address, peer) in &mut self.peers {
@@ -158,7 +189,7 @@
                 targets.push((*address, peer.echo));
             }
         }
-        Some(ReportRound { targets, is_full })
+        Some(ReportRound { targets, kind })
     }
 
     /// Returns some of the live peers for a full report, different ones each time.
@@ -178,7 +209,7 @@
             .collect()
     }
 
-    /// Adapts the interval to the size of the last round, to stay within the bytes per second.
+    /// Adapts the interval to the size of the last round of reports, to stay within the bytes per second.
     pub fn adapt_interval(&mut self, round_bytes: u64) {
         self.round_bytes = round_bytes;
         let interval_ms = round_bytes.saturating_mul(1_000) / self.options.bytes_per_s.max(1);
@@ -202,7 +233,7 @@
         .collect()
     }
 
-    /// Records a report from a peer in a data centre, which names the peers in `announced`. The
+    /// Records a report or summary from a peer in a data centre, which names the peers in `announced`. The
     /// next report to it contains `echo`. Returns the change if the peer was not live before.
     pub fn report_received(
         &mut self,
--- a/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
+++ b/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
@@ -25,6 +25,9 @@
     /// Number of report intervals for which a use is reported to peers. More than one, because a
     /// report may be lost.
     pub report_intervals: u64,
+    /// Maximum number of uses in a report. Without a limit, a longer interval would make reports
+    /// larger, and larger reports make the interval longer.
+    pub max_reported_uses: usize,
 }
 
 impl Default for PromptCacheOptions {
@@ -33,6 +36,7 @@
             memory_fraction: 0.7,
             max_parts: 1_024,
             report_intervals: 3,
+            max_reported_uses: 128,
         }
     }
 }
@@ -134,8 +138,8 @@
         }
     }
 
-    /// This gateway's latest uses for peers that receive a report every `interval_ms`. Older uses
-    /// are dropped.
+    /// This gateway's latest uses for peers that receive a report every `interval_ms`, up to the
+    /// maximum number. Older uses are dropped.
     pub fn report(&mut self, interval_ms: u64, now: Now) -> PromptUseBatch {
         let max_age_ms = self.options.report_intervals * interval_ms;
         while self
@@ -145,7 +149,14 @@
         {
             self.recent_uses.pop_front();
         }
-        self.recent_uses(interval_ms, now)
+        let mut batch = self.recent_uses(interval_ms, now);
+        let excess = batch
+            .uses
+            .len()
+            .saturating_sub(self.options.max_reported_uses);
+        batch.first += excess as u64;
+        batch.uses.drain(..excess);
+        batch
     }
 
     /// This gateway's latest uses for peers that receive an update every `interval_ms`. Unlike
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -1,4 +1,7 @@
 //! Messages between gateways, sent several times per second, each as one datagram.
+//!
+//! New messages are added at the end of [`GatewayMessage`]; older gateways drop those they do not
+//! know.
 
 use std::net::SocketAddr;
 
@@ -19,6 +22,8 @@
     News(LoadUpdate),
     /// Load updates of several gateways, from a relay.
     PassedOn(Vec<RelayedUpdate>),
+    /// The part of a report that expires, sent between reports.
+    Summary(GatewaySummary),
 }
 
 /// The endpoint load that one gateway causes.
@@ -62,6 +67,24 @@
     pub suspicions: Suspicions,
 }
 
+/// The part of a report that expires at the receiver. Its size depends only on the number of
+/// customers, so it can be sent at a fixed interval.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewaySummary {
+    /// The sender.
+    pub sender: PeerKey,
+    /// Send time by the sender's clock.
+    pub sent_ms: u64,
+    /// The sender's data centre.
+    pub data_centre: DataCentreKey,
+    /// The sender's proof of freshness when it last received a message from the receiver.
+    pub proof: Option<ProofEcho>,
+    /// Tokens that customers requested from the sender.
+    pub shares: Vec<ShareLine>,
+    /// Requests that may crash endpoints.
+    pub suspicions: Suspicions,
+}
+
 /// A proof that a configuration was the newest one, dated by the receiver's own clock.
 ///
 /// The receiver sent a report at `your_sent_ms`. When it reached the sender, the proof was `age_ms`
--- a/crates/curranttrestle/tests/gateway/peering.rs
+++ b/crates/curranttrestle/tests/gateway/peering.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 
-use curranttrestle::coordination::gateway::peering::{PeerChange, Peering, PeeringOptions};
+use curranttrestle::coordination::gateway::peering::{
+    PeerChange, Peering, PeeringOptions, RoundKind,
+};
 
 use super::support::at;
 
@@ -27,7 +29,8 @@
             let Some(round) = fleet[from].round(now) else {
                 continue;
             };
-            let announced = if round.is_full {
+            let is_full = round.kind == RoundKind::Full;
+            let announced = if is_full {
                 fleet[from].peers_to_announce()
             } else {
                 Vec::new()
@@ -38,7 +41,7 @@
                     SocketAddr::V6(_) => unreachable!(),
                 });
                 if !is_dropped(from, to, now_ms) {
-                    full[to] += u32::from(round.is_full);
+                    full[to] += u32::from(is_full);
                     let from = address(u8::try_from(from).unwrap());
                     fleet[to].report_received(from, 0, None, &announced, now);
                 }
