Hold back customers that lead one which lacks capacity, also at idle engines

Second cause: a customer over its share may use engines that look idle until it has 1.5 times its share. Shares are relative to the mean, so with two customers the other is left with 0.5, a third of it, and with three large ones with nothing. The rule allows a factor of two between customers, however many there are. Now a customer also leaves idle engines if another one that still lacks capacity got less than two thirds of what it got or requested, beyond three of the largest requests. The tolerance keeps a tiny customer from holding back all.

--- a/crates/curranttrestle/src/coordination/gateway/admission.rs
+++ b/crates/curranttrestle/src/coordination/gateway/admission.rs
@@ -80,7 +80,7 @@
 /// Decides whether to admit a request whose best endpoint is `choice`.
 ///
 /// An idle endpoint admits a request however long its prefill takes, unless the customer's share
-/// ratio reaches [`AdmissionOptions::idle_limit_ratio`].
+/// ratio reaches [`AdmissionOptions::idle_limit_ratio`] or it leads a customer that lacks capacity.
 #[must_use]
 pub fn admit(
     choice: &Choice,
@@ -92,9 +92,9 @@
         ShareStatus::Within => (options.target_fraction, false),
         // The limit shrinks as the ratio grows, so that all customers over their share get similar
         // amounts.
-        ShareStatus::Over { ratio } => (
+        ShareStatus::Over { ratio, leads } => (
             options.over_share_fraction / ratio,
-            ratio >= options.idle_limit_ratio,
+            leads || ratio >= options.idle_limit_ratio,
         ),
     };
     let limit_ms = target_latency_ms * fraction;
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -330,7 +330,7 @@
                     load: choice.load,
                     share_ratio: match share_status {
                         ShareStatus::Within => 0.0,
-                        ShareStatus::Over { ratio } => ratio,
+                        ShareStatus::Over { ratio, .. } => ratio,
                     },
                 },
             },
--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -14,6 +14,9 @@
 /// Number of slices of the sliding window.
 const SLICES: usize = 8;
 
+/// A customer may get less than others by this many of the largest requests.
+const TOLERATED_REQUESTS: u64 = 3;
+
 /// Options of share accounting.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShareOptions {
@@ -24,6 +27,9 @@
     /// A customer may get this many times its fair share of the admitted tokens. Slightly more than
     /// one, because a request counts as requested before it counts as admitted.
     pub overshoot_factor: f64,
+    /// A customer that got more than this many times what another one got that still lacks capacity
+    /// leads. Less than two, the most by which customers may differ, because reports are late.
+    pub lead_factor: f64,
 }
 
 impl Default for ShareOptions {
@@ -32,6 +38,7 @@
             window_ms: 4_000,
             report_max_age_ms: 2_000,
             overshoot_factor: 1.05,
+            lead_factor: 1.5,
         }
     }
 }
@@ -45,6 +52,9 @@
     Over {
         /// Ratio of admitted tokens to the fair share; at least one.
         ratio: f64,
+        /// Whether another customer lacks capacity and got much less, by
+        /// [`ShareOptions::lead_factor`].
+        leads: bool,
     },
 }
 
@@ -80,6 +90,7 @@
     number: u64,
     asked_tokens: u64,
     admitted_tokens: u64,
+    largest_tokens: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -141,7 +152,9 @@
 
     /// Records tokens that a customer requested.
     pub fn record_requested(&mut self, customer: &str, tokens: u64, now: Now) {
-        self.slice(customer, now).asked_tokens += tokens;
+        let slice = self.slice(customer, now);
+        slice.asked_tokens += tokens;
+        slice.largest_tokens = slice.largest_tokens.max(tokens);
     }
 
     /// Records tokens of a customer that were admitted.
@@ -240,12 +253,39 @@
             let ratio = *admitted / level.min(nominal_level).max(1.0);
             ShareStatus::Over {
                 ratio: ratio.max(1.0),
+                leads: self.leads(*admitted, &totals, now),
             }
         } else {
             ShareStatus::Within
         }
     }
 
+    /// Whether a customer that got `admitted` tokens leads another one that lacks capacity.
+    /// Differences of a few requests do not count.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "token counts are far below 2^52"
+    )]
+    fn leads(&self, admitted: f64, totals: &IndexMap<CustomerKey, (f64, f64)>, now: Now) -> bool {
+        let tolerance = (TOLERATED_REQUESTS * self.largest_tokens(now)) as f64;
+        totals.values().any(|(requested, other_admitted)| {
+            let due = requested.min(admitted);
+            other_admitted < requested
+                && (other_admitted + tolerance) * self.options.lead_factor < due
+        })
+    }
+
+    /// The largest request in the window.
+    fn largest_tokens(&self, now: Now) -> u64 {
+        let number = self.slice_number(now);
+        let slices = self.customers.values().flatten();
+        let recent = slices.filter(|slice| slice.number + SLICES as u64 > number);
+        recent
+            .map(|slice| slice.largest_tokens)
+            .max()
+            .unwrap_or_default()
+    }
+
     #[expect(
         clippy::cast_precision_loss,
         reason = "token counts are far below 2^52"
--- a/crates/curranttrestle/tests/gateway/admission.rs
+++ b/crates/curranttrestle/tests/gateway/admission.rs
@@ -103,7 +103,10 @@
         admit(&busy, TARGET_MS, ShareStatus::Within, &options),
         AdmissionDecision::Admit
     );
-    let over_share = ShareStatus::Over { ratio: 1.0 };
+    let over_share = ShareStatus::Over {
+        ratio: 1.0,
+        leads: false,
+    };
     let decision = admit(&busy, TARGET_MS, over_share, &options);
     assert!(matches!(
         decision,
@@ -127,10 +130,20 @@
 #[test]
 fn a_customer_far_over_its_share_is_refused_at_an_idle_engine() {
     let options = AdmissionOptions::default();
-    let idle = choice(0.0, 75.0);
-    let decision = |ratio| admit(&idle, TARGET_MS, ShareStatus::Over { ratio }, &options);
-    assert_eq!(decision(1.2), AdmissionDecision::Admit);
-    assert!(matches!(decision(4.0), AdmissionDecision::Refuse { .. }));
+    let idle = choice(0.0, 130.0);
+    let decision = |ratio, leads| {
+        let share_status = ShareStatus::Over { ratio, leads };
+        admit(&idle, TARGET_MS, share_status, &options)
+    };
+    assert_eq!(decision(1.2, false), AdmissionDecision::Admit);
+    assert!(matches!(
+        decision(4.0, false),
+        AdmissionDecision::Refuse { .. }
+    ));
+    assert!(matches!(
+        decision(1.2, true),
+        AdmissionDecision::Refuse { .. }
+    ));
 }
 
 #[test]
--- a/crates/curranttrestle/tests/gateway/shares.rs
+++ b/crates/curranttrestle/tests/gateway/shares.rs
@@ -188,7 +188,7 @@
             tracker.record_requested(customer, 3_000, now);
             let allowed_ms = match tracker.status(customer, 540_000, now) {
                 ShareStatus::Within => 400.0,
-                ShareStatus::Over { ratio } => 150.0 / ratio,
+                ShareStatus::Over { ratio, .. } => 150.0 / ratio,
             };
             // The gateways of the second flood see a shorter queue.
             let seen = if customer == "nine" {
@@ -211,6 +211,43 @@
     );
 }
 
+/// Two customers at 1.4 times their fair share leave the third a seventh of what they get.
+#[test]
+fn customers_slightly_over_their_share_starve_a_third_one() {
+    let mut tracker = ShareTracker::new(ShareOptions::default());
+    for (customer, admitted) in [("a", 1_400_000), ("b", 1_400_000), ("c", 200_000)] {
+        for _ in 0..500 {
+            tracker.record_requested(customer, 4_000, at(0));
+        }
+        tracker.record_admitted(customer, admitted, at(0));
+    }
+    for customer in ["a", "b"] {
+        let status = tracker.status(customer, 10_000_000, at(0));
+        assert!(
+            matches!(status, ShareStatus::Over { ratio, leads: true } if ratio < 1.5),
+            "{customer}: {status:?}"
+        );
+    }
+    let status = tracker.status("c", 10_000_000, at(0));
+    assert_eq!(status, ShareStatus::Within);
+}
+
+#[test]
+fn a_few_refused_requests_of_a_tiny_customer_hold_back_all_others() {
+    let mut tracker = ShareTracker::new(ShareOptions::default());
+    for _ in 0..400 {
+        tracker.record_requested("large", 3_000, at(0));
+    }
+    tracker.record_admitted("large", 900_000, at(0));
+    for _ in 0..4 {
+        tracker.record_requested("tiny", 3_000, at(0));
+    }
+    assert!(matches!(
+        tracker.status("large", 10_000, at(0)),
+        ShareStatus::Over { leads: false, .. }
+    ));
+}
+
 proptest! {
     /// No customer gets more than it requests, all requested capacity is used, and a customer
     /// that gets less than it requests gets as much as any other.
