Limit the bytes before the head of a response is complete

Callers of a gateway got no response at all once one endpoint, or the store, sent interim responses without end: the HTTP library reads them in a loop that ends only when no bytes are available, so the gateway's single thread served nobody.

--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -14,6 +14,7 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use super::head_limit::{HeadLimit, HeadLimitedStream};
 use crate::clock;
 use crate::timer::with_timeout;
 
@@ -46,6 +47,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     /// Drives the connection; dropping it closes the socket.
     _driver: Task<()>,
     address: SocketAddr,
@@ -76,6 +78,8 @@
         {
             log::debug!("kind=socket-option-failed address={address} error={error:?}");
         }
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
             .handshake(FuturesIo::new(stream))
             .await?;
@@ -86,6 +90,7 @@
         });
         Ok(Self {
             sender,
+            head_limit,
             _driver: driver,
             address,
             last_used_ms: clock::now().steady_ms,
@@ -109,8 +114,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.head_limit.expect_head();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.head_limit.head_received();
                 self.read_connection_headers(response.headers());
                 Ok(response)
             }
--- a/crates/curranttrestle-gateway/src/upstream/mod.rs
+++ b/crates/curranttrestle-gateway/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod connection;
+pub mod head_limit;
 pub mod pool;
 
 pub use client::{CallError, HttpClient};
