Move a stream whose engine sends bytes but no events

Callers of a resumable stream got no event until the time limit when its engine sent an event without end: any byte restarted the idle timeout, so the stream never moved to another engine. Now only complete events restart it. An incomplete event is buffered up to 64 KB instead of 1 MB, which 88 of them would have needed all memory of a small instance for, and only new bytes are searched for its end; before, the cost of slow bytes was quadratic.

--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -25,9 +25,9 @@
     /// The id of the last event that the client has.
     last_event_id: Option<u64>,
     has_events: bool,
-    /// When data last arrived, by the steady clock.
-    last_data_ms: u64,
-    /// Start of the idle timeout: when data last arrived or the timeout was last extended.
+    /// When events last arrived, by the steady clock.
+    last_event_ms: u64,
+    /// Start of the idle timeout: when events last arrived or the timeout was last extended.
     idle_since_ms: u64,
     /// The predicted time to the first event of the current attempt.
     predicted_ms: f64,
@@ -58,7 +58,7 @@
             head: Some(head),
             splitter: EventSplitter::default(),
             has_events: false,
-            last_data_ms: clock::now().steady_ms,
+            last_event_ms: clock::now().steady_ms,
             idle_since_ms: clock::now().steady_ms,
             predicted_ms,
             record,
@@ -122,7 +122,7 @@
             return ReceiveResult::Failed(FailureKind::ConnectionLost);
         };
         let body = head.response.body_mut();
-        let next = match with_timeout(wait_ms, body.frame()).await {
+        match with_timeout(wait_ms, body.frame()).await {
             Some(None) => ReceiveResult::Complete,
             Some(Some(Ok(frame))) => ReceiveResult::Data(frame.into_data().unwrap_or_default()),
             Some(Some(Err(error))) => {
@@ -131,16 +131,7 @@
             }
             None if wait_ms >= limit_ms => ReceiveResult::DeadlineReached,
             None => ReceiveResult::Failed(FailureKind::TimedOut),
-        };
-        if matches!(next, ReceiveResult::Data(_)) {
-            let now = clock::now();
-            if self.has_events {
-                self.record.record_pause(now.since_ms(self.last_data_ms));
-            }
-            self.last_data_ms = now.steady_ms;
-            self.idle_since_ms = now.steady_ms;
         }
-        next
     }
 
     /// Whether the stream may move to another endpoint now. If so, takes a retry from the
@@ -183,10 +174,14 @@
         if let Some(head) = &self.head {
             head.guard.record_first_event(now);
         }
-        if !self.has_events {
+        if self.has_events {
+            self.record.record_pause(now.since_ms(self.last_event_ms));
+        } else {
             self.has_events = true;
             self.record.record_first_event(now);
         }
+        self.last_event_ms = now.steady_ms;
+        self.idle_since_ms = now.steady_ms;
         let is_duplicate = events
             .ids
             .first()
@@ -250,8 +245,8 @@
             match self.reopen(&choice).await {
                 Ok(head) => {
                     self.head = Some(head);
-                    self.last_data_ms = clock::now().steady_ms;
-                    self.idle_since_ms = self.last_data_ms;
+                    self.last_event_ms = clock::now().steady_ms;
+                    self.idle_since_ms = self.last_event_ms;
                     return Ok(());
                 }
                 Err(kind) => failed = kind,
--- a/crates/curranttrestle-gateway/src/front/events.rs
+++ b/crates/curranttrestle-gateway/src/front/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The longest event that is buffered until it is complete.
-const MAX_EVENT_BYTES: usize = 1_048_576;
+const MAX_EVENT_BYTES: usize = 65_536;
 
 /// Complete events, unchanged.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -33,13 +33,16 @@
     /// Adds bytes and returns the events that are complete now; `None` if an event exceeds
     /// `MAX_EVENT_BYTES`.
     pub fn push(&mut self, bytes: Bytes) -> Option<Events> {
+        // The buffered part contains no end of an event, except for its last two bytes together
+        // with the next one.
+        let searched = self.partial.len().saturating_sub(2);
         let bytes = if self.partial.is_empty() {
             bytes
         } else {
             self.partial.extend_from_slice(&bytes);
             self.partial.split().freeze()
         };
-        let end = last_event_end(&bytes);
+        let end = last_event_end(&bytes, searched);
         let complete = bytes.slice(..end);
         self.partial.extend_from_slice(&bytes[end..]);
         if self.partial.len() > MAX_EVENT_BYTES {
@@ -64,12 +67,12 @@
     }
 }
 
-/// The position after the last empty line.
-fn last_event_end(bytes: &[u8]) -> usize {
+/// The position after the last empty line that ends after `searched`; zero if there is none.
+fn last_event_end(bytes: &[u8], searched: usize) -> usize {
     let ends = |position: usize| {
         bytes[..position].ends_with(b"\n\n") || bytes[..position].ends_with(b"\n\r\n")
     };
-    (1..=bytes.len())
+    (searched + 1..=bytes.len())
         .rev()
         .find(|position| ends(*position))
         .unwrap_or(0)
