Let timeouts end calls whose peer sends interim responses without end

Callers of the daemon and its command line waited for ever when an endpoint or the platform answered with 100 Continue without end: the HTTP client reads interim responses in a loop that never yields while bytes are available, so its timeout cannot fire and its thread is lost. In the test a call with a timeout of 1 s had no result after 2 s. Test: garbage, headers, interim responses and bodies without end, from a plain service, in a load report and from the platform: result within the timeout plus 1 s, interrupted or lost and never not-run, connection closed, bytes bounded by the longest response. Garbage, headers and bodies passed before, too.

--- a/crates/curranttrestle/src/transport/http_client.rs
+++ b/crates/curranttrestle/src/transport/http_client.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use smol::Timer;
-use smol::net::TcpStream;
 use trillium_client::{Client, Conn, Connector, Url, async_trait};
-use trillium_smol::{ClientConfig, SmolTransport};
+use trillium_smol::ClientConfig;
+
+use super::yielding::YieldingTransport;
 
 /// An error that occurred before the connection was established, so nothing was sent.
 #[derive(Debug, thiserror::Error)]
@@ -23,7 +24,7 @@
 
 #[async_trait]
 impl Connector for TimedConnector {
-    type Transport = SmolTransport<TcpStream>;
+    type Transport = YieldingTransport;
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
         let config = ClientConfig::new().with_nodelay(true);
@@ -31,7 +32,9 @@
         let connected = with_timeout(self.connect_timeout_ms, connecting)
             .await
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
-        connected.map_err(|error| io::Error::other(ConnectError(error)))
+        connected
+            .map(YieldingTransport::new)
+            .map_err(|error| io::Error::other(ConnectError(error)))
     }
 
     fn spawn<Fut: Future<Output = ()> + Send + 'static>(&self, future: Fut) {
--- a/crates/curranttrestle/src/transport/mod.rs
+++ b/crates/curranttrestle/src/transport/mod.rs
@@ -7,3 +7,4 @@
 pub mod http_client;
 pub mod peer;
 pub mod platform;
+pub mod yielding;
