Treat a response with an unknown status code as lost instead of panicking

A task of the daemon panicked, and its caller got no outcome, when an endpoint or the platform answered with a status code that the HTTP library does not know, such as 102: the library unwraps the conversion. The client now catches that and reports a lost connection, so the outcome is unknown, which is true: the request was sent. Test: endless responses 102 Processing, in the three tests of endless_responses; all 3 panicked before, pass now.

--- a/crates/curranttrestle/src/transport/http_client.rs
+++ b/crates/curranttrestle/src/transport/http_client.rs
@@ -3,8 +3,10 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use smol::Timer;
 use trillium_client::{Client, Conn, Connector, Url, async_trait};
 use trillium_smol::ClientConfig;
@@ -94,12 +96,14 @@
 /// Returns a [`SendError`] if no response head arrived within `timeout_ms`. It distinguishes
 /// whether the request may have been sent.
 pub async fn send(conn: Conn, timeout_ms: u64) -> Result<Conn, SendError> {
-    match with_timeout(timeout_ms, conn.into_future()).await {
-        Some(Ok(conn)) => Ok(conn),
-        Some(Err(trillium_client::Error::Io(error))) if is_connect_error(&error) => {
+    // The library panics if the status code is one that it does not know.
+    let sending = AssertUnwindSafe(conn.into_future()).catch_unwind();
+    match with_timeout(timeout_ms, sending).await {
+        Some(Ok(Ok(conn))) => Ok(conn),
+        Some(Ok(Err(trillium_client::Error::Io(error)))) if is_connect_error(&error) => {
             Err(SendError::NotConnected)
         }
-        Some(Err(_)) => Err(SendError::ConnectionLost),
+        Some(Ok(Err(_)) | Err(_)) => Err(SendError::ConnectionLost),
         None => Err(SendError::TimedOut),
     }
 }
--- a/crates/curranttrestle/tests/endless_responses.rs
+++ b/crates/curranttrestle/tests/endless_responses.rs
@@ -30,11 +30,12 @@
 const MAX_BUFFERED_BYTES: u64 = 32 * 1_048_576;
 
 /// The start of a response, and the bytes that follow without end.
-const RESPONSES: [(&str, &str); 6] = [
+const RESPONSES: [(&str, &str); 7] = [
     ("", "a"),
     ("HTTP/1.1 200 OK\r\nx-filler: ", "a"),
     ("HTTP/1.1 200 OK\r\n", "x-filler: a\r\n"),
     ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ("", "HTTP/1.1 102 Processing\r\n\r\n"),
     ("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", "a"),
     (
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
