--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -209,7 +209,8 @@
             .collect()
     }
 
-    /// Adapts the interval to the size of the last round of reports, to stay within the bytes per second.
+    /// Adapts the interval to the size of the last round of reports, to stay within the bytes per
+    /// second.
     pub fn adapt_interval(&mut self, round_bytes: u64) {
         self.round_bytes = round_bytes;
         let interval_ms = round_bytes.saturating_mul(1_000) / self.options.bytes_per_s.max(1);
@@ -233,8 +234,9 @@
         .collect()
     }
 
-    /// Records a report or summary from a peer in a data centre, which names the peers in `announced`. The
-    /// next report to it contains `echo`. Returns the change if the peer was not live before.
+    /// Records a report or summary from a peer in a data centre, which names the peers in
+    /// `announced`. The next report to it contains `echo`. Returns the change if the peer was not
+    /// live before.
     pub fn report_received(
         &mut self,
         from: SocketAddr,
