Write log lines in pieces that a pipe takes whole

Lines of a busy gateway were cut in the middle and the next one began on the same line, with nothing reported as dropped: the writer passed up to 64 lines, some 23 kB, in one write, and the reader took 8,192 bytes of it. Batches now end before 4,096 bytes, which a pipe takes whole.

--- a/crates/curranttrestle-gateway/src/log/mod.rs
+++ b/crates/curranttrestle-gateway/src/log/mod.rs
@@ -17,8 +17,9 @@
 /// Lines that wait to be written. When the queue is full, further lines are dropped.
 const MAX_QUEUED_LINES: usize = 2_048;
 
-/// Lines that are written in one batch.
-const MAX_BATCH_LINES: u64 = 64;
+/// Maximum bytes of one write, except for a longer line. A pipe takes this many whole (`PIPE_BUF`);
+/// a longer write can be cut in the middle of a line.
+const MAX_WRITE_BYTES: usize = 4_096;
 
 /// How long a flush waits for queued lines.
 const FLUSH_TIMEOUT_MS: u64 = 200;
@@ -156,11 +157,14 @@
     instance: &str,
 ) {
     let mut reported = 0;
-    while let Ok(mut batch) = lines.recv() {
+    let mut next_line = None;
+    while let Some(mut batch) = next_line.take().or_else(|| lines.recv().ok()) {
         let mut count = 1;
-        while count < MAX_BATCH_LINES
-            && let Ok(line) = lines.try_recv()
-        {
+        while let Ok(line) = lines.try_recv() {
+            if batch.len() + line.len() > MAX_WRITE_BYTES {
+                next_line = Some(line);
+                break;
+            }
             batch.push_str(&line);
             count += 1;
         }
