Log and measure how long tasks, store calls and requests wait

The incident's hypotheses could not be told apart: loop_delay_ms is measured by the main task, which is polled before all queued tasks, so a delay of the queue did not show. New: task_delay_ms, the time since the store last responded about the directory, the duration of store calls (histogram, and a line from 250 ms), the wait between the choice of an endpoint and sending, and when a peer's newer configuration was noticed. No decision changes.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -134,6 +134,7 @@
     };
     let result = match connect(exchange, choice.entry.address).await {
         Ok(connection) => {
+            record_connected(exchange, &guard.endpoint, started, clock::now());
             let request = endpoint_request(exchange, &guard.endpoint, last_event_id);
             let sending = send_for_head(exchange, connection, request);
             let timeout = async {
@@ -165,6 +166,23 @@
     head
 }
 
+/// A request that waits this long between the choice of an endpoint and sending is logged.
+const LOGGED_WAIT_MS: u64 = 250;
+
+/// Observes how long a request waited for its connection.
+fn record_connected(exchange: &Exchange, endpoint: &EndpointId, started: Now, now: Now) {
+    let waited_ms = now.since_ms(started.steady_ms);
+    let times = &exchange.gateway.metrics.times;
+    #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+    times
+        .with_label_values(&["connect"])
+        .observe(waited_ms as f64 / 1_000.0);
+    if waited_ms >= LOGGED_WAIT_MS {
+        let id = &exchange.hints.attempt_id;
+        log::warn!("kind=send-delayed id={id} endpoint={endpoint} ms={waited_ms}");
+    }
+}
+
 /// Takes a pooled connection or opens a new one.
 async fn connect(exchange: &Exchange, address: SocketAddr) -> Result<Connection, ConnectError> {
     let options = &exchange.gateway.settings.traffic;
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -105,6 +105,11 @@
     set("share_reports", count(coverage.reports));
     set("oldest_share_report_ms", coverage.oldest_age_ms);
     set("loop_delay_ms", gateway.strain.borrow().delay_ms());
+    set("task_delay_ms", gateway.strain.borrow().task_delay_ms());
+    set(
+        "directory_age_ms",
+        control.directory.age_ms(now).unwrap_or(u64::MAX),
+    );
     let dropped = gateway
         .log_lines
         .as_ref()
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -179,11 +179,31 @@
         strain.record_tick(elapsed_ms, TICK_INTERVAL_MS);
         let shares = self.control.borrow().shares.coverage(now);
         let open_requests = self.open_requests.get();
-        if let Some(line) = strain.log_line(peers.report_state(), shares, open_requests, now) {
+        let directory_age_ms = self.directory_age_ms(now);
+        let reports = peers.report_state();
+        let line = strain.log_line(reports, shares, open_requests, directory_age_ms, now);
+        if let Some(line) = line {
             log::warn!("{line}");
         }
     }
 
+    /// Time since the store last responded with the directory or its changes; zero before that.
+    #[must_use]
+    pub fn directory_age_ms(&self, now: Now) -> u64 {
+        let control = self.control.borrow();
+        control.directory.age_ms(now).unwrap_or_default()
+    }
+
+    /// Measures how long a task that is ready to run waits for its turn.
+    fn measure_task_delay(self: &Rc<Self>, now: Now) {
+        let gateway = Rc::clone(self);
+        let measured = async move {
+            let delay_ms = clock::now().since_ms(now.steady_ms);
+            gateway.strain.borrow_mut().record_task_delay(delay_ms);
+        };
+        self.executor.spawn(measured).detach();
+    }
+
     /// Logs when the freshness proof of the configuration becomes too old for requests with a key,
     /// and when it is renewed.
     fn log_freshness_change(&self, now: Now) {
@@ -335,6 +355,7 @@
         let now = clock::now();
         gateway.tick(now);
         gateway.log_strain(&peers, now.since_ms(last_tick_ms), now);
+        gateway.measure_task_delay(now);
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -27,9 +27,11 @@
     pub peer_reports: IntCounterVec,
     /// Current values by name.
     pub gauges: IntGaugeVec,
-    /// Seconds from the start of an attempt to the first event or response, and from the arrival of
-    /// a request to its end.
+    /// Seconds from the start of an attempt to the first event or response, from the choice of an
+    /// endpoint to a connection, and from the arrival of a request to its end.
     pub times: HistogramVec,
+    /// Seconds of successful calls to the store that do not wait for changes, by kind.
+    pub store_times: HistogramVec,
 }
 
 impl Metrics {
@@ -44,7 +46,12 @@
         };
         let times = HistogramOpts::new(
             "curranttrestle_request_seconds",
-            "Seconds to the first event of an attempt, and to the end of a request",
+            "Seconds to the connection and the first event of an attempt, and to the end of a request",
+        )
+        .buckets(TIME_BUCKETS_S.to_vec());
+        let store_times = HistogramOpts::new(
+            "curranttrestle_store_call_seconds",
+            "Seconds of successful calls to the store that do not wait for changes",
         )
         .buckets(TIME_BUCKETS_S.to_vec());
         let gauges = Opts::new("curranttrestle_state", "Current values by name");
@@ -78,6 +85,7 @@
             )?,
             gauges: IntGaugeVec::new(gauges, &["name"])?,
             times: HistogramVec::new(times, &["phase"])?,
+            store_times: HistogramVec::new(store_times, &["call"])?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -88,6 +96,7 @@
         registry.register(Box::new(metrics.peer_reports.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         registry.register(Box::new(metrics.times.clone()))?;
+        registry.register(Box::new(metrics.store_times.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -64,6 +64,23 @@
     }
 }
 
+/// A call to the store that took this long is logged.
+const LOGGED_CALL_MS: u64 = 250;
+
+/// Observes the duration of a successful call that was sent at `sent`.
+fn record_call(gateway: &Gateway, call: &str, sent: Now) {
+    let elapsed_ms = clock::now().since_ms(sent.steady_ms);
+    let times = gateway.metrics.store_times.with_label_values(&[call]);
+    #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+    times.observe(elapsed_ms as f64 / 1_000.0);
+    if elapsed_ms >= LOGGED_CALL_MS {
+        let task_delay_ms = gateway.strain.borrow().task_delay_ms();
+        log::warn!(
+            "kind=store-call-slow call={call} ms={elapsed_ms} task_delay_ms={task_delay_ms}"
+        );
+    }
+}
+
 /// Reads the configuration repeatedly. Each read also proves that the configuration is the newest
 /// one as of the time when the read was sent.
 pub async fn maintain_config<P: Platform>(gateway: Rc<Gateway>, platform: Rc<P>) {
@@ -78,6 +95,7 @@
         match read {
             Ok(read) => {
                 health.record_success();
+                record_call(&gateway, "config", sent);
                 apply_config_read(&gateway, read, sent);
             }
             Err(error) => {
@@ -118,6 +136,7 @@
                     false
                 };
                 if expiry.or(gateway.newer_config.notified()).await {
+                    log::info!("kind=config-announced proof_age_ms={age_ms}");
                     return;
                 }
             }
@@ -188,7 +207,9 @@
         .store_calls
         .with_label_values(&["directory-list"])
         .inc();
+    let sent = clock::now();
     let list = platform.list_endpoints(options.timeout_ms).await?;
+    record_call(gateway, "directory-list", sent);
     for (name, reason) in &list.skipped {
         log::warn!("kind=entry-skipped name={name:?} reason={reason:?}");
     }
--- a/crates/curranttrestle-gateway/src/strain.rs
+++ b/crates/curranttrestle-gateway/src/strain.rs
@@ -8,10 +8,10 @@
 /// Minimum interval between two log lines.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
-/// A timer that fires this late indicates a lack of processor time.
+/// A timer or task that is this late indicates a lack of processor time.
 const LOGGED_DELAY_MS: u64 = 100;
 
-/// Tracks how late the timers of the event loop fire.
+/// Tracks how late the timers of the event loop fire, and how long tasks wait for their turn.
 ///
 /// ```
 /// use curranttrestle::coordination::gateway::shares::ShareCoverage;
@@ -22,9 +22,9 @@
 /// let reports = ReportState { live_peers: 0, interval_ms: 100, round_bytes: 0 };
 /// let now = Now::default().plus_ms(5_000);
 /// monitor.record_tick(70, 50);
-/// assert_eq!(monitor.log_line(reports, ShareCoverage::default(), 0, now), None);
+/// assert_eq!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, now), None);
 /// monitor.record_tick(400, 50);
-/// assert!(monitor.log_line(reports, ShareCoverage::default(), 0, now).is_some());
+/// assert!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, now).is_some());
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 #[expect(
@@ -35,6 +35,9 @@
     last_delay_ms: u64,
     /// Maximum delay since the last log line.
     max_delay_ms: u64,
+    last_task_delay_ms: u64,
+    /// Maximum delay of a task since the last log line.
+    max_task_delay_ms: u64,
     logged_ms: u64,
 }
 
@@ -45,6 +48,18 @@
         self.max_delay_ms = self.max_delay_ms.max(self.last_delay_ms);
     }
 
+    /// Records that a task that was ready to run waited `delay_ms` for its turn.
+    pub fn record_task_delay(&mut self, delay_ms: u64) {
+        self.last_task_delay_ms = delay_ms;
+        self.max_task_delay_ms = self.max_task_delay_ms.max(delay_ms);
+    }
+
+    /// How long the last measured task waited for its turn.
+    #[must_use]
+    pub fn task_delay_ms(&self) -> u64 {
+        self.last_task_delay_ms
+    }
+
     /// How late the last timer fired.
     #[must_use]
     pub fn delay_ms(&self) -> u64 {
@@ -59,13 +74,15 @@
         reports: ReportState,
         shares: ShareCoverage,
         open_requests: usize,
+        directory_age_ms: u64,
         now: Now,
     ) -> Option<String> {
         if now.since_ms(self.logged_ms) < LOG_INTERVAL_MS {
             return None;
         }
         let delay_ms = self.max_delay_ms;
-        let is_strained = delay_ms >= LOGGED_DELAY_MS
+        let task_delay_ms = self.max_task_delay_ms;
+        let is_strained = delay_ms.max(task_delay_ms) >= LOGGED_DELAY_MS
             || reports.interval_ms >= LOG_INTERVAL_MS
             || shares.reports < reports.live_peers;
         if !is_strained {
@@ -73,8 +90,9 @@
         }
         self.logged_ms = now.steady_ms;
         self.max_delay_ms = 0;
+        self.max_task_delay_ms = 0;
         Some(format!(
-            "kind=gateway-strained loop_delay_ms={delay_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests}",
+            "kind=gateway-strained loop_delay_ms={delay_ms} task_delay_ms={task_delay_ms} directory_age_ms={directory_age_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests}",
             reports.interval_ms,
             reports.round_bytes,
             reports.live_peers,
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -55,6 +55,8 @@
     endpoints: IndexMap<EndpointId, EndpointRecord>,
     is_store_unavailable: bool,
     store_recovered_ms: Option<u64>,
+    /// When the store last responded, by the steady clock.
+    responded_ms: Option<u64>,
     is_loaded: bool,
 }
 
@@ -67,6 +69,7 @@
             endpoints: IndexMap::new(),
             is_store_unavailable: false,
             store_recovered_ms: None,
+            responded_ms: None,
             is_loaded: false,
         }
     }
@@ -79,11 +82,19 @@
 
     /// Records a response of the store.
     pub fn record_store_success(&mut self, now: Now) {
+        self.responded_ms = Some(now.steady_ms);
         if std::mem::take(&mut self.is_store_unavailable) {
             self.store_recovered_ms = Some(now.steady_ms);
         }
     }
 
+    /// Time since the store last responded; `None` before the first response.
+    #[must_use]
+    pub fn age_ms(&self, now: Now) -> Option<u64> {
+        self.responded_ms
+            .map(|responded_ms| now.since_ms(responded_ms))
+    }
+
     /// Records that a call to the store failed or was rejected.
     pub fn record_store_failure(&mut self) {
         self.is_store_unavailable = true;
