Check the endpoint and the key again before a request is sent

A request was placed, then waited up to 300 ms and several turns of the event loop for its connection, and was sent to an endpoint that had begun to leave meanwhile. Revocation and quarantine were spent in the same way: both were checked before the wait only.

The directory and the refusal reasons are now checked after the wait, right before the first byte; such a request is placed again (withdrawn), which counts neither against the endpoint nor as an attempt.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -133,6 +133,11 @@
         endpoint: choice.entry.endpoint.clone(),
     };
     let result = match connect(exchange, choice.entry.address).await {
+        // The directory and the configuration may have changed while the request waited.
+        Ok(connection) if !exchange.may_send(&guard.endpoint, clock::now()) => {
+            exchange.return_connection(connection);
+            Err(Failure::not_sent(FailureKind::Withdrawn))
+        }
         Ok(connection) => {
             record_connected(exchange, &guard.endpoint, started, clock::now());
             let request = endpoint_request(exchange, &guard.endpoint, last_event_id);
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -103,6 +103,18 @@
         (holder.is_none_or(|holder| holder.name != customer)).then_some("key-withdrawn")
     }
 
+    /// Whether the request may still be sent to the endpoint that was chosen for it.
+    #[must_use]
+    pub fn may_send(&self, endpoint: &EndpointId, now: Now) -> bool {
+        let accepts_requests = self
+            .gateway
+            .control
+            .borrow()
+            .directory
+            .accepts_requests(endpoint);
+        accepts_requests && self.refusal_reason(now).is_none()
+    }
+
     /// Whether the request may be sent to another endpoint. Uses the retry that [`Self::try_move`]
     /// took, if any. Otherwise checks the route, the time left and the retry budget, and takes a
     /// retry from the budget.
--- a/crates/curranttrestle/src/coordination/gateway/outlier_detection.rs
+++ b/crates/curranttrestle/src/coordination/gateway/outlier_detection.rs
@@ -25,6 +25,9 @@
     Failed,
     /// No data was received for a long time.
     TimedOut,
+    /// The gateway did not send the request: while it waited for a connection, its endpoint began
+    /// to leave or the request was no longer allowed. Does not count against the endpoint.
+    Withdrawn,
 }
 
 impl FailureKind {
@@ -38,6 +41,7 @@
             Self::Overloaded => "shed",
             Self::Failed => "failed",
             Self::TimedOut => "silent",
+            Self::Withdrawn => "withdrawn",
         }
     }
 
@@ -49,6 +53,7 @@
             Self::ConnectionLost => 1.5,
             Self::Overloaded => 1.0,
             Self::Malformed | Self::Failed => 0.75,
+            Self::Withdrawn => 0.0,
         }
     }
 }
