Refuse prompt parts that crash engines, by evidence of all gateways

Cause: the quarantine knows whole requests by their digest, and these requests are all different.

A request that waited for its first event when its connection was lost counts against its shared parts; an event proves the parts of its request harmless, at all gateways. Three runs of engines without a proof, and 700 ms for proofs to arrive, refuse the part; of equally suspicious parts the most specific one. The logs show that no request with the part ever received an event.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
+use curranttrestle::coordination::gateway::part_quarantine::{EndpointRun, endpoint_run};
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::state::gateway::RetryPolicy;
 use curranttrestle::state::{EndpointId, Now};
@@ -77,6 +78,8 @@
     number: u64,
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// The run of the endpoint.
+    pub run: EndpointRun,
 }
 
 impl AttemptGuard {
@@ -131,7 +134,9 @@
         gateway: Rc::clone(gateway),
         number,
         endpoint: choice.entry.endpoint.clone(),
+        run: endpoint_run(&choice.entry.endpoint, choice.entry.started_unix_ms),
     };
+    let run = guard.run;
     let result = match connect(exchange, choice.entry.address).await {
         // The directory and the configuration may have changed while the request waited.
         Ok(connection) if !exchange.may_send(&guard.endpoint, clock::now()) => {
@@ -168,6 +173,12 @@
     {
         exchange.sends.set(exchange.sends.get() + 1);
     }
+    if last_event_id.is_none()
+        && let Err(failure) = &head
+        && failure.kind == FailureKind::ConnectionLost
+    {
+        exchange.record_crash(run, clock::now());
+    }
     head
 }
 
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -178,6 +178,7 @@
             self.record.record_pause(now.since_ms(self.last_event_ms));
         } else {
             self.has_events = true;
+            self.exchange.record_begun(now);
             self.record.record_first_event(now);
         }
         self.last_event_ms = now.steady_ms;
@@ -223,6 +224,9 @@
             return Err(self.abort("not-resumed"));
         };
         let mut from = head.guard.endpoint.clone();
+        if failed == FailureKind::ConnectionLost && self.last_event_id.is_none() {
+            self.exchange.record_crash(head.guard.run, clock::now());
+        }
         // The connection is closed before another endpoint resumes the stream.
         drop(head);
         self.splitter.discard_partial();
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::{Placement, PlacementRequest};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
+use curranttrestle::coordination::gateway::part_quarantine::EndpointRun;
 use curranttrestle::coordination::quarantine::RequestDigest;
 use curranttrestle::state::gateway::{RequestHints, RetryPolicy, Route};
 use curranttrestle::state::{EndpointId, Now};
@@ -17,6 +18,9 @@
 use crate::gateway::Gateway;
 use crate::upstream::Connection;
 
+/// Reason for refusing a request with a prompt part that crashes engines.
+pub const PROMPT_QUARANTINED: &str = "prompt-quarantined";
+
 /// One client request and the state of its attempts.
 #[derive(Debug)]
 pub struct Exchange {
@@ -91,6 +95,10 @@
         if control.is_quarantined(&self.digest, now) {
             return Some("quarantined");
         }
+        let shared_parts = self.hints.shared_parts();
+        if control.prompt_parts.refusal_ms(shared_parts, now).is_some() {
+            return Some(PROMPT_QUARANTINED);
+        }
         // Without a customer there is no key to check.
         let customer = self.customer.as_deref()?;
         if !control.config_freshness.is_fresh(now) {
@@ -173,6 +181,20 @@
         }
     }
 
+    /// Records that the connection to an endpoint was lost before the first event of the response.
+    pub fn record_crash(&self, run: EndpointRun, now: Now) {
+        let shared_parts = self.hints.shared_parts();
+        let mut control = self.gateway.control.borrow_mut();
+        control.prompt_parts.record_crash(run, shared_parts, now);
+    }
+
+    /// Records that the response to the request has begun.
+    pub fn record_begun(&self, now: Now) {
+        let shared_parts = self.hints.shared_parts();
+        let mut control = self.gateway.control.borrow_mut();
+        control.prompt_parts.record_begun(shared_parts, now);
+    }
+
     /// Records that an endpoint failed the request.
     pub fn record_failure(&self, endpoint: &EndpointId, kind: FailureKind, now: Now) {
         let attempts = &self.gateway.metrics.attempts;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -18,7 +18,7 @@
 use super::attempt::{self, Failure, ResponseHead};
 use super::body::read_body;
 use super::event_stream::EventStream;
-use super::exchange::Exchange;
+use super::exchange::{Exchange, PROMPT_QUARANTINED};
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody, full_body};
@@ -293,13 +293,26 @@
     refusal_reason: &'static str,
     last: Option<Failure>,
 ) -> LocalResponse {
-    let retry_after_ms = exchange.gateway.settings.traffic.refusal_retry_after_ms;
+    let retry_after_ms = refusal_retry_after_ms(exchange, refusal_reason);
     if refusal_reason == "key-withdrawn" && last.is_none() {
         return LocalResponse::new(StatusCode::UNAUTHORIZED, refusal_reason);
     }
     failure_response(exchange, last, refusal_reason, retry_after_ms)
 }
 
+/// When a client may retry a request that was refused for `refusal_reason`, in milliseconds.
+fn refusal_retry_after_ms(exchange: &Exchange, refusal_reason: &str) -> f64 {
+    let default_ms = exchange.gateway.settings.traffic.refusal_retry_after_ms;
+    if refusal_reason != PROMPT_QUARANTINED {
+        return default_ms;
+    }
+    let control = exchange.gateway.control.borrow();
+    let shared_parts = exchange.hints.shared_parts();
+    let left_ms = control.prompt_parts.refusal_ms(shared_parts, clock::now());
+    #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+    left_ms.map_or(default_ms, |left_ms| left_ms as f64)
+}
+
 /// Response to the client when no endpoint responded. It says that the request did not run only if
 /// that is certain.
 fn failure_response(
@@ -373,6 +386,7 @@
         Some(Ok(body)) => body.to_bytes(),
         Some(Err(error)) => {
             log::debug!("kind=answer-broken error={error:?}");
+            exchange.record_crash(guard.run, clock::now());
             let failure = Failure::possibly_run(FailureKind::ConnectionLost);
             return Forwarded::Failed(failure, Box::new((exchange, record)));
         }
@@ -383,6 +397,7 @@
     };
     let now = clock::now();
     guard.record_first_event(now);
+    exchange.record_begun(now);
     if status.is_server_error() {
         exchange.record_failure(&guard.endpoint, FailureKind::Failed, now);
         exchange.return_connection(connection);
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -95,6 +95,14 @@
         "suspect_requests",
         count(control.quarantine.suspect_count()),
     );
+    set(
+        "suspect_prompt_parts",
+        count(control.prompt_parts.suspect_count()),
+    );
+    set(
+        "refused_prompt_parts",
+        count(control.prompt_parts.refused_count()),
+    );
     let version = control.routes().map_or(0, |table| table.config().version);
     set("config_version", version);
     set(
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
+use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::state::Now;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Async;
@@ -170,6 +171,12 @@
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.log_freshness_change(now);
+        for change in self.control.borrow_mut().prompt_parts.update(now) {
+            match change {
+                PartChange::Refused(part) => log::warn!("kind=prompt-part-refused part={part:x}"),
+                PartChange::Allowed(part) => log::info!("kind=prompt-part-allowed part={part:x}"),
+            }
+        }
         if let Some(count) = self.refusal_log_limit.borrow_mut().take_suppressed(now) {
             log::warn!("kind=refusals-not-logged count={count}");
         }
--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -56,6 +56,8 @@
     MemberUpdate,
     /// Load updates that a relay forwarded.
     RelayedUpdates,
+    /// Evidence on prompt parts.
+    PromptParts,
     /// This gateway's own report, delivered back to it.
     OwnReport,
 }
@@ -135,7 +137,9 @@
                 match &mut message {
                     GatewayMessage::Report(report) => report.proof = echo,
                     GatewayMessage::Summary(summary) => summary.proof = echo,
-                    GatewayMessage::News(_) | GatewayMessage::PassedOn(_) => (),
+                    GatewayMessage::News(_)
+                    | GatewayMessage::PassedOn(_)
+                    | GatewayMessage::PromptParts(_) => (),
                 }
                 if let Some(datagram) = encode(vec![address], &message) {
                     round_bytes += datagram.bytes.len() as u64;
@@ -147,6 +151,11 @@
             }
         }
         let live_peers = self.peering.live_peers();
+        if let Some(report) = control.prompt_parts.next_report(now) {
+            let targets = live_peers.iter().map(|peer| peer.address).collect();
+            let message = GatewayMessage::PromptParts(report);
+            outgoing.datagrams.extend(encode(targets, &message));
+        }
         let interval_ms = self.peering.interval_ms();
         let (round, change) = self.load_relay.round(&live_peers, interval_ms, now);
         outgoing.relay_change = change;
@@ -204,6 +213,10 @@
                 };
                 Ok(self.apply_summary(control, from, &summary, now))
             }
+            GatewayMessage::PromptParts(report) => {
+                control.prompt_parts.receive(&report, now);
+                Ok(Received::PromptParts)
+            }
             GatewayMessage::News(update) => {
                 if self.load_relay.receive_update(from, &update, now) {
                     apply_update(control, &update, 0, now);
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -107,6 +107,7 @@
             }
             Ok(Received::MemberUpdate) => count_message(gateway, "news"),
             Ok(Received::RelayedUpdates) => count_message(gateway, "passed-on"),
+            Ok(Received::PromptParts) => count_message(gateway, "prompt-parts"),
             Ok(Received::OwnReport) => (),
             Err(error) => {
                 count_message(gateway, "unreadable");
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -7,6 +7,7 @@
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
 use super::freshness::{Freshness, FreshnessOptions};
 use super::outlier_detection::{FailureKind, OutlierDetector, OutlierOptions};
+use super::part_quarantine::{PartQuarantine, PartQuarantineOptions};
 use super::placement::{Choice, PlacementContext, PlacementOptions, choose_engine, choose_plain};
 use super::prompt_cache::{PromptCache, PromptCacheOptions};
 use super::route_table::RouteTable;
@@ -39,6 +40,8 @@
     pub outliers: OutlierOptions,
     /// Quarantine of requests that crash endpoints.
     pub quarantine: QuarantineOptions,
+    /// Quarantine of prompt parts that crash engines.
+    pub prompt_parts: PartQuarantineOptions,
     /// The retry budget of the whole fleet. Each gateway uses its fraction of it.
     pub retries: FleetRetryOptions,
     /// Retry-after time of a request that is refused because no endpoint is known.
@@ -86,6 +89,7 @@
                 refuse_after_crashes: 3,
                 ..QuarantineOptions::default()
             },
+            prompt_parts: PartQuarantineOptions::default(),
             retries: FleetRetryOptions::default(),
             no_endpoint_retry_ms: 500.0,
         }
@@ -160,6 +164,8 @@
     pub outliers: OutlierDetector,
     /// Requests that crash endpoints.
     pub quarantine: Quarantine,
+    /// Prompt parts that crash engines.
+    pub prompt_parts: PartQuarantine,
     budgets: IndexMap<String, RetryBudget>,
     fleet_size: usize,
     last_attempt: u64,
@@ -178,6 +184,7 @@
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
             quarantine: Quarantine::new(options.quarantine),
+            prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
             fleet_size: 1,
             last_attempt: 0,
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod freshness;
 pub mod load_relay;
 pub mod outlier_detection;
+pub mod part_quarantine;
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -10,6 +10,7 @@
 use super::peer::Suspicions;
 use crate::coordination::gateway::endpoint_load::{LoadLine, PeerKey};
 use crate::coordination::gateway::load_relay::DataCentreKey;
+use crate::coordination::gateway::part_quarantine::EndpointRun;
 use crate::coordination::gateway::prompt_cache::PromptUseBatch;
 use crate::coordination::gateway::shares::ShareLine;
 
@@ -24,6 +25,39 @@
     PassedOn(Vec<RelayedUpdate>),
     /// The part of a report that expires, sent between reports.
     Summary(GatewaySummary),
+    /// Evidence on prompt parts that may crash engines.
+    PromptParts(PartReport),
+}
+
+/// Evidence on prompt parts that may crash engines. Ages are at the time of sending.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// Requests that waited for their first event when the connection to their engine was lost.
+    pub crashes: Vec<PartCrash>,
+    /// Parts of requests that received an event.
+    pub begun: Vec<PartAge>,
+    /// Refused parts, with the age of their last crash.
+    pub refused: Vec<PartAge>,
+}
+
+/// A request that waited for its first event when the connection to its engine was lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The run of the engine.
+    pub run: EndpointRun,
+    /// The ids of the shared parts of the prompt, in order.
+    pub parts: Vec<u64>,
+    /// Time since the crash.
+    pub age_ms: u32,
+}
+
+/// A prompt part with the age of what is known about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAge {
+    /// The id of the part.
+    pub part: u64,
+    /// The age.
+    pub age_ms: u32,
 }
 
 /// The endpoint load that one gateway causes.
