Announce leaving endpoints to the other gateways

A gateway learned of a leaving endpoint from its own watch only. A watch that goes silent is noticed after 3,700 ms (it waits 3,000 ms, its timeout is 700 ms longer), and the list in pages comes after that: one leg is longer than the whole bound of 2,000 or 3,000 ms.

A run that leaves never accepts requests again, so an older answer of the store does not undo it; without a start time, runs cannot be told apart and nothing is announced. Entries that are removed without having been leaving are not announced, because an entry may lapse while its endpoint is alive.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use curranttrestle::coordination::gateway::directory::{EndpointRun, endpoint_run};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
-use curranttrestle::coordination::gateway::part_quarantine::{EndpointRun, endpoint_run};
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::state::gateway::RetryPolicy;
 use curranttrestle::state::{EndpointId, Now};
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use curranttrestle::coordination::gateway::control::{Placement, PlacementRequest};
+use curranttrestle::coordination::gateway::directory::EndpointRun;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
-use curranttrestle::coordination::gateway::part_quarantine::EndpointRun;
 use curranttrestle::coordination::quarantine::RequestDigest;
 use curranttrestle::state::gateway::{RequestHints, RetryPolicy, Route};
 use curranttrestle::state::{EndpointId, Now};
--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use curranttrestle::coordination::gateway::control::Control;
+use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::coordination::gateway::endpoint_load::PeerKey;
 use curranttrestle::coordination::gateway::load_relay::{
     DataCentreKey, LoadRelay, RelayChange, RelayRound, data_centre_key,
@@ -43,7 +44,7 @@
 }
 
 /// What a received datagram was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Received {
     /// A peer's report or summary.
     Report {
@@ -58,6 +59,8 @@
     RelayedUpdates,
     /// Evidence on prompt parts.
     PromptParts,
+    /// Leaving endpoints, with the changes of the directory.
+    Leaving(Vec<DirectoryChange>),
     /// This gateway's own report, delivered back to it.
     OwnReport,
 }
@@ -139,7 +142,8 @@
                     GatewayMessage::Summary(summary) => summary.proof = echo,
                     GatewayMessage::News(_)
                     | GatewayMessage::PassedOn(_)
-                    | GatewayMessage::PromptParts(_) => (),
+                    | GatewayMessage::PromptParts(_)
+                    | GatewayMessage::Leaving(_) => (),
                 }
                 if let Some(datagram) = encode(vec![address], &message) {
                     round_bytes += datagram.bytes.len() as u64;
@@ -151,10 +155,15 @@
             }
         }
         let live_peers = self.peering.live_peers();
+        let targets = || live_peers.iter().map(|peer| peer.address).collect();
         if let Some(report) = control.prompt_parts.next_report(now) {
-            let targets = live_peers.iter().map(|peer| peer.address).collect();
             let message = GatewayMessage::PromptParts(report);
-            outgoing.datagrams.extend(encode(targets, &message));
+            outgoing.datagrams.extend(encode(targets(), &message));
+        }
+        let leaving = control.directory.leaving_to_announce();
+        if !leaving.is_empty() {
+            let message = GatewayMessage::Leaving(leaving);
+            outgoing.datagrams.extend(encode(targets(), &message));
         }
         let interval_ms = self.peering.interval_ms();
         let (round, change) = self.load_relay.round(&live_peers, interval_ms, now);
@@ -217,6 +226,9 @@
                 control.prompt_parts.receive(&report, now);
                 Ok(Received::PromptParts)
             }
+            GatewayMessage::Leaving(runs) => {
+                Ok(Received::Leaving(control.directory.receive_leaving(&runs)))
+            }
             GatewayMessage::News(update) => {
                 if self.load_relay.receive_update(from, &update, now) {
                     apply_update(control, &update, 0, now);
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -92,6 +92,7 @@
             .exchange
             .borrow_mut()
             .receive(&mut control, from, bytes, now);
+        drop(control);
         match received {
             Ok(Received::Report {
                 has_newer_config,
@@ -107,6 +108,10 @@
             }
             Ok(Received::MemberUpdate) => count_message(gateway, "news"),
             Ok(Received::RelayedUpdates) => count_message(gateway, "passed-on"),
+            Ok(Received::Leaving(changes)) => {
+                count_message(gateway, "leaving");
+                gateway.apply_directory_changes(&changes, "peer");
+            }
             Ok(Received::PromptParts) => count_message(gateway, "prompt-parts"),
             Ok(Received::OwnReport) => (),
             Err(error) => {
--- a/crates/curranttrestle-gateway/tests/crashing_parts.rs
+++ b/crates/curranttrestle-gateway/tests/crashing_parts.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use curranttrestle::coordination::gateway::control::Control;
-use curranttrestle::coordination::gateway::part_quarantine::endpoint_run;
+use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::PromptPart;
 use curranttrestle_gateway::peers::PeerExchange;
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -6,10 +6,35 @@
 //! goes missing at any other time is removed.
 
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::state::gateway::{EndpointEntry, EntryState};
 use crate::state::{EndpointId, Now};
 
+/// One run of an endpoint; another one after a restart.
+pub type EndpointRun = u64;
+
+/// Returns the key of the run of an endpoint that started at `started_unix_ms`.
+///
+/// ```
+/// use curranttrestle::coordination::gateway::directory::endpoint_run;
+/// assert_eq!(endpoint_run(&"m1".into(), 5), endpoint_run(&"m1".into(), 5));
+/// assert_ne!(endpoint_run(&"m1".into(), 5), endpoint_run(&"m1".into(), 6));
+/// ```
+#[must_use]
+pub fn endpoint_run(endpoint: &EndpointId, started_unix_ms: u64) -> EndpointRun {
+    xxh3_64_with_seed(endpoint.as_str().as_bytes(), started_unix_ms)
+}
+
+/// Maximum number of runs that are remembered as leaving; the oldest are forgotten.
+const MAX_LEAVING_RUNS: usize = 1_024;
+
+/// How often a leaving run is announced to the peers, since datagrams can be lost.
+const SENDS_PER_LEAVING_RUN: u32 = 2;
+
+/// Maximum number of leaving runs in one message.
+const MAX_ANNOUNCED_RUNS: usize = 64;
+
 /// Options for lapsed entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DirectoryOptions {
@@ -57,6 +82,9 @@
     store_recovered_ms: Option<u64>,
     /// When the store last responded, by the steady clock.
     responded_ms: Option<u64>,
+    /// Runs of endpoints that are leaving, from the store or from peers, with the number of
+    /// announcements left. A run that leaves never accepts requests again.
+    leaving_runs: IndexMap<EndpointRun, u32>,
     is_loaded: bool,
 }
 
@@ -70,6 +98,7 @@
             is_store_unavailable: false,
             store_recovered_ms: None,
             responded_ms: None,
+            leaving_runs: IndexMap::new(),
             is_loaded: false,
         }
     }
@@ -121,9 +150,59 @@
         changes
     }
 
+    /// Records that peers announced leaving runs. Returns the changes.
+    pub fn receive_leaving(&mut self, runs: &[EndpointRun]) -> Vec<DirectoryChange> {
+        let mut changes = Vec::new();
+        for run in runs {
+            if self.leaving_runs.contains_key(run) {
+                continue;
+            }
+            self.add_leaving(*run, 0);
+            let record = self
+                .endpoints
+                .values_mut()
+                .find(|record| record.run() == *run && record.entry.state == EntryState::Ready);
+            if let Some(record) = record {
+                record.entry.state = EntryState::Leaving;
+                changes.push(DirectoryChange::Leaving(record.entry.endpoint.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Returns the leaving runs to announce to the peers now. A gateway announces those that it
+    /// learned from the store before any peer announced them.
+    pub fn leaving_to_announce(&mut self) -> Vec<EndpointRun> {
+        let due = self.leaving_runs.iter_mut();
+        due.filter(|(_, sends_left)| **sends_left > 0)
+            .take(MAX_ANNOUNCED_RUNS)
+            .map(|(run, sends_left)| {
+                *sends_left -= 1;
+                *run
+            })
+            .collect()
+    }
+
+    fn add_leaving(&mut self, run: EndpointRun, sends_left: u32) {
+        self.leaving_runs.insert(run, sends_left);
+        if self.leaving_runs.len() > MAX_LEAVING_RUNS {
+            self.leaving_runs.shift_remove_index(0);
+        }
+    }
+
     /// Adds or updates an entry.
-    pub fn set(&mut self, entry: EndpointEntry) -> Option<DirectoryChange> {
+    ///
+    /// A run that was announced as leaving stays so. Without a start time, runs cannot be told
+    /// apart, and the entry decides.
+    pub fn set(&mut self, mut entry: EndpointEntry) -> Option<DirectoryChange> {
         let endpoint = entry.endpoint.clone();
+        let run = endpoint_run(&endpoint, entry.started_unix_ms);
+        if self.leaving_runs.contains_key(&run) {
+            // The store's answer may be older than what a peer announced.
+            entry.state = EntryState::Leaving;
+        } else if entry.state == EntryState::Leaving && entry.started_unix_ms > 0 {
+            self.add_leaving(run, SENDS_PER_LEAVING_RUN);
+        }
         let record = EndpointRecord {
             is_lapsed: false,
             is_displaced: false,
@@ -216,6 +295,10 @@
 }
 
 impl EndpointRecord {
+    fn run(&self) -> EndpointRun {
+        endpoint_run(&self.entry.endpoint, self.entry.started_unix_ms)
+    }
+
     fn accepts_requests(&self) -> bool {
         self.entry.state == EntryState::Ready && !self.is_displaced
     }
--- a/crates/curranttrestle/src/coordination/gateway/part_quarantine.rs
+++ b/crates/curranttrestle/src/coordination/gateway/part_quarantine.rs
@@ -9,9 +9,10 @@
 
 use indexmap::IndexMap;
 
+use super::directory::EndpointRun;
 use crate::protocol::gateway::{PartAge, PartCrash, PartReport};
+use crate::state::Now;
 use crate::state::gateway::PromptPart;
-use crate::state::{EndpointId, Now};
 
 /// Thresholds, retention times and limits of a [`PartQuarantine`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,21 +55,6 @@
     }
 }
 
-/// One run of an endpoint; another one after a restart.
-pub type EndpointRun = u64;
-
-/// Returns the key of one run of an endpoint that started at `started_unix_ms`.
-///
-/// ```
-/// use curranttrestle::coordination::gateway::part_quarantine::endpoint_run;
-/// assert_eq!(endpoint_run(&"m1".into(), 5), endpoint_run(&"m1".into(), 5));
-/// assert_ne!(endpoint_run(&"m1".into(), 5), endpoint_run(&"m1".into(), 6));
-/// ```
-#[must_use]
-pub fn endpoint_run(endpoint: &EndpointId, started_unix_ms: u64) -> EndpointRun {
-    xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), started_unix_ms)
-}
-
 /// A request that waited for its first event when the connection to its engine was lost.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Crash {
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::peer::Suspicions;
+use crate::coordination::gateway::directory::EndpointRun;
 use crate::coordination::gateway::endpoint_load::{LoadLine, PeerKey};
 use crate::coordination::gateway::load_relay::DataCentreKey;
-use crate::coordination::gateway::part_quarantine::EndpointRun;
 use crate::coordination::gateway::prompt_cache::PromptUseBatch;
 use crate::coordination::gateway::shares::ShareLine;
 
@@ -27,6 +27,8 @@
     Summary(GatewaySummary),
     /// Evidence on prompt parts that may crash engines.
     PromptParts(PartReport),
+    /// Runs of endpoints that are leaving.
+    Leaving(Vec<EndpointRun>),
 }
 
 /// Evidence on prompt parts that may crash engines. Ages are at the time of sending.
--- a/crates/curranttrestle/tests/gateway/directory.rs
+++ b/crates/curranttrestle/tests/gateway/directory.rs
@@ -1,5 +1,5 @@
 use curranttrestle::coordination::gateway::directory::{
-    Directory, DirectoryChange, DirectoryOptions,
+    Directory, DirectoryChange, DirectoryOptions, endpoint_run,
 };
 use curranttrestle::state::gateway::{EndpointEntry, EntryState};
 
@@ -109,3 +109,37 @@
     assert!(directory.remove_lapsed(at(16_900)).is_empty());
     assert_eq!(directory.remove_lapsed(at(17_000)).len(), 1);
 }
+
+#[test]
+fn announced_leaving_run_accepts_no_requests_whatever_an_older_answer_says() {
+    let mut directory = Directory::new(DirectoryOptions::default());
+    let ready = entry("desk", 0);
+    let endpoint = ready.endpoint.clone();
+    directory.set(ready.clone());
+    let run = endpoint_run(&endpoint, ready.started_unix_ms);
+    let changes = directory.receive_leaving(&[run, run]);
+    assert_eq!(changes, [DirectoryChange::Leaving(endpoint.clone())]);
+    assert!(directory.leaving_to_announce().is_empty());
+    directory.replace(vec![ready.clone()], at(0));
+    assert!(!directory.accepts_requests(&endpoint));
+    directory.set(EndpointEntry {
+        started_unix_ms: ready.started_unix_ms + 1,
+        ..ready
+    });
+    assert!(directory.accepts_requests(&endpoint));
+}
+
+#[test]
+fn leaving_run_from_the_store_is_announced_twice() {
+    let mut directory = Directory::new(DirectoryOptions::default());
+    let leaving = EndpointEntry {
+        state: EntryState::Leaving,
+        ..entry("desk", 0)
+    };
+    let run = endpoint_run(&leaving.endpoint, leaving.started_unix_ms);
+    directory.set(leaving.clone());
+    directory.set(leaving);
+    assert_eq!(directory.leaving_to_announce(), [run]);
+    assert_eq!(directory.leaving_to_announce(), [run]);
+    assert!(directory.leaving_to_announce().is_empty());
+}
