Respect endpoints that leave or ask for a pause in their responses

Cause: nothing read Server-Leaving, and the Retry-After of a 503 only ended up in the refusal of the client, also as the pause of a single endpoint when others were free.

Change: a response of any status marks its run as leaving (announced to the peers like the directory's); a run that the directory lists is no longer forgotten when 1,024 others leave. A 503 with seconds pauses the run for this gateway; placement, retries, resumed streams and the check before each send, also the one on a connection opened again, leave it out. All paused: 503 at once with the time until the first may be asked.

Ruled out: announcing pauses (asked of one gateway only); dates in Retry-After (they would need the wall clock).

--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -48,8 +48,17 @@
     pub not_run: bool,
     /// The address belongs to another endpoint.
     pub is_misdirected: bool,
-    /// When the endpoint asks for a retry, in milliseconds.
-    pub retry_after_ms: Option<f64>,
+    /// What the endpoint says about other requests.
+    pub announcements: Announcements,
+}
+
+/// What an endpoint says in a response about other requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Announcements {
+    /// The endpoint is leaving and accepts no new requests.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no request from this gateway, in milliseconds.
+    pub pause_ms: Option<u64>,
 }
 
 /// The platform's store, with the configuration and the directory of endpoints.
--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::exchange::Exchange;
 use crate::clock;
-use crate::edge::{ForwardInfo, ResponseInfo};
+use crate::edge::{Announcements, ForwardInfo, ResponseInfo};
 use crate::gateway::Gateway;
 use crate::timer::sleep_until;
 use crate::upstream::connection::SendError;
@@ -45,8 +45,6 @@
     pub not_run: bool,
     /// Whether the intended endpoint may have received the request.
     pub was_delivered: bool,
-    /// When the endpoint asks for a retry, in milliseconds.
-    pub retry_after_ms: Option<f64>,
 }
 
 impl Failure {
@@ -55,7 +53,6 @@
             kind,
             not_run: true,
             was_delivered: false,
-            retry_after_ms: None,
         }
     }
 
@@ -66,7 +63,6 @@
             kind,
             not_run: false,
             was_delivered: true,
-            retry_after_ms: None,
         }
     }
 }
@@ -139,14 +135,14 @@
     let run = guard.run;
     let result = match connect(exchange, choice.entry.address).await {
         // The directory and the configuration may have changed while the request waited.
-        Ok(connection) if !exchange.may_send(&guard.endpoint, clock::now()) => {
+        Ok(connection) if !exchange.may_send(&guard.endpoint, run, clock::now()) => {
             exchange.return_connection(connection);
             Err(Failure::not_sent(FailureKind::Withdrawn))
         }
         Ok(connection) => {
             record_connected(exchange, &guard.endpoint, started, clock::now());
             let request = endpoint_request(exchange, &guard.endpoint, last_event_id);
-            let sending = send_for_head(exchange, connection, request);
+            let sending = send_for_head(exchange, connection, request, &guard);
             let timeout = async {
                 sleep_until(response_deadline_ms).await;
                 let sends = exchange.sends.get() + 1;
@@ -227,6 +223,7 @@
     exchange: &Exchange,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    guard: &AttemptGuard,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let unsent = match connection.send(request).await {
         Ok(response) => return Ok((response, connection)),
@@ -249,6 +246,10 @@
         .open(address, connect_timeout_ms)
         .await;
     let mut connection = opened.map_err(|_error| Failure::not_sent(FailureKind::Unreachable))?;
+    if !exchange.may_send(&guard.endpoint, guard.run, clock::now()) {
+        exchange.return_connection(connection);
+        return Err(Failure::not_sent(FailureKind::Withdrawn));
+    }
     match connection.send(unsent).await {
         Ok(response) => Ok((response, connection)),
         Err(SendError::NotSent(_)) => Err(Failure::not_sent(FailureKind::Unreachable)),
@@ -322,12 +323,12 @@
         // The intended endpoint did not receive the request.
         return Err(Failure::not_sent(FailureKind::Unreachable));
     }
+    record_announcements(exchange, info.announcements, &guard);
     if info.not_run {
         return Err(Failure {
             kind: FailureKind::Overloaded,
             not_run: true,
             was_delivered: true,
-            retry_after_ms: info.retry_after_ms,
         });
     }
     let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
@@ -341,3 +342,25 @@
         guard,
     })
 }
+
+/// Records what an endpoint says in a response about its other requests: that it is leaving, or
+/// that it wants none for a time.
+fn record_announcements(exchange: &Exchange, announced: Announcements, guard: &AttemptGuard) {
+    let gateway = &exchange.gateway;
+    let (id, endpoint) = (&exchange.hints.attempt_id, &guard.endpoint);
+    if announced.is_leaving {
+        let change = gateway
+            .control
+            .borrow_mut()
+            .directory
+            .record_leaving(guard.run);
+        gateway.apply_directory_changes(change.as_slice(), "response");
+    }
+    if let Some(pause_ms) = announced.pause_ms {
+        let now = clock::now();
+        let mut control = gateway.control.borrow_mut();
+        if control.pauses.record_pause(guard.run, pause_ms, now) {
+            log::info!("kind=endpoint-paused id={id} endpoint={endpoint} ms={pause_ms}");
+        }
+    }
+}
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -113,14 +113,11 @@
 
     /// Whether the request may still be sent to the endpoint that was chosen for it.
     #[must_use]
-    pub fn may_send(&self, endpoint: &EndpointId, now: Now) -> bool {
-        let accepts_requests = self
-            .gateway
-            .control
-            .borrow()
-            .directory
-            .accepts_requests(endpoint);
-        accepts_requests && self.refusal_reason(now).is_none()
+    pub fn may_send(&self, endpoint: &EndpointId, run: EndpointRun, now: Now) -> bool {
+        let control = self.gateway.control.borrow();
+        let is_accepted = control.may_send(endpoint, run, now);
+        drop(control);
+        is_accepted && self.refusal_reason(now).is_none()
     }
 
     /// Whether the request may be sent to another endpoint. Uses the retry that [`Self::try_move`]
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -243,7 +243,7 @@
         last = Some(merge_failures(last, failure));
         let may_run_again = failure.not_run || exchange.route.retry_policy.allows_rerun();
         if !may_run_again || !exchange.try_retry(now) {
-            let retry_after_ms = failure.retry_after_ms.unwrap_or(RETRY_AFTER_FAILURE_MS);
+            let retry_after_ms = retry_after_failure_ms(&exchange, now);
             let local = failure_response(&exchange, last, failure.kind.as_str(), retry_after_ms);
             return finish_locally(local, &mut record);
         }
@@ -254,6 +254,17 @@
 /// Suggested delay before a client retries a request that did not run.
 const RETRY_AFTER_FAILURE_MS: f64 = 250.0;
 
+/// When a client may retry a request that an endpoint did not run, in milliseconds: soon, since
+/// another endpoint may take it, or when the first of them is no longer paused.
+fn retry_after_failure_ms(exchange: &Exchange, now: Now) -> f64 {
+    let control = exchange.gateway.control.borrow();
+    let pause_ms = control.service_pause_ms(&exchange.service, now);
+    #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+    pause_ms.map_or(RETRY_AFTER_FAILURE_MS, |pause_ms| {
+        (pause_ms as f64).max(RETRY_AFTER_FAILURE_MS)
+    })
+}
+
 /// If an earlier attempt may have run, the request may have run, whatever the later attempts say.
 fn merge_failures(before: Option<Failure>, failure: Failure) -> Failure {
     match before {
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -90,6 +90,7 @@
     set("idle_connections", count(gateway.pool.idle_count()));
     set("body_bytes", count(gateway.body_bytes.get()));
     set("endpoints", count(control.directory.all_entries().count()));
+    set("paused_endpoints", count(control.pauses.count(now)));
     set("gateways", count(control.fleet_size()));
     set(
         "suspect_requests",
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -170,6 +170,7 @@
     fn tick(&self, now: Now) {
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
+        self.control.borrow_mut().pauses.remove_ended(now);
         self.log_freshness_change(now);
         for change in self.control.borrow_mut().prompt_parts.update(now) {
             match change {
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -3,8 +3,9 @@
 use indexmap::IndexMap;
 
 use super::admission::{AdmissionDecision, AdmissionOptions, RefusalReason, admit};
-use super::directory::{Directory, DirectoryChange, DirectoryOptions};
+use super::directory::{Directory, DirectoryChange, DirectoryOptions, EndpointRun, endpoint_run};
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
+use super::endpoint_pauses::EndpointPauses;
 use super::freshness::{Freshness, FreshnessOptions};
 use super::outlier_detection::{FailureKind, OutlierDetector, OutlierOptions};
 use super::part_quarantine::{PartQuarantine, PartQuarantineOptions};
@@ -162,6 +163,8 @@
     pub shares: ShareTracker,
     /// Endpoints that are avoided because of failures.
     pub outliers: OutlierDetector,
+    /// Endpoints that asked this gateway to send nothing for a time.
+    pub pauses: EndpointPauses,
     /// Requests that crash endpoints.
     pub quarantine: Quarantine,
     /// Prompt parts that crash engines.
@@ -183,6 +186,7 @@
             cache: PromptCache::new(options.cache),
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
+            pauses: EndpointPauses::default(),
             quarantine: Quarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
@@ -310,9 +314,15 @@
     #[must_use]
     pub fn place(&self, request: PlacementRequest<'_>, now: Now) -> Placement {
         let Some(choice) = self.choose(request, now) else {
+            let pause_ms = self.service_pause_ms(request.service, now);
+            #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
+            let (reason, retry_after_ms) = match pause_ms {
+                Some(pause_ms) => ("endpoints-paused", pause_ms as f64),
+                None => ("no-endpoint", self.options.no_endpoint_retry_ms),
+            };
             return Placement::Refuse {
-                reason: "no-endpoint",
-                retry_after_ms: self.options.no_endpoint_retry_ms,
+                reason,
+                retry_after_ms,
                 inputs: RefusalInputs::default(),
             };
         };
@@ -344,6 +354,22 @@
         }
     }
 
+    /// Whether an endpoint may be sent a request now: it accepts requests and is not paused.
+    #[must_use]
+    pub fn may_send(&self, endpoint: &EndpointId, run: EndpointRun, now: Now) -> bool {
+        self.directory.accepts_requests(endpoint) && self.pauses.left_ms(run, now).is_none()
+    }
+
+    /// The time until the first endpoint of a service may be sent requests, if all that accept
+    /// requests are paused.
+    #[must_use]
+    pub fn service_pause_ms(&self, service: &str, now: Now) -> Option<u64> {
+        let accepting = self.directory.accepting(service);
+        let pauses = accepting.map(|entry| self.pauses.left_ms(run_of(entry), now));
+        // `None` orders before any pause.
+        pauses.min().flatten()
+    }
+
     /// Records that a request is sent to the chosen endpoint. Returns the attempt number.
     pub fn record_start(
         &mut self,
@@ -396,6 +422,7 @@
         let candidates = self.directory.accepting(request.service);
         let candidates: Vec<&EndpointEntry> = candidates
             .filter(|entry| !request.excluded.contains(&entry.endpoint))
+            .filter(|entry| self.pauses.left_ms(run_of(entry), now).is_none())
             .collect();
         let is_healthy = |entry: &&EndpointEntry| {
             !self
@@ -462,6 +489,10 @@
     }
 }
 
+fn run_of(entry: &EndpointEntry) -> EndpointRun {
+    endpoint_run(&entry.endpoint, entry.started_unix_ms)
+}
+
 /// The cost of a request for its customer's share: one per unshared prompt token, two per expected
 /// response token.
 fn cost_tokens(hints: &RequestHints) -> u64 {
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -5,7 +5,7 @@
 //! or right after an outage counts as lapsed and stays in use for a grace period; an entry that
 //! goes missing at any other time is removed.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::state::gateway::{EndpointEntry, EntryState};
@@ -26,7 +26,8 @@
     xxh3_64_with_seed(endpoint.as_str().as_bytes(), started_unix_ms)
 }
 
-/// Maximum number of runs that are remembered as leaving; the oldest are forgotten.
+/// Maximum number of runs that are remembered as leaving. Beyond it, the oldest that the directory
+/// no longer lists are forgotten.
 const MAX_LEAVING_RUNS: usize = 1_024;
 
 /// How often a leaving run is announced to the peers, since datagrams can be lost.
@@ -82,8 +83,9 @@
     store_recovered_ms: Option<u64>,
     /// When the store last responded, by the steady clock.
     responded_ms: Option<u64>,
-    /// Runs of endpoints that are leaving, from the store or from peers, with the number of
-    /// announcements left. A run that leaves never accepts requests again.
+    /// Runs of endpoints that are leaving, from the store, from peers or from the endpoints
+    /// themselves, with the number of announcements left. A run that leaves never accepts requests
+    /// again.
     leaving_runs: IndexMap<EndpointRun, u32>,
     is_loaded: bool,
 }
@@ -158,18 +160,31 @@
                 continue;
             }
             self.add_leaving(*run, 0);
-            let record = self
-                .endpoints
-                .values_mut()
-                .find(|record| record.run() == *run && record.entry.state == EntryState::Ready);
-            if let Some(record) = record {
-                record.entry.state = EntryState::Leaving;
-                changes.push(DirectoryChange::Leaving(record.entry.endpoint.clone()));
-            }
+            changes.extend(self.set_leaving(*run));
         }
         changes
     }
 
+    /// Records that an endpoint said in a response that its run is leaving. Only another run of the
+    /// endpoint accepts requests again.
+    pub fn record_leaving(&mut self, run: EndpointRun) -> Option<DirectoryChange> {
+        if self.leaving_runs.contains_key(&run) {
+            return None;
+        }
+        self.add_leaving(run, SENDS_PER_LEAVING_RUN);
+        self.set_leaving(run)
+    }
+
+    /// Sets the entry of a run to leaving.
+    fn set_leaving(&mut self, run: EndpointRun) -> Option<DirectoryChange> {
+        let record = self
+            .endpoints
+            .values_mut()
+            .find(|record| record.run() == run && record.entry.state == EntryState::Ready)?;
+        record.entry.state = EntryState::Leaving;
+        Some(DirectoryChange::Leaving(record.entry.endpoint.clone()))
+    }
+
     /// Returns the leaving runs to announce to the peers now. A gateway announces those that it
     /// learned from the store before any peer announced them.
     pub fn leaving_to_announce(&mut self) -> Vec<EndpointRun> {
@@ -185,8 +200,15 @@
 
     fn add_leaving(&mut self, run: EndpointRun, sends_left: u32) {
         self.leaving_runs.insert(run, sends_left);
-        if self.leaving_runs.len() > MAX_LEAVING_RUNS {
-            self.leaving_runs.shift_remove_index(0);
+        if self.leaving_runs.len() <= MAX_LEAVING_RUNS {
+            return;
+        }
+        // A listed run would accept requests again if it were forgotten.
+        let listed: IndexSet<EndpointRun> =
+            self.endpoints.values().map(EndpointRecord::run).collect();
+        let forgotten = self.leaving_runs.keys().find(|run| !listed.contains(*run));
+        if let Some(forgotten) = forgotten.copied() {
+            self.leaving_runs.shift_remove(&forgotten);
         }
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod directory;
 pub mod endpoint_load;
+pub mod endpoint_pauses;
 pub mod freshness;
 pub mod load_relay;
 pub mod outlier_detection;
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -1,6 +1,7 @@
 use curranttrestle::coordination::gateway::control::{
     Control, ControlOptions, FleetRetryOptions, Placement, PlacementRequest,
 };
+use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::state::EndpointId;
 use curranttrestle::state::gateway::RequestHints;
@@ -136,3 +137,65 @@
     assert!(control.max_idle_connections("model") >= 1);
     assert_eq!(control.max_idle_connections("unknown"), usize::MAX);
 }
+
+fn pause(control: &mut Control, endpoint: &EndpointId, started_unix_ms: u64, pause_ms: u64) {
+    let run = endpoint_run(endpoint, started_unix_ms);
+    control.pauses.record_pause(run, pause_ms, at(0));
+}
+
+#[test]
+fn paused_endpoint_is_chosen_neither_for_new_nor_for_resumed_requests() {
+    let mut control = ready(2);
+    let hints = prompt(1, 3_780, 2_890);
+    let first = chosen(place(&control, &hints, &[]));
+    pause(&mut control, &first, 1, 2_000);
+    let second = chosen(place(&control, &hints, &[]));
+    assert_ne!(first, second);
+    assert!(!control.may_send(&first, endpoint_run(&first, 1), at(1_999)));
+    assert!(control.may_send(&first, endpoint_run(&first, 1), at(2_000)));
+    // A stream that broke off at the second endpoint is not resumed at the paused one, although
+    // its response can no longer be refused.
+    let route = route("drafts", "host.example", "/drafts/");
+    let request = PlacementRequest {
+        route: &route,
+        service: "model",
+        customer: "customer",
+        hints: &hints,
+        excluded: std::slice::from_ref(&second),
+        is_retry: true,
+        is_resumed: true,
+    };
+    let placement = control.place(request, at(0));
+    assert!(matches!(placement, Placement::Refuse { .. }));
+}
+
+#[test]
+fn paused_service_is_refused_until_the_first_pause_ends() {
+    let mut control = ready(2);
+    let hints = prompt(1, 3_780, 2_890);
+    pause(&mut control, &entry("model", 0).endpoint, 1, 9_000);
+    pause(&mut control, &entry("model", 0).endpoint, 1, 300);
+    pause(&mut control, &entry("model", 1).endpoint, 1, 4_000);
+    let Placement::Refuse {
+        reason,
+        retry_after_ms,
+        ..
+    } = place(&control, &hints, &[])
+    else {
+        panic!("a paused endpoint was chosen");
+    };
+    assert_eq!((reason, retry_after_ms), ("endpoints-paused", 4_000.0));
+    assert_eq!(control.service_pause_ms("model", at(4_000)), None);
+}
+
+#[test]
+fn pause_ends_with_the_run_that_asked_for_it() {
+    let mut control = ready(1);
+    let hints = prompt(1, 3_780, 2_890);
+    let mut restarted = entry("model", 0);
+    pause(&mut control, &restarted.endpoint, 1, 60_000);
+    restarted.started_unix_ms = 2;
+    let endpoint = restarted.endpoint.clone();
+    control.directory.set(restarted);
+    assert_eq!(chosen(place(&control, &hints, &[])), endpoint);
+}
--- a/crates/curranttrestle/tests/gateway/directory.rs
+++ b/crates/curranttrestle/tests/gateway/directory.rs
@@ -143,3 +143,49 @@
     assert_eq!(directory.leaving_to_announce(), [run]);
     assert!(directory.leaving_to_announce().is_empty());
 }
+
+#[test]
+fn leaving_run_that_is_still_listed_is_not_forgotten_when_many_others_leave() {
+    let mut directory = loaded(1);
+    let listed = entry("model", 0);
+    let run = endpoint_run(&listed.endpoint, listed.started_unix_ms);
+    let change = directory.record_leaving(run);
+    assert_eq!(
+        change,
+        Some(DirectoryChange::Leaving(listed.endpoint.clone()))
+    );
+    let others: Vec<_> = (0..1_100_u64)
+        .map(|number| endpoint_run(&"gone".into(), number))
+        .collect();
+    directory.receive_leaving(&others);
+    directory.replace(vec![listed.clone()], at(0));
+    assert!(!directory.accepts_requests(&listed.endpoint));
+    directory.set(EndpointEntry {
+        started_unix_ms: listed.started_unix_ms + 1,
+        ..listed.clone()
+    });
+    assert!(directory.accepts_requests(&listed.endpoint));
+}
+
+#[test]
+fn leaving_run_without_a_start_time_is_not_used_again() {
+    let mut directory = Directory::new(DirectoryOptions::default());
+    let undated = EndpointEntry {
+        started_unix_ms: 0,
+        ..entry("model", 0)
+    };
+    directory.set(undated.clone());
+    directory.record_leaving(endpoint_run(&undated.endpoint, 0));
+    directory.set(undated.clone());
+    assert!(!directory.accepts_requests(&undated.endpoint));
+}
+
+#[test]
+fn leaving_run_that_lapsed_and_is_listed_again_accepts_no_requests() {
+    let mut directory = loaded(1);
+    let ready = entry("model", 0);
+    directory.record_leaving(endpoint_run(&ready.endpoint, ready.started_unix_ms));
+    assert!(directory.remove(&ready.endpoint, at(10_000)).is_some());
+    directory.set(ready.clone());
+    assert!(!directory.accepts_requests(&ready.endpoint));
+}
