Compare a store response with the sheet in force when its call was made

Cause: a read or watch that the store answered before or during a partition arrives after a peer's newer sheet took effect.

Change: the number in force is noted when the call is made. Reads are linearizable, so an answer older than that is still a fault.

--- a/crates/curranttrestle/src/coordination/config/effect.rs
+++ b/crates/curranttrestle/src/coordination/config/effect.rs
@@ -43,9 +43,9 @@
         /// The source of the other sheet: the name of a router or of the store's object.
         other: String,
     },
-    /// The store holds an older sheet than the one in force.
+    /// The store holds an older sheet than the one that was in force when it was asked.
     StoreReverted {
-        /// The number of the sheet in force, which stays in force.
+        /// The number of that sheet, which stays in force.
         in_force: u64,
         /// The number of the sheet in the store.
         stored: u64,
--- a/crates/curranttrestle/src/coordination/config/manager.rs
+++ b/crates/curranttrestle/src/coordination/config/manager.rs
@@ -77,6 +77,9 @@
     marks_known: bool,
     sheet_watch: ObjectWatch,
     marks_watch: ObjectWatch,
+    /// The number of the sheet in force when the last call for the sheet was made. A response may
+    /// be older than what came into force since then.
+    in_force_at_call: u64,
     peer_fetch: PeerFetch,
     /// The sheet number of the last reported conflict.
     last_reported_conflict: u64,
@@ -96,6 +99,7 @@
             marks_known: false,
             sheet_watch: ObjectWatch::new(ConfigObject::Sheet),
             marks_watch: ObjectWatch::new(ConfigObject::Marks),
+            in_force_at_call: 0,
             peer_fetch: PeerFetch::default(),
             last_reported_conflict: 0,
         }
@@ -143,6 +147,9 @@
         let pause_ms = self.watch_pause_ms(view);
         for object in [ConfigObject::Sheet, ConfigObject::Marks] {
             if let Some(call) = self.watch_mut(object).next_call(&me, pause_ms, now) {
+                if object == ConfigObject::Sheet {
+                    self.in_force_at_call = self.numbers().sheet_number;
+                }
                 let key = ConfigCallKey(object);
                 effects.push(ConfigEffect::Store { key, call });
             }
@@ -307,7 +314,7 @@
             }
         };
         let stored = object.sheet.number;
-        let in_force = self.numbers().sheet_number;
+        let in_force = self.in_force_at_call;
         if stored < in_force {
             let fault = ConfigFault::StoreReverted { in_force, stored };
             effects.push(ConfigEffect::Fault(fault));
--- a/crates/curranttrestle/tests/config_manager.rs
+++ b/crates/curranttrestle/tests/config_manager.rs
@@ -230,6 +230,28 @@
     assert_eq!(manager.sheet().unwrap().number, 5);
 }
 
+/// The response was under way during a partition, while a peer's newer sheet took effect.
+#[test]
+fn store_response_to_a_call_before_the_sheet_in_force_is_no_fault() {
+    let mut manager = manager_with("r0", 1);
+    manager.tick(&view(0, 1), at(600));
+    let sheet = Some(SheetUpdate::Whole(sheet(4)));
+    let update = ConfigUpdate { sheet, marks: None };
+    let effects = manager.receive_update(&"r1".into(), update, at(700));
+    assert_eq!(sheet_in_force(&effects), Some(4));
+    let effects = manager.receive_store_response(SHEET, &stored(2), at(800));
+    assert_eq!(effects, []);
+    assert_eq!(manager.sheet().unwrap().number, 4);
+    // The answer to a later call must not be older.
+    manager.tick(&view(0, 1), at(1_400));
+    let effects = manager.receive_store_response(SHEET, &stored(3), at(1_500));
+    let fault = ConfigFault::StoreReverted {
+        in_force: 4,
+        stored: 3,
+    };
+    assert_eq!(effects, [ConfigEffect::Fault(fault)]);
+}
+
 #[test]
 fn stale_router_fetches_a_diff_or_the_whole_sheet_if_the_diff_does_not_apply() {
     let mut ahead = manager_with("r1", 3);
