Exchange sums of data centres between relays in fleets of 100 gateways or more

Cause: each gateway sent a summary to each other one every 0.6 s and received the load update of each other one 20 times a second. At 295 gateways that is by arithmetic 90 MB/s of summaries, 24 of reports and 11 of load updates between data centres (122 MB/s measured: 2.61 GB in 21.3 s) and some 6,000 updates a second applied by each gateway. Each gateway watched the directory every 0.7 s (430 store calls a second measured, with the reads of the configuration). A leaving endpoint that all watches report at one moment was announced by each gateway to each other one, twice: 173,000 datagrams.

Change: relays exchange one sum for each data centre, which replaces the one before, also from another relay; members of the own data centre stay known one by one. Peers known through relays get a greeting every 3 s. Relays forward proofs of freshness and announcements of leaving endpoints, and read the configuration for their members.

Ruled out: sums that are added up by relay, which count requests twice until the old relay's sum expires; a mode for 62 to 99 gateways, where single updates fit.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::front;
 use crate::log::{EventRateLimiter, LogLines};
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
 use crate::store;
 use crate::strain::StrainMonitor;
@@ -119,6 +119,8 @@
     pub successes: Cell<u64>,
     /// Detects a lack of processor time or of information from peers.
     pub strain: RefCell<StrainMonitor>,
+    /// How this gateway comes by proofs of freshness.
+    pub proof_role: Cell<ProofRole>,
     /// Whether requests with a key were allowed at the last check.
     was_fresh: Cell<bool>,
     executors: Executors,
@@ -287,6 +289,7 @@
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
+        proof_role: Cell::default(),
         was_fresh: Cell::new(false),
         executors: executors.clone(),
         settings,
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub directory_changes: IntCounterVec,
     /// Messages from peers by kind, and messages that could not be read or sent.
     pub peer_reports: IntCounterVec,
+    /// Bytes of messages to and from peers by direction and kind.
+    pub peer_bytes: IntCounterVec,
     /// Current values by name.
     pub gauges: IntGaugeVec,
     /// Seconds from the start of an attempt to the first event or response, from the choice of an
@@ -83,6 +85,11 @@
                 "Messages from peers by kind, and messages that could not be read or sent",
                 &["outcome"],
             )?,
+            peer_bytes: counter(
+                "peer_bytes_total",
+                "Bytes of messages to and from peers by direction and kind",
+                &["direction", "kind"],
+            )?,
             gauges: IntGaugeVec::new(gauges, &["name"])?,
             times: HistogramVec::new(times, &["phase"])?,
             store_times: HistogramVec::new(store_times, &["call"])?,
@@ -94,6 +101,7 @@
         registry.register(Box::new(metrics.store_failures.clone()))?;
         registry.register(Box::new(metrics.directory_changes.clone()))?;
         registry.register(Box::new(metrics.peer_reports.clone()))?;
+        registry.register(Box::new(metrics.peer_bytes.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         registry.register(Box::new(metrics.times.clone()))?;
         registry.register(Box::new(metrics.store_times.clone()))?;
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -19,7 +19,7 @@
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
 
-pub use exchange::{PeerExchange, Received, ReportState};
+pub use exchange::{PeerExchange, ProofRole, Received, ReportState};
 
 /// Receive buffer; the maximum size of a UDP datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
@@ -48,11 +48,16 @@
             .exchange
             .borrow_mut()
             .send_due(&mut gateway.control.borrow_mut(), now);
+        gateway
+            .proof_role
+            .set(self.exchange.borrow().proof_role(now));
         outgoing.peer_changes.into_iter().for_each(log_peer_change);
         if let Some(change) = outgoing.relay_change {
             log_relay_change(change);
         }
         for datagram in outgoing.datagrams {
+            let bytes = datagram.bytes.len() * datagram.targets.len();
+            count_bytes(gateway, "sent", datagram.kind, bytes);
             for target in &datagram.targets {
                 // A full socket buffer drops this message; the next one supersedes it.
                 if let Err(error) = self.socket.get_ref().send_to(&datagram.bytes, target) {
@@ -93,12 +98,14 @@
             .borrow_mut()
             .receive(&mut control, from, bytes, now);
         drop(control);
+        let kind = received.as_ref().map_or("unreadable", Received::kind);
+        count_message(gateway, kind);
+        count_bytes(gateway, "received", kind, bytes.len());
         match received {
             Ok(Received::Report {
                 has_newer_config,
                 peer_change,
             }) => {
-                count_message(gateway, "received");
                 if has_newer_config {
                     gateway.newer_config.notify();
                 }
@@ -106,22 +113,35 @@
                     log_peer_change(change);
                 }
             }
-            Ok(Received::MemberUpdate) => count_message(gateway, "news"),
-            Ok(Received::RelayedUpdates) => count_message(gateway, "passed-on"),
-            Ok(Received::Leaving(changes)) => {
-                count_message(gateway, "leaving");
-                gateway.apply_directory_changes(&changes, "peer");
-            }
-            Ok(Received::PromptParts) => count_message(gateway, "prompt-parts"),
-            Ok(Received::OwnReport) => (),
-            Err(error) => {
-                count_message(gateway, "unreadable");
-                log::debug!("kind=peer-report-unreadable from={from} error={error:?}");
+            Ok(Received::Proof { has_newer_config }) => {
+                if has_newer_config {
+                    gateway.newer_config.notify();
+                }
             }
+            Ok(Received::Leaving(changes)) => gateway.apply_directory_changes(&changes, "peer"),
+            Ok(
+                Received::MemberUpdate
+                | Received::RelayedUpdates
+                | Received::Sum
+                | Received::DroppedSum
+                | Received::Shares
+                | Received::Suspicions
+                | Received::PromptParts
+                | Received::OwnReport,
+            ) => (),
+            Err(error) => log::debug!("kind=peer-report-unreadable from={from} error={error:?}"),
         }
     }
 }
 
+fn count_bytes(gateway: &Gateway, direction: &str, kind: &str, bytes: usize) {
+    gateway
+        .metrics
+        .peer_bytes
+        .with_label_values(&[direction, kind])
+        .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+}
+
 fn count_message(gateway: &Gateway, outcome: &str) {
     gateway
         .metrics
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -86,6 +86,12 @@
     pub max_config_interval_ms: u64,
     /// Minimum interval between two watches of the directory. Changes in between arrive together.
     pub watch_interval_ms: u64,
+    /// In a large fleet, peers announce what matters most: this times the number of gateways is the
+    /// interval if it is larger than `watch_interval_ms`.
+    pub watch_interval_ms_per_gateway: u64,
+    /// Upper limit of the interval: a gateway must learn of a leaving endpoint in time even if no
+    /// peer announces it.
+    pub max_watch_interval_ms: u64,
     /// How long a watch of the directory waits for changes.
     pub watch_wait_ms: u64,
     /// Timeout of a response, in addition to the wait of a watch.
@@ -103,6 +109,8 @@
             config_interval_ms_per_gateway: 30,
             max_config_interval_ms: 1_400,
             watch_interval_ms: 700,
+            watch_interval_ms_per_gateway: 25,
+            max_watch_interval_ms: 700,
             watch_wait_ms: 3_000,
             timeout_ms: 700,
             min_backoff_ms: 100,
@@ -126,11 +134,34 @@
     /// ```
     #[must_use]
     pub fn config_interval_ms_in(&self, gateways: usize) -> u64 {
-        let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
-        let fleet_interval_ms = gateways.saturating_mul(self.config_interval_ms_per_gateway);
+        let fleet_interval_ms = times(self.config_interval_ms_per_gateway, gateways);
         let interval_ms = fleet_interval_ms.max(self.config_interval_ms);
         interval_ms.min(self.max_config_interval_ms)
     }
+
+    /// Minimum interval between two watches of the directory in a fleet of `gateways` instances, in
+    /// milliseconds.
+    ///
+    /// ```
+    /// use curranttrestle_gateway::settings::StoreOptions;
+    /// let options = StoreOptions {
+    ///     max_watch_interval_ms: 2_700,
+    ///     ..StoreOptions::default()
+    /// };
+    /// assert_eq!(options.watch_interval_ms_in(9), 700);
+    /// assert_eq!(options.watch_interval_ms_in(62), 1_550);
+    /// assert_eq!(options.watch_interval_ms_in(295), 2_700);
+    /// ```
+    #[must_use]
+    pub fn watch_interval_ms_in(&self, gateways: usize) -> u64 {
+        let fleet_interval_ms = times(self.watch_interval_ms_per_gateway, gateways);
+        let interval_ms = fleet_interval_ms.max(self.watch_interval_ms);
+        interval_ms.min(self.max_watch_interval_ms)
+    }
+}
+
+fn times(interval_ms: u64, gateways: usize) -> u64 {
+    interval_ms.saturating_mul(u64::try_from(gateways).unwrap_or(u64::MAX))
 }
 
 /// Connections and timeouts.
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::edge::{ConfigRead, EndpointEvent, Platform, PlatformError};
 use crate::gateway::Gateway;
+use crate::peers::ProofRole;
 use crate::timer::sleep_ms;
 
 /// Logs the first of consecutive failures and the recovery.
@@ -118,11 +119,17 @@
 
 /// Waits until the freshness proof of the configuration is old. Peers share their proofs, so that
 /// few gateways have to read the store: each waits for a random time, and the first to read renews
-/// the proof for the others. Returns early once a peer has a newer configuration.
+/// the proof for the others. Where relays forward proofs, they read earlier than their members, who
+/// then need not read. Returns early once a peer has a newer configuration.
 async fn wait_until_proof_is_old(gateway: &Gateway) {
     let gateways = gateway.control.borrow().fleet_size();
     let longest_ms = gateway.settings.store.config_interval_ms_in(gateways);
-    let limit_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
+    let range_ms = match gateway.proof_role.get() {
+        ProofRole::Peer => longest_ms / 2..=longest_ms,
+        ProofRole::Relay => longest_ms / 4..=longest_ms / 2,
+        ProofRole::Member => longest_ms / 4 * 3..=longest_ms,
+    };
+    let limit_ms = rand::rng().random_range(range_ms);
     loop {
         let age_ms = gateway
             .control
@@ -259,7 +266,9 @@
             .collect();
         gateway.apply_directory_changes(&applied, "watch");
         let elapsed_ms = clock::now().since_ms(started.steady_ms);
-        sleep_ms(options.watch_interval_ms.saturating_sub(elapsed_ms)).await;
+        let gateways = gateway.control.borrow().fleet_size();
+        let interval_ms = options.watch_interval_ms_in(gateways);
+        sleep_ms(interval_ms.saturating_sub(elapsed_ms)).await;
     }
 }
 
--- a/crates/curranttrestle-gateway/tests/simulation/mod.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of gateways and engines on a simulated clock. The gateways exchange encoded datagrams.
 
+#![allow(dead_code, reason = "each test crate uses only some of the helpers")]
+
 pub mod engine;
 pub mod fairness;
 
@@ -10,14 +12,15 @@
 use curranttrestle::coordination::gateway::control::{
     Control, ControlOptions, Placement, PlacementRequest,
 };
+use curranttrestle::protocol::gateway::GatewayMessage;
 use curranttrestle::state::gateway::{
     ClientLimits, Customer, EndpointEntry, EngineCapacity, EntryState, PromptPart, RequestHints,
     RetryPolicy, Route, RouteTarget, Service, ServiceConfig,
 };
 use curranttrestle::state::{EndpointId, Now};
-use curranttrestle_gateway::peers::PeerExchange;
+use curranttrestle_gateway::peers::{PeerExchange, ProofRole};
 use curranttrestle_gateway::settings::GatewaySettings;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -90,6 +93,17 @@
     bytes: Vec<u8>,
 }
 
+/// Messages between gateways.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub datagrams: u64,
+    pub bytes: u64,
+    /// The part of the bytes that was sent to another data centre.
+    pub remote_bytes: u64,
+    /// Datagrams that announce leaving endpoints.
+    pub leaving: u64,
+}
+
 /// The simulated fleet.
 pub struct Fleet {
     gateways: Vec<Gateway>,
@@ -102,6 +116,12 @@
     sent: IndexMap<u64, SentRequest>,
     next_request: u64,
     now_ms: u64,
+    /// Gateways that no longer send or receive.
+    stopped: IndexSet<usize>,
+    /// The first byte of an announcement of leaving endpoints.
+    leaving_tag: u8,
+    /// What gateways sent to each other.
+    pub traffic: Traffic,
     /// What customers requested and received, counted at callers and engines.
     pub record: ServiceRecord,
 }
@@ -127,6 +147,10 @@
             sent: IndexMap::new(),
             next_request: 0,
             now_ms: 0,
+            stopped: IndexSet::new(),
+            leaving_tag: postcard::to_stdvec(&GatewayMessage::Leaving(Vec::new()))
+                .expect("a message can be encoded")[0],
+            traffic: Traffic::default(),
             record: ServiceRecord::default(),
         }
     }
@@ -138,7 +162,8 @@
             self.advance_engines();
             for index in 0..self.gateways.len() {
                 // Gateways tick at different offsets.
-                if (self.now_ms + index as u64 * 7).is_multiple_of(TICK_INTERVAL_MS) {
+                let is_due = (self.now_ms + index as u64 * 7).is_multiple_of(TICK_INTERVAL_MS);
+                if is_due && !self.stopped.contains(&index) {
                     self.tick(index);
                 }
             }
@@ -165,8 +190,32 @@
         self.gateways.iter().filter(is_incomplete).count()
     }
 
+    /// The present time and the state of a gateway.
+    pub fn gateway(&mut self, index: usize) -> (Now, &mut Control) {
+        (at(self.now_ms), &mut self.gateways[index].control)
+    }
+
+    /// How a gateway comes by proofs of freshness.
+    pub fn proof_role(&self, index: usize) -> ProofRole {
+        self.gateways[index].exchange.proof_role(at(self.now_ms))
+    }
+
+    /// Ends a gateway without notice.
+    pub fn stop(&mut self, index: usize) {
+        self.stopped.insert(index);
+    }
+
+    /// The gateways that have not been stopped.
+    pub fn running(&self) -> Vec<usize> {
+        let all = 0..self.gateways.len();
+        all.filter(|index| !self.stopped.contains(index)).collect()
+    }
+
     fn deliver_datagrams(&mut self) {
         for datagram in self.datagrams.remove(&self.now_ms).unwrap_or_default() {
+            if self.stopped.contains(&datagram.to) {
+                continue;
+            }
             let Gateway { control, exchange } = &mut self.gateways[datagram.to];
             exchange
                 .receive(control, datagram.from, &datagram.bytes, at(self.now_ms))
@@ -183,6 +232,15 @@
             if datagram.bytes.len() > MAX_DATAGRAM_BYTES {
                 continue;
             }
+            let bytes = datagram.bytes.len() as u64;
+            let is_leaving = datagram.bytes.first() == Some(&self.leaving_tag);
+            for target in &datagram.targets {
+                self.traffic.leaving += u64::from(is_leaving);
+                let is_remote = data_centre(gateway_index(*target)) != data_centre(index);
+                self.traffic.datagrams += 1;
+                self.traffic.bytes += bytes;
+                self.traffic.remote_bytes += if is_remote { bytes } else { 0 };
+            }
             arriving.extend(datagram.targets.iter().map(|target| Datagram {
                 from: gateway_address(index),
                 to: gateway_index(*target),
@@ -265,22 +323,28 @@
 }
 
 fn gateway_address(index: usize) -> SocketAddr {
-    let last = u8::try_from(index).expect("there are fewer than 256 gateways");
-    SocketAddr::from(([10, 0, 0, last], 7_400))
+    let index = u16::try_from(index).expect("there are fewer than 65,536 gateways");
+    let [high, low] = index.to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_400))
 }
 
 fn gateway_index(address: SocketAddr) -> usize {
     match address {
-        SocketAddr::V4(address) => address.ip().octets()[3].into(),
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
+            u16::from_be_bytes([high, low]).into()
+        }
         SocketAddr::V6(_) => unreachable!("gateways have IPv4 addresses"),
     }
 }
 
-fn data_centre(index: usize) -> String {
+/// The data centre of a gateway or an engine.
+pub fn data_centre(index: usize) -> String {
     DATA_CENTRES[index % DATA_CENTRES.len()].to_owned()
 }
 
-fn engine_entry(index: usize) -> EndpointEntry {
+/// The directory entry of an engine.
+pub fn engine_entry(index: usize) -> EndpointEntry {
     let number = u16::try_from(index).expect("there are fewer than 65,536 engines");
     EndpointEntry {
         endpoint: format!("engine-{index}").as_str().into(),
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -152,14 +152,24 @@
         changes
     }
 
-    /// Records that peers announced leaving runs. Returns the changes.
-    pub fn receive_leaving(&mut self, runs: &[EndpointRun]) -> Vec<DirectoryChange> {
+    /// Records that peers announced leaving runs. New ones are announced again if `is_forwarded`,
+    /// as by a relay. Returns the changes.
+    pub fn receive_leaving(
+        &mut self,
+        runs: &[EndpointRun],
+        is_forwarded: bool,
+    ) -> Vec<DirectoryChange> {
+        let sends = if is_forwarded {
+            SENDS_PER_LEAVING_RUN
+        } else {
+            0
+        };
         let mut changes = Vec::new();
         for run in runs {
             if self.leaving_runs.contains_key(run) {
                 continue;
             }
-            self.add_leaving(*run, 0);
+            self.add_leaving(*run, sends);
             changes.extend(self.set_leaving(*run));
         }
         changes
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -41,6 +41,14 @@
     pub memory_tokens: u32,
 }
 
+impl LoadLine {
+    fn add(&mut self, other: Self) {
+        self.waiting_tokens = self.waiting_tokens.saturating_add(other.waiting_tokens);
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+    }
+}
+
 /// Options of load estimation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadOptions {
@@ -218,6 +226,28 @@
             .retain(|_, report| now.since_ms(report.at_ms) < max_age_ms);
     }
 
+    /// Removes the reports of peers that another report includes.
+    pub fn remove_reports(&mut self, is_included: impl Fn(PeerKey) -> bool) {
+        self.peers.retain(|peer, _| !is_included(*peer));
+    }
+
+    /// The load of this gateway and of the peers in `members` together.
+    #[must_use]
+    pub fn sum_with(&self, members: impl Iterator<Item = PeerKey>, now: Now) -> Vec<LoadLine> {
+        let own = self.report().into_iter();
+        let mut sums: IndexMap<EndpointKey, LoadLine> =
+            own.map(|line| (line.endpoint, line)).collect();
+        let reports = members.filter_map(|peer| self.peers.get(&peer));
+        let current =
+            reports.filter(|report| now.since_ms(report.at_ms) < self.options.report_max_age_ms);
+        for line in current.flat_map(|report| report.lines.values()) {
+            sums.entry(line.endpoint)
+                .and_modify(|sum| sum.add(*line))
+                .or_insert(*line);
+        }
+        sums.into_values().collect()
+    }
+
     /// This gateway's report for its peers.
     #[must_use]
     pub fn report(&self) -> Vec<LoadLine> {
--- a/crates/curranttrestle/src/coordination/gateway/load_relay.rs
+++ b/crates/curranttrestle/src/coordination/gateway/load_relay.rs
@@ -7,6 +7,10 @@
 //! ranking, and any gateway that receives updates forwards them. A relay that times out is
 //! avoided. Until then, and if no relay is reachable, the reports to all peers still contain
 //! everything.
+//!
+//! Forwarding each update costs every gateway a time that grows with the fleet. So in a fleet of
+//! many gateways, a relay sends the relays of other data centres only the sum of its own data
+//! centre (see [`super::load_sums`]).
 
 use std::net::SocketAddr;
 
@@ -14,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::endpoint_load::PeerKey;
-use crate::protocol::gateway::{LoadUpdate, RelayedUpdate};
+use crate::protocol::gateway::{LoadUpdate, MessageEcho, RelayedUpdate};
 use crate::state::Now;
 
 /// Compact hash of a data centre's name, used in reports between gateways.
@@ -43,6 +47,10 @@
     /// A gateway that sent no load update for this long is no longer a member or a relay. Updates
     /// that relays held for this long are not forwarded.
     pub member_timeout_ms: u64,
+    /// Number of gateways from which relays exchange sums of their data centres.
+    pub sum_from_gateways: usize,
+    /// Interval between two rounds of load updates in a fleet of that size.
+    pub sum_interval_ms: u64,
 }
 
 impl Default for RelayOptions {
@@ -54,6 +62,34 @@
             relay_timeout_ms: 400,
             avoid_ms: 3_000,
             member_timeout_ms: 1_000,
+            sum_from_gateways: 100,
+            sum_interval_ms: 100,
+        }
+    }
+}
+
+impl RelayOptions {
+    /// Whether relays exchange sums in a fleet of `gateways` instances.
+    #[must_use]
+    pub fn uses_sums_in(&self, gateways: usize) -> bool {
+        gateways >= self.sum_from_gateways
+    }
+
+    /// Interval between two rounds of load updates in a fleet of `gateways` instances, in
+    /// milliseconds.
+    ///
+    /// ```
+    /// use curranttrestle::coordination::gateway::load_relay::RelayOptions;
+    /// let options = RelayOptions::default();
+    /// assert_eq!(options.interval_ms_in(69), 50);
+    /// assert_eq!(options.interval_ms_in(295), 100);
+    /// ```
+    #[must_use]
+    pub fn interval_ms_in(&self, gateways: usize) -> u64 {
+        if self.uses_sums_in(gateways) {
+            self.sum_interval_ms
+        } else {
+            self.interval_ms
         }
     }
 }
@@ -76,6 +112,8 @@
     pub members: Vec<SocketAddr>,
     /// The relays that receive the updates of this gateway and its members.
     pub relays: Vec<SocketAddr>,
+    /// The relays that receive the sum of these updates, in other data centres.
+    pub remote_relays: Vec<SocketAddr>,
     /// New updates from members.
     pub member_updates: Vec<RelayedUpdate>,
     /// New updates from other relays.
@@ -108,6 +146,13 @@
     received_ms: u64,
 }
 
+/// A gateway that uses this one as its relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Member {
+    received_ms: u64,
+    newest: MessageEcho,
+}
+
 /// The relay state of a gateway.
 #[derive(Clone, Debug)]
 pub struct LoadRelay {
@@ -118,8 +163,8 @@
     relay: Option<Relay>,
     /// Relays that are avoided, with the time at which this ends.
     avoided: IndexMap<SocketAddr, u64>,
-    /// Gateways that sent their own updates, with the time of the last one.
-    members: IndexMap<SocketAddr, u64>,
+    /// Gateways that sent their own updates, with the last one.
+    members: IndexMap<SocketAddr, Member>,
     /// Gateways that forwarded updates of others, with the time of the last one.
     relays: IndexMap<SocketAddr, u64>,
     pending: IndexMap<PeerKey, PendingUpdate>,
@@ -167,10 +212,69 @@
 
     /// Receives a member's update. Returns whether it is newer than the known one.
     pub fn receive_update(&mut self, from: SocketAddr, update: &LoadUpdate, now: Now) -> bool {
-        self.members.insert(from, now.steady_ms);
+        let newest = MessageEcho {
+            peer: update.sender,
+            run: update.run,
+            sent_ms: update.sent_ms,
+        };
+        let received_ms = now.steady_ms;
+        let member = Member {
+            received_ms,
+            newest,
+        };
+        self.members.insert(from, member);
         self.accept_update(update, 0, true, now)
     }
 
+    /// Records a message from a relay.
+    pub fn record_relay(&mut self, from: SocketAddr, now: Now) {
+        match &mut self.relay {
+            Some(relay) if relay.address == from => relay.received_ms = now.steady_ms,
+            _ => {
+                self.relays.insert(from, now.steady_ms);
+            }
+        }
+    }
+
+    /// Whether other gateways use this one as their relay.
+    #[must_use]
+    pub fn is_relay(&self) -> bool {
+        !self.members.is_empty()
+    }
+
+    /// The relay that this gateway uses; `None` if it is a relay or uses none.
+    #[must_use]
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay.map(|relay| relay.address)
+    }
+
+    /// Whether the updates of this gateway's data centre arrive: it is a relay, or its relay was
+    /// heard recently.
+    #[must_use]
+    pub fn is_connected(&self, now: Now) -> bool {
+        let timeout_ms = self.options.relay_timeout_ms;
+        let has_relay = self
+            .relay
+            .is_some_and(|relay| now.since_ms(relay.received_ms) < timeout_ms);
+        has_relay || self.is_relay()
+    }
+
+    /// The members' newest updates.
+    pub fn member_echoes(&self) -> impl Iterator<Item = MessageEcho> {
+        self.members.values().map(|member| member.newest)
+    }
+
+    /// Members and relays, which forward what this gateway learns.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let mut neighbours: Vec<SocketAddr> = self.members.keys().copied().collect();
+        if self.is_relay() {
+            neighbours.extend(self.relays.keys());
+        }
+        neighbours.extend(self.relay());
+        neighbours
+    }
+
     /// Receives updates that a relay forwarded. Returns those that are newer than the known ones.
     pub fn receive_relayed(
         &mut self,
@@ -178,12 +282,7 @@
         updates: Vec<RelayedUpdate>,
         now: Now,
     ) -> Vec<RelayedUpdate> {
-        match &mut self.relay {
-            Some(relay) if relay.address == from => relay.received_ms = now.steady_ms,
-            _ => {
-                self.relays.insert(from, now.steady_ms);
-            }
-        }
+        self.record_relay(from, now);
         let mut new = updates;
         new.retain(|relayed| self.accept_update(&relayed.update, relayed.held_ms, false, now));
         new
@@ -233,16 +332,17 @@
             });
             return (None, change);
         }
+        let interval_ms = self.options.interval_ms_in(peers.len() + 1);
         let is_due = self
             .last_round_ms
-            .is_none_or(|last_round_ms| now.since_ms(last_round_ms) >= self.options.interval_ms);
+            .is_none_or(|last_round_ms| now.since_ms(last_round_ms) >= interval_ms);
         if !is_due {
             return (None, None);
         }
         self.last_round_ms = Some(now.steady_ms);
         let member_timeout_ms = self.options.member_timeout_ms;
         self.members
-            .retain(|_, received_ms| now.since_ms(*received_ms) < member_timeout_ms);
+            .retain(|_, member| now.since_ms(member.received_ms) < member_timeout_ms);
         self.relays
             .retain(|_, received_ms| now.since_ms(*received_ms) < member_timeout_ms);
         self.avoided.retain(|_, until_ms| now.steady_ms < *until_ms);
@@ -276,10 +376,22 @@
         );
         relays.sort_unstable();
         relays.dedup();
+        let remote_relays = if self.options.uses_sums_in(peers.len() + 1) {
+            let is_local = |relay: &SocketAddr| {
+                let peer = peers.iter().find(|peer| peer.address == *relay);
+                peer.is_some_and(|peer| peer.data_centre == self.data_centre)
+            };
+            let (local, remote) = relays.into_iter().partition(is_local);
+            relays = local;
+            remote
+        } else {
+            Vec::new()
+        };
         let mut round = RelayRound {
             relay: None,
             members: self.members.keys().copied().collect(),
             relays,
+            remote_relays,
             ..RelayRound::default()
         };
         for (_, pending) in self.pending.drain(..) {
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod endpoint_pauses;
 pub mod freshness;
 pub mod load_relay;
+pub mod load_sums;
 pub mod outlier_detection;
 pub mod part_quarantine;
 pub mod peering;
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -4,6 +4,9 @@
 //! receive a report in the same round, so that each of them gets the complete information. The
 //! interval of reports grows with their size. Information that expires must not wait for a report,
 //! so it is also sent in summaries at a fixed interval.
+//!
+//! In a large fleet, the load and shares of a data centre arrive through relays. Its gateways then
+//! receive only greetings, which keep them known as live and tell them of other peers.
 
 use std::net::SocketAddr;
 
@@ -17,6 +20,10 @@
 /// reports.
 const MAX_ANNOUNCED_PEERS: usize = 16;
 
+/// Maximum number of greetings that are sent at one time, so that they are spread over their
+/// interval.
+const MAX_GREETINGS: usize = 16;
+
 /// Rate of reports between gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeeringOptions {
@@ -33,6 +40,10 @@
     pub max_gap_ms: u64,
     /// A peer that sent nothing for this long counts as lost.
     pub lost_after_ms: u64,
+    /// Interval between two greetings to a peer whose load arrives through relays.
+    pub greeting_ms: u64,
+    /// Such a peer counts as lost when it sent nothing for this long.
+    pub greeted_lost_after_ms: u64,
     /// Interval between two reports to a peer that is not live.
     pub retry_ms: u64,
     /// A peer that has been lost for this long is removed, unless it is a seed.
@@ -47,6 +58,8 @@
             bytes_per_s: 100_000,
             max_gap_ms: 600,
             lost_after_ms: 3_000,
+            greeting_ms: 3_000,
+            greeted_lost_after_ms: 9_000,
             retry_ms: 1_000,
             forget_after_ms: 60_000,
         }
@@ -95,6 +108,13 @@
     data_centre: Option<DataCentreKey>,
 }
 
+impl Peer {
+    /// Whether the peer is live and the load of its data centre arrives through relays.
+    fn is_relayed(&self, is_relayed: impl Fn(DataCentreKey) -> bool) -> bool {
+        self.received_ms.is_some() && self.data_centre.is_some_and(is_relayed)
+    }
+}
+
 /// The other gateways.
 #[derive(Clone, Debug)]
 pub struct Peering {
@@ -157,8 +177,13 @@
             .count()
     }
 
-    /// Returns the round of reports or summaries if one is due.
-    pub fn round(&mut self, now: Now) -> Option<ReportRound> {
+    /// Returns the round of reports or summaries if one is due. Peers in data centres for which
+    /// `is_relayed` is true receive none.
+    pub fn round(
+        &mut self,
+        is_relayed: impl Fn(DataCentreKey) -> bool,
+        now: Now,
+    ) -> Option<ReportRound> {
         let is_due = |last: Option<u64>, interval_ms: u64| {
             last.is_none_or(|last| now.since_ms(last) >= interval_ms)
         };
@@ -184,6 +209,9 @@
         let retry_ms = self.options.retry_ms;
         let mut targets = Vec::new();
         for (address, peer) in &mut self.peers {
+            if peer.is_relayed(&is_relayed) {
+                continue;
+            }
             if peer.received_ms.is_some() || is_due(peer.last_sent_ms, retry_ms) {
                 peer.last_sent_ms = Some(now.steady_ms);
                 targets.push((*address, peer.echo));
@@ -192,7 +220,28 @@
         Some(ReportRound { targets, kind })
     }
 
-    /// Returns some of the live peers for a full report, different ones each time.
+    /// Returns the peers that receive a greeting now, with the proof to echo.
+    pub fn greetings(
+        &mut self,
+        is_relayed: impl Fn(DataCentreKey) -> bool,
+        now: Now,
+    ) -> Vec<(SocketAddr, Option<ProofEcho>)> {
+        let greeting_ms = self.options.greeting_ms;
+        let due = self.peers.iter_mut().filter(|(_, peer)| {
+            let is_due = peer
+                .last_sent_ms
+                .is_none_or(|last_ms| now.since_ms(last_ms) >= greeting_ms);
+            is_due && peer.is_relayed(&is_relayed)
+        });
+        due.take(MAX_GREETINGS)
+            .map(|(address, peer)| {
+                peer.last_sent_ms = Some(now.steady_ms);
+                (*address, peer.echo)
+            })
+            .collect()
+    }
+
+    /// Returns some of the live peers for a full report or a greeting, different ones each time.
     pub fn peers_to_announce(&mut self) -> Vec<SocketAddr> {
         let live = self
             .peers
@@ -257,14 +306,32 @@
         was_lost.then_some(PeerChange::Live(from))
     }
 
-    /// Marks silent peers as lost and removes peers that were lost long ago.
-    pub fn expire_peers(&mut self, now: Now) -> Vec<PeerChange> {
+    /// Marks a live peer as lost, until a message from it is received.
+    pub fn mark_lost(&mut self, address: SocketAddr, now: Now) -> Option<PeerChange> {
+        let peer = self.peers.get_mut(&address)?;
+        peer.received_ms.take()?;
+        peer.lost_since_ms = now.steady_ms;
+        Some(PeerChange::Lost(address))
+    }
+
+    /// Marks silent peers as lost and removes peers that were lost long ago. Peers in data centres
+    /// for which `is_relayed` is true may be silent for longer.
+    pub fn expire_peers(
+        &mut self,
+        is_relayed: impl Fn(DataCentreKey) -> bool,
+        now: Now,
+    ) -> Vec<PeerChange> {
         let options = self.options;
         let mut changes = Vec::new();
         for (address, peer) in &mut self.peers {
+            let lost_after_ms = if peer.is_relayed(&is_relayed) {
+                options.greeted_lost_after_ms
+            } else {
+                options.lost_after_ms
+            };
             let is_silent = peer
                 .received_ms
-                .is_some_and(|received_ms| now.since_ms(received_ms) >= options.lost_after_ms);
+                .is_some_and(|received_ms| now.since_ms(received_ms) >= lost_after_ms);
             if is_silent {
                 peer.received_ms = None;
                 peer.lost_since_ms = now.steady_ms;
--- a/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
+++ b/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
@@ -61,6 +61,42 @@
     pub uses: Vec<PromptUse>,
 }
 
+/// Uses that are still reported to peers, numbered consecutively.
+#[derive(Clone, Debug, Default)]
+pub struct PromptUseLog {
+    /// Each use with its time.
+    uses: VecDeque<(u64, PromptUse)>,
+    next: u64,
+}
+
+impl PromptUseLog {
+    /// Adds a use.
+    pub fn push(&mut self, prompt_use: PromptUse, now: Now) {
+        self.uses.push_back((now.steady_ms, prompt_use));
+        self.next += 1;
+    }
+
+    /// Removes uses that are older than `max_age_ms`.
+    pub fn remove_older(&mut self, max_age_ms: u64, now: Now) {
+        let is_old = |(used_ms, _): &(u64, PromptUse)| now.since_ms(*used_ms) > max_age_ms;
+        while self.uses.front().is_some_and(is_old) {
+            self.uses.pop_front();
+        }
+    }
+
+    /// The uses of the last `max_age_ms`.
+    #[must_use]
+    pub fn batch(&self, max_age_ms: u64, now: Now) -> PromptUseBatch {
+        let is_recent = |(used_ms, _): &&(u64, PromptUse)| now.since_ms(*used_ms) <= max_age_ms;
+        let count = self.uses.iter().rev().take_while(is_recent).count();
+        let uses = self.uses.iter().skip(self.uses.len() - count);
+        PromptUseBatch {
+            first: self.next - count as u64,
+            uses: uses.map(|(_, prompt_use)| prompt_use.clone()).collect(),
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct EndpointCache {
     /// Total of all tokens that were added.
@@ -75,9 +111,8 @@
 pub struct PromptCache {
     options: PromptCacheOptions,
     endpoints: IndexMap<EndpointKey, EndpointCache>,
-    /// This gateway's uses that are still reported to peers, with the time of each.
-    recent_uses: VecDeque<(u64, PromptUse)>,
-    next_use: u64,
+    /// This gateway's uses.
+    own_uses: PromptUseLog,
     /// For each peer, the number of the next use that is not yet applied.
     next_use_by_peer: IndexMap<PeerKey, u64>,
 }
@@ -89,8 +124,7 @@
         Self {
             options,
             endpoints: IndexMap::new(),
-            recent_uses: VecDeque::new(),
-            next_use: 0,
+            own_uses: PromptUseLog::default(),
             next_use_by_peer: IndexMap::new(),
         }
     }
@@ -110,12 +144,16 @@
             added_tokens: u32::try_from(added_tokens).unwrap_or(u32::MAX),
         };
         self.apply_use(&prompt_use);
-        self.recent_uses.push_back((now.steady_ms, prompt_use));
-        self.next_use += 1;
+        self.own_uses.remove_older(MAX_USE_AGE_MS, now);
+        self.own_uses.push(prompt_use, now);
     }
 
-    /// Applies a peer's uses. Uses that were already reported are skipped.
-    pub fn apply_report(&mut self, peer: PeerKey, batch: &PromptUseBatch) {
+    /// Applies a peer's uses. Skips uses that were already reported and returns the others.
+    pub fn apply_report<'a>(
+        &mut self,
+        peer: PeerKey,
+        batch: &'a PromptUseBatch,
+    ) -> &'a [PromptUse] {
         let next = self
             .next_use_by_peer
             .get(&peer)
@@ -128,7 +166,8 @@
             0
         };
         let skipped = usize::try_from(next.saturating_sub(batch.first)).unwrap_or(usize::MAX);
-        for prompt_use in batch.uses.iter().skip(skipped) {
+        let new = batch.uses.get(skipped..).unwrap_or_default();
+        for prompt_use in new {
             self.apply_use(prompt_use);
         }
         self.next_use_by_peer
@@ -136,19 +175,14 @@
         if self.next_use_by_peer.len() > MAX_PEERS {
             self.next_use_by_peer.shift_remove_index(0);
         }
+        new
     }
 
     /// This gateway's latest uses for peers that receive a report every `interval_ms`, up to the
     /// maximum number. Older uses are dropped.
     pub fn report(&mut self, interval_ms: u64, now: Now) -> PromptUseBatch {
         let max_age_ms = self.options.report_intervals * interval_ms;
-        while self
-            .recent_uses
-            .front()
-            .is_some_and(|(used_ms, _)| now.since_ms(*used_ms) > max_age_ms)
-        {
-            self.recent_uses.pop_front();
-        }
+        self.own_uses.remove_older(max_age_ms, now);
         let mut batch = self.recent_uses(interval_ms, now);
         let excess = batch
             .uses
@@ -165,13 +199,7 @@
     #[must_use]
     pub fn recent_uses(&self, interval_ms: u64, now: Now) -> PromptUseBatch {
         let max_age_ms = self.options.report_intervals * interval_ms;
-        let is_recent = |(used_ms, _): &&(u64, PromptUse)| now.since_ms(*used_ms) <= max_age_ms;
-        let count = self.recent_uses.iter().rev().take_while(is_recent).count();
-        let uses = self.recent_uses.iter().skip(self.recent_uses.len() - count);
-        PromptUseBatch {
-            first: self.next_use - count as u64,
-            uses: uses.map(|(_, prompt_use)| prompt_use.clone()).collect(),
-        }
+        self.own_uses.batch(max_age_ms, now)
     }
 
     /// Number of leading prompt tokens that an endpoint with `memory_tokens` probably has cached.
@@ -219,6 +247,9 @@
     }
 }
 
+/// Uses older than this are not reported; longer than any interval between reports.
+const MAX_USE_AGE_MS: u64 = 30_000;
+
 /// Maximum number of peers whose use numbers are tracked.
 const MAX_PEERS: usize = 4_096;
 
--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -85,6 +85,13 @@
     pub admitted_tokens: u32,
 }
 
+impl ShareLine {
+    fn add(&mut self, other: Self) {
+        self.asked_tokens = self.asked_tokens.saturating_add(other.asked_tokens);
+        self.admitted_tokens = self.admitted_tokens.saturating_add(other.admitted_tokens);
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Slice {
     number: u64,
@@ -96,13 +103,15 @@
 #[derive(Clone, Debug)]
 struct PeerReport {
     lines: Vec<ShareLine>,
+    /// The number of gateways that the report includes.
+    gateways: usize,
     at_ms: u64,
 }
 
 /// The peer reports that share decisions are based on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ShareCoverage {
-    /// Number of peers with a report that has not expired.
+    /// Number of peers whose shares are included in a report that has not expired.
     pub reports: usize,
     /// Age of the oldest of these reports.
     pub oldest_age_ms: u64,
@@ -164,35 +173,82 @@
 
     /// Applies a peer's report, which replaces its previous one.
     pub fn apply_report(&mut self, peer: PeerKey, lines: Vec<ShareLine>, now: Now) {
+        self.apply_sum(peer, lines, 1, now);
+    }
+
+    /// Applies a report that includes `gateways` peers and replaces the previous one of `peer`.
+    pub fn apply_sum(&mut self, peer: PeerKey, lines: Vec<ShareLine>, gateways: usize, now: Now) {
         let max_age_ms = self.options.report_max_age_ms;
+        self.retain_reports(|key, report| key != peer && now.since_ms(report.at_ms) < max_age_ms);
+        for line in &lines {
+            let total = self.reported.entry(line.customer).or_default();
+            total.asked_tokens += u64::from(line.asked_tokens);
+            total.admitted_tokens += u64::from(line.admitted_tokens);
+        }
+        let at_ms = now.steady_ms;
+        let report = PeerReport {
+            lines,
+            gateways,
+            at_ms,
+        };
+        self.peers.insert(peer, report);
+    }
+
+    /// The tokens that a peer reported last.
+    #[must_use]
+    pub fn report_of(&self, peer: PeerKey) -> Option<&[ShareLine]> {
+        self.peers.get(&peer).map(|report| &report.lines[..])
+    }
+
+    /// Removes the reports of peers that another report includes.
+    pub fn remove_reports(&mut self, is_included: impl Fn(PeerKey) -> bool) {
+        self.retain_reports(|peer, _| !is_included(peer));
+    }
+
+    fn retain_reports(&mut self, is_kept: impl Fn(PeerKey, &PeerReport) -> bool) {
         let reported = &mut self.reported;
-        self.peers.retain(|key, report| {
-            let is_current = *key != peer && now.since_ms(report.at_ms) < max_age_ms;
-            if !is_current {
+        self.peers.retain(|peer, report| {
+            let is_kept = is_kept(*peer, report);
+            if !is_kept {
                 report
                     .lines
                     .iter()
                     .for_each(|line| subtract(reported, line));
             }
-            is_current
+            is_kept
         });
-        for line in &lines {
-            let total = reported.entry(line.customer).or_default();
-            total.asked_tokens += u64::from(line.asked_tokens);
-            total.admitted_tokens += u64::from(line.admitted_tokens);
+    }
+
+    /// The tokens of this gateway and of the peers in `members` together.
+    #[must_use]
+    pub fn sum_with(&self, members: impl Iterator<Item = PeerKey>, now: Now) -> Vec<ShareLine> {
+        let own = self.report(now).into_iter();
+        let mut sums: IndexMap<CustomerKey, ShareLine> =
+            own.map(|line| (line.customer, line)).collect();
+        let reports = members.filter_map(|peer| self.peers.get(&peer));
+        let current =
+            reports.filter(|report| now.since_ms(report.at_ms) < self.options.report_max_age_ms);
+        for line in current.flat_map(|report| &report.lines) {
+            sums.entry(line.customer)
+                .and_modify(|sum| sum.add(*line))
+                .or_insert(*line);
         }
-        let at_ms = now.steady_ms;
-        self.peers.insert(peer, PeerReport { lines, at_ms });
+        sums.into_values().collect()
     }
 
     /// The peer reports that decisions are based on now.
     #[must_use]
     pub fn coverage(&self, now: Now) -> ShareCoverage {
-        let ages = self.peers.values().map(|report| now.since_ms(report.at_ms));
-        let current = ages.filter(|age_ms| *age_ms < self.options.report_max_age_ms);
-        current.fold(ShareCoverage::default(), |coverage, age_ms| ShareCoverage {
-            reports: coverage.reports + 1,
-            oldest_age_ms: coverage.oldest_age_ms.max(age_ms),
+        let ages = self
+            .peers
+            .values()
+            .map(|report| (report.gateways, now.since_ms(report.at_ms)));
+        let current = ages.filter(|(_, age_ms)| *age_ms < self.options.report_max_age_ms);
+        current.fold(ShareCoverage::default(), |coverage, (gateways, age_ms)| {
+            ShareCoverage {
+                reports: coverage.reports + gateways,
+                oldest_age_ms: coverage.oldest_age_ms.max(age_ms),
+            }
         })
     }
 
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -29,6 +29,113 @@
     PromptParts(PartReport),
     /// Runs of endpoints that are leaving.
     Leaving(Vec<EndpointRun>),
+    /// The load and shares of a data centre, from one of its relays.
+    DataCentre(DataCentreUpdate),
+    /// What customers requested from gateways of the receiver's data centre.
+    Shares(Vec<ShareUpdate>),
+    /// A relay's proof of freshness, for its members and other relays.
+    RelayedProof(RelayedProof),
+    /// A sign of life to a peer whose load and shares arrive through relays.
+    Greeting(GatewayGreeting),
+    /// Requests that may crash endpoints.
+    Suspicions(Suspicions),
+}
+
+impl GatewayMessage {
+    /// The name in metrics.
+    ///
+    /// ```
+    /// use curranttrestle::protocol::gateway::GatewayMessage;
+    /// assert_eq!(GatewayMessage::Leaving(Vec::new()).kind(), "leaving");
+    /// ```
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::News(_) => "news",
+            Self::PassedOn(_) => "passed-on",
+            Self::Summary(_) => "summary",
+            Self::PromptParts(_) => "prompt-parts",
+            Self::Leaving(_) => "leaving",
+            Self::DataCentre(_) => "sum",
+            Self::Shares(_) => "shares",
+            Self::RelayedProof(_) => "proof",
+            Self::Greeting(_) => "greeting",
+            Self::Suspicions(_) => "suspicions",
+        }
+    }
+}
+
+/// The load and shares of all gateways of a data centre together, summed by one of its relays.
+///
+/// A receiver keeps one sum for each data centre. A later one replaces it, also from another relay,
+/// so that no gateway is counted twice.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DataCentreUpdate {
+    /// The relay that summed.
+    pub sender: PeerKey,
+    /// The run of the relay's process.
+    pub run: u32,
+    /// Send time by the relay's clock. It orders the sums of one run.
+    pub sent_ms: u64,
+    /// How long the receiver's relay held the update; zero if it comes from its sender.
+    pub held_ms: u64,
+    /// The data centre.
+    pub data_centre: DataCentreKey,
+    /// The number of gateways in the sum.
+    pub gateways: u16,
+    /// Their requests at the endpoints.
+    pub loads: Vec<LoadLine>,
+    /// Tokens that customers requested from them; `None` if unchanged.
+    pub shares: Option<Vec<ShareLine>>,
+    /// Prompts that they recently sent to endpoints, numbered by the relay.
+    pub prompts: PromptUseBatch,
+}
+
+/// Tokens that customers requested from one gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareUpdate {
+    /// The gateway.
+    pub sender: PeerKey,
+    /// Tokens by customer.
+    pub lines: Vec<ShareLine>,
+}
+
+/// A proof that a configuration was the newest one, for several receivers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedProof {
+    /// The store revision of the configuration.
+    pub revision: u64,
+    /// Age of the proof at the time of sending.
+    pub age_ms: u64,
+    /// The newest message from each receiver, which dates the proof by the receiver's own clock.
+    pub echoes: Vec<MessageEcho>,
+}
+
+/// The newest message that was received from a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessageEcho {
+    /// The gateway.
+    pub peer: PeerKey,
+    /// The run of its process.
+    pub run: u32,
+    /// Send time by its own clock.
+    pub sent_ms: u64,
+}
+
+/// A sign of life to a peer whose load and shares arrive through relays.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayGreeting {
+    /// The sender.
+    pub sender: PeerKey,
+    /// Send time by the sender's clock.
+    pub sent_ms: u64,
+    /// The sender's data centre.
+    pub data_centre: DataCentreKey,
+    /// The sender's proof of freshness when it last received a message from the receiver.
+    pub proof: Option<ProofEcho>,
+    /// Other gateways from which the sender received messages.
+    pub peers: Vec<SocketAddr>,
 }
 
 /// Evidence on prompt parts that may crash engines. Ages are at the time of sending.
--- a/crates/curranttrestle/tests/gateway/directory.rs
+++ b/crates/curranttrestle/tests/gateway/directory.rs
@@ -117,7 +117,7 @@
     let endpoint = ready.endpoint.clone();
     directory.set(ready.clone());
     let run = endpoint_run(&endpoint, ready.started_unix_ms);
-    let changes = directory.receive_leaving(&[run, run]);
+    let changes = directory.receive_leaving(&[run, run], false);
     assert_eq!(changes, [DirectoryChange::Leaving(endpoint.clone())]);
     assert!(directory.leaving_to_announce().is_empty());
     directory.replace(vec![ready.clone()], at(0));
@@ -157,7 +157,7 @@
     let others: Vec<_> = (0..1_100_u64)
         .map(|number| endpoint_run(&"gone".into(), number))
         .collect();
-    directory.receive_leaving(&others);
+    directory.receive_leaving(&others, false);
     directory.replace(vec![listed.clone()], at(0));
     assert!(!directory.accepts_requests(&listed.endpoint));
     directory.set(EndpointEntry {
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod freshness;
 mod load_relay;
+mod load_sums;
 mod outlier_detection;
 mod peering;
 mod placement;
--- a/crates/curranttrestle/tests/gateway/peering.rs
+++ b/crates/curranttrestle/tests/gateway/peering.rs
@@ -25,8 +25,8 @@
             if now_ms < from as u64 * 37 {
                 continue;
             }
-            fleet[from].expire_peers(now);
-            let Some(round) = fleet[from].round(now) else {
+            fleet[from].expire_peers(|_| false, now);
+            let Some(round) = fleet[from].round(|_| false, now) else {
                 continue;
             };
             let is_full = round.kind == RoundKind::Full;
@@ -84,11 +84,11 @@
         ..PeeringOptions::default()
     };
     let mut peering = Peering::new(address(0), &[address(1)], options, at(0));
-    assert!(peering.round(at(0)).is_some());
+    assert!(peering.round(|_| false, at(0)).is_some());
     peering.adapt_interval(50_000);
     assert_eq!(peering.interval_ms(), 500);
-    assert!(peering.round(at(400)).is_none());
-    assert!(peering.round(at(500)).is_some());
+    assert!(peering.round(|_| false, at(400)).is_none());
+    assert!(peering.round(|_| false, at(500)).is_some());
 }
 
 #[test]
@@ -97,10 +97,10 @@
     let change = peering.report_received(address(2), 0, None, &[address(1)], at(0));
     assert_eq!(change, Some(PeerChange::Live(address(2))));
     assert_eq!(
-        peering.expire_peers(at(3_000)),
+        peering.expire_peers(|_| false, at(3_000)),
         [PeerChange::Lost(address(2))]
     );
-    peering.expire_peers(at(63_000));
-    let round = peering.round(at(63_000)).unwrap();
+    peering.expire_peers(|_| false, at(63_000));
+    let round = peering.round(|_| false, at(63_000)).unwrap();
     assert_eq!(round.targets, [(address(1), None)]);
 }
