Relay evidence on prompt parts, and ask the store less often while it fails, in large fleets

Evidence on prompt parts went from each gateway to each other one, three times, at every crash and for every event of a request with a suspected part.

Change: relays collect evidence and forward it once a round as one message. The longest backoff grows by 7 ms a gateway (0.5 s up to 71 gateways, 2.1 s at 295). For the first configuration, members ask after four backoffs; a peer that has it ends the wait.

--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -9,6 +9,7 @@
     DataCentreKey, LoadRelay, RelayChange, RelayOptions, RelayRound, data_centre_key,
 };
 use curranttrestle::coordination::gateway::load_sums::{LoadSums, SumChange, SumOptions};
+use curranttrestle::coordination::gateway::part_relay::PartBuffer;
 use curranttrestle::coordination::gateway::peering::{PeerChange, Peering, RoundKind};
 use curranttrestle::coordination::gateway::prompt_cache::{
     PromptUse, PromptUseBatch, PromptUseLog,
@@ -162,6 +163,10 @@
     sum_uses: PromptUseLog,
     /// The number of this gateway's first use that is not in `sum_uses`.
     next_own_use: u64,
+    /// Evidence on prompt parts from this data centre, to forward.
+    local_parts: PartBuffer,
+    /// Evidence on prompt parts from other data centres, to forward to the members.
+    remote_parts: PartBuffer,
     last_shares_ms: Option<u64>,
     last_proof_ms: Option<u64>,
     last_suspicions_ms: Option<u64>,
@@ -183,6 +188,8 @@
             sums: LoadSums::new(data_centre_key(data_centre), SumOptions::default()),
             sum_uses: PromptUseLog::default(),
             next_own_use: 0,
+            local_parts: PartBuffer::default(),
+            remote_parts: PartBuffer::default(),
             last_shares_ms: None,
             last_proof_ms: None,
             last_suspicions_ms: None,
@@ -276,15 +283,22 @@
         outgoing.datagrams.extend(self.greetings(greeted, now));
         let live_peers = self.peering.live_peers();
         let targets = || live_peers.iter().map(|peer| peer.address).collect();
+        let is_connected = uses_sums && self.load_relay.is_connected(now);
         if let Some(report) = control.prompt_parts.next_report(now) {
-            let message = GatewayMessage::PromptParts(report);
-            outgoing.datagrams.extend(encode(targets(), &message));
+            if is_connected && self.load_relay.is_relay() {
+                self.local_parts.add(&report, now);
+            } else {
+                let relay = self.load_relay.relay().filter(|_| is_connected);
+                let targets = relay.map_or_else(targets, |relay| vec![relay]);
+                let message = GatewayMessage::PromptParts(report);
+                outgoing.datagrams.extend(encode(targets, &message));
+            }
         }
         let leaving = control.directory.leaving_to_announce();
         if !leaving.is_empty() {
             let message = GatewayMessage::Leaving(leaving);
             // Relays forward it. Many gateways learn of it at the same moment.
-            let targets = if uses_sums && self.load_relay.is_connected(now) {
+            let targets = if is_connected {
                 self.load_relay.neighbours()
             } else {
                 targets()
@@ -377,6 +391,14 @@
             }
             GatewayMessage::PromptParts(report) => {
                 control.prompt_parts.receive(&report, now);
+                if self.uses_sums() && self.load_relay.is_relay() {
+                    let forwarded = if self.load_relay.is_member(from) {
+                        &mut self.local_parts
+                    } else {
+                        &mut self.remote_parts
+                    };
+                    forwarded.add(&report, now);
+                }
                 Ok(Received::PromptParts)
             }
             GatewayMessage::Leaving(runs) => {
@@ -650,7 +672,16 @@
         if uses_sums {
             let sum = self.sum(control, &local.prompts, shares_are_due, now);
             let message = GatewayMessage::DataCentre(sum);
-            datagrams.extend(encode(round.remote_relays, &message));
+            let remote_relays = round.remote_relays;
+            datagrams.extend(encode(remote_relays.clone(), &message));
+            if let Some(report) = self.local_parts.take(now) {
+                let targets = [&local_targets[..], &remote_relays[..]].concat();
+                datagrams.extend(encode(targets, &GatewayMessage::PromptParts(report)));
+            }
+            if let Some(report) = self.remote_parts.take(now) {
+                let message = GatewayMessage::PromptParts(report);
+                datagrams.extend(encode(round.members.clone(), &message));
+            }
             for sum in self.sums.take_pending(now) {
                 let message = GatewayMessage::DataCentre(sum);
                 datagrams.extend(encode(round.members.clone(), &message));
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -100,6 +100,9 @@
     pub min_backoff_ms: u64,
     /// Maximum backoff.
     pub max_backoff_ms: u64,
+    /// In a large fleet, all gateways try again at once when the store is unavailable: this times
+    /// the number of gateways is the maximum backoff if it is larger than `max_backoff_ms`.
+    pub max_backoff_ms_per_gateway: u64,
 }
 
 impl Default for StoreOptions {
@@ -115,6 +118,7 @@
             timeout_ms: 700,
             min_backoff_ms: 100,
             max_backoff_ms: 500,
+            max_backoff_ms_per_gateway: 7,
         }
     }
 }
@@ -158,6 +162,19 @@
         let interval_ms = fleet_interval_ms.max(self.watch_interval_ms);
         interval_ms.min(self.max_watch_interval_ms)
     }
+
+    /// Maximum backoff in a fleet of `gateways` instances, in milliseconds.
+    ///
+    /// ```
+    /// use curranttrestle_gateway::settings::StoreOptions;
+    /// let options = StoreOptions::default();
+    /// assert_eq!(options.max_backoff_ms_in(69), 500);
+    /// assert_eq!(options.max_backoff_ms_in(295), 2_065);
+    /// ```
+    #[must_use]
+    pub fn max_backoff_ms_in(&self, gateways: usize) -> u64 {
+        times(self.max_backoff_ms_per_gateway, gateways).max(self.max_backoff_ms)
+    }
 }
 
 fn times(interval_ms: u64, gateways: usize) -> u64 {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -59,7 +59,9 @@
     async fn back_off(&self, gateway: &Gateway) {
         let options = gateway.settings.store;
         let doublings = self.failures.saturating_sub(1).min(8);
-        let longest_ms = (options.min_backoff_ms << doublings).min(options.max_backoff_ms);
+        let gateways = gateway.control.borrow().fleet_size();
+        let max_ms = options.max_backoff_ms_in(gateways);
+        let longest_ms = (options.min_backoff_ms << doublings).min(max_ms);
         let pause_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
         sleep_ms(pause_ms).await;
     }
@@ -111,12 +113,35 @@
                         .record_store_failure();
                 }
                 health.record_failure(&error);
-                health.back_off(&gateway).await;
+                if error == PlatformError::NotFound {
+                    wait_for_first_config(&gateway, &health).await;
+                } else {
+                    health.back_off(&gateway).await;
+                }
             }
         }
     }
 }
 
+/// Backoffs after which a member of a relay asks again for the first configuration. Its relay asks
+/// after each backoff and announces it.
+const MEMBER_BACKOFFS: u32 = 4;
+
+/// Waits before asking again for the first configuration. Returns early once a peer has it.
+async fn wait_for_first_config(gateway: &Gateway, health: &StoreHealth) {
+    let backoffs = match gateway.proof_role.get() {
+        ProofRole::Peer | ProofRole::Relay => 1,
+        ProofRole::Member => MEMBER_BACKOFFS,
+    };
+    let backed_off = async {
+        for _ in 0..backoffs {
+            health.back_off(gateway).await;
+        }
+        false
+    };
+    backed_off.or(gateway.newer_config.notified()).await;
+}
+
 /// Waits until the freshness proof of the configuration is old. Peers share their proofs, so that
 /// few gateways have to read the store: each waits for a random time, and the first to read renews
 /// the proof for the others. Where relays forward proofs, they read earlier than their members, who
--- a/crates/curranttrestle-gateway/tests/large_fleet.rs
+++ b/crates/curranttrestle-gateway/tests/large_fleet.rs
@@ -4,7 +4,7 @@
 
 use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::coordination::gateway::endpoint_load::{EndpointKey, SentRequest};
-use curranttrestle::state::gateway::{EndpointEntry, EntryState};
+use curranttrestle::state::gateway::{EndpointEntry, EntryState, PromptPart};
 use curranttrestle_gateway::peers::ProofRole;
 use simulation::{Fleet, FleetOptions, data_centre, engine_entry};
 
@@ -186,3 +186,32 @@
         );
     }
 }
+
+#[test]
+fn part_that_crashed_three_engines_is_refused_everywhere_until_a_request_with_it_begins() {
+    let mut fleet = fleet(GATEWAYS);
+    let parts = [PromptPart { id: 5, tokens: 10 }];
+    for index in 0..3 {
+        let (now, control) = fleet.gateway(index);
+        let run = endpoint_run(&engine_entry(index).endpoint, 1);
+        control.prompt_parts.record_crash(run, &parts, now);
+    }
+    // The evidence has arrived before it takes effect.
+    fleet.run(600, &[]);
+    let refusing = |fleet: &mut Fleet| {
+        let running = fleet.running().into_iter();
+        let refusing = running.filter(|index| {
+            let (now, control) = fleet.gateway(*index);
+            control.prompt_parts.update(now);
+            control.prompt_parts.refusal_ms(&parts, now).is_some()
+        });
+        refusing.count()
+    };
+    assert_eq!(refusing(&mut fleet), 0);
+    fleet.run(700, &[]);
+    assert_eq!(refusing(&mut fleet), GATEWAYS);
+    let (now, control) = fleet.gateway(GATEWAYS - 1);
+    control.prompt_parts.record_begun(&parts, now);
+    fleet.run(600, &[]);
+    assert_eq!(refusing(&mut fleet), 0);
+}
--- a/crates/curranttrestle/src/coordination/gateway/load_relay.rs
+++ b/crates/curranttrestle/src/coordination/gateway/load_relay.rs
@@ -242,6 +242,12 @@
         !self.members.is_empty()
     }
 
+    /// Whether a gateway uses this one as its relay.
+    #[must_use]
+    pub fn is_member(&self, address: SocketAddr) -> bool {
+        self.members.contains_key(&address)
+    }
+
     /// The relay that this gateway uses; `None` if it is a relay or uses none.
     #[must_use]
     pub fn relay(&self) -> Option<SocketAddr> {
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod load_sums;
 pub mod outlier_detection;
 pub mod part_quarantine;
+pub mod part_relay;
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
