Bound the prompt uses that are kept for peers

Cause: a relay in a fleet of less than 100 gateways kept each use of its members for sums that it never sent (found by reading; at 69 gateways by arithmetic 230 uses a second, some 25 kB/s). A gateway that sends no reports kept its own for 30 s, whatever their number.

Change: members' uses are kept only where sums are sent, and a log holds 4,096 uses at most, the newest.

Result: the new test holds 4,096 of 4,196; without the bound the batch has all 4,196.

--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -409,7 +409,9 @@
             GatewayMessage::News(update) => {
                 if self.load_relay.receive_update(from, &update, now) {
                     self.sums.record_gateway(update.sender, self.data_centre);
-                    for prompt_use in apply_update(control, &update, 0, now) {
+                    let uses_sums = self.uses_sums();
+                    let new_uses = apply_update(control, &update, 0, now).iter();
+                    for prompt_use in new_uses.filter(|_| uses_sums) {
                         self.sum_uses.push(prompt_use.clone(), now);
                     }
                 }
--- a/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
+++ b/crates/curranttrestle/src/coordination/gateway/prompt_cache.rs
@@ -61,6 +61,9 @@
     pub uses: Vec<PromptUse>,
 }
 
+/// Maximum number of uses in a [`PromptUseLog`]; more than are sent in any interval.
+pub const MAX_LOGGED_USES: usize = 4_096;
+
 /// Uses that are still reported to peers, numbered consecutively.
 #[derive(Clone, Debug, Default)]
 pub struct PromptUseLog {
@@ -70,10 +73,13 @@
 }
 
 impl PromptUseLog {
-    /// Adds a use.
+    /// Adds a use. Of more than [`MAX_LOGGED_USES`], the oldest is dropped.
     pub fn push(&mut self, prompt_use: PromptUse, now: Now) {
         self.uses.push_back((now.steady_ms, prompt_use));
         self.next += 1;
+        if self.uses.len() > MAX_LOGGED_USES {
+            self.uses.pop_front();
+        }
     }
 
     /// Removes uses that are older than `max_age_ms`.
@@ -144,7 +150,6 @@
             added_tokens: u32::try_from(added_tokens).unwrap_or(u32::MAX),
         };
         self.apply_use(&prompt_use);
-        self.own_uses.remove_older(MAX_USE_AGE_MS, now);
         self.own_uses.push(prompt_use, now);
     }
 
@@ -247,9 +252,6 @@
     }
 }
 
-/// Uses older than this are not reported; longer than any interval between reports.
-const MAX_USE_AGE_MS: u64 = 30_000;
-
 /// Maximum number of peers whose use numbers are tracked.
 const MAX_PEERS: usize = 4_096;
 
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod outlier_detection;
 mod peering;
 mod placement;
+mod prompt_uses;
 mod route_table;
 mod shares;
 mod support;
