--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -415,6 +415,8 @@
 pub enum Work {
     /// Works this long and answers with a whole body.
     Answer { work_ms: u64 },
+    /// The request crashes the replica as it begins to run it.
+    Crash,
     /// Sends so many events with this gap. Before event `pause_before`, if any, there is a pause.
     Stream {
         events: u64,
@@ -441,6 +443,8 @@
     runs: Mutex<Vec<Run>>,
     open: Mutex<Vec<TcpStream>>,
     has_exited: AtomicBool,
+    /// The time of the start that the replica states.
+    born_ms: AtomicU64,
 }
 
 impl Replica {
@@ -455,18 +459,18 @@
             runs: Mutex::default(),
             open: Mutex::default(),
             has_exited: AtomicBool::new(false),
+            born_ms: AtomicU64::new(1_700_000_000_000),
         });
-        let serving = Arc::clone(&replica);
-        let address = listen(move |stream| serving.serve(stream));
-        let _ = replica.address.set(address);
+        replica.listen();
         replica
     }
 
     /// The entry in the store, as the replica writes it.
     pub fn entry(&self, service: &str, state: &str, sequence: u64) -> String {
         format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"rennes\",\"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"warmupLeftMs\":0,\"sequence\":{sequence},\"born\":1700000000000}}",
-            self.address.get().expect("the replica listens")
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"rennes\",\"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"warmupLeftMs\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.address.get().expect("the replica listens"),
+            self.born_ms.load(Ordering::SeqCst)
         )
     }
 
@@ -478,13 +482,55 @@
     /// Ends the replica: its connections are closed, new ones are refused at once.
     pub fn exit(&self) -> u64 {
         self.has_exited.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap().iter() {
+        for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
-        log(&format!("replica {}: exits", self.id));
+        log(&format!("replica {}: ends", self.id));
         now_ms()
     }
 
+    /// Starts a replica that ended once more, at the same address and under the same id.
+    pub fn start_again(&self) {
+        self.born_ms.fetch_add(now_ms().max(1), Ordering::SeqCst);
+        self.has_exited.store(false, Ordering::SeqCst);
+        log(&format!("replica {}: starts again", self.id));
+    }
+
+    pub fn has_exited(&self) -> bool {
+        self.has_exited.load(Ordering::SeqCst)
+    }
+
+    /// Accepts connections while the replica runs; its port has no listener while it does not.
+    fn listen(self: &Arc<Self>) {
+        let mut listener = TcpListener::bind((own_ip(9), 0)).ok();
+        let address = listener.as_ref().and_then(|listener| listener.local_addr().ok());
+        let Some(address) = address else {
+            cannot_run("no free port");
+        };
+        let _ = self.address.set(address);
+        let replica = Arc::clone(self);
+        thread::spawn(move || {
+            loop {
+                sleep_ms(1);
+                if replica.has_exited() {
+                    listener = None;
+                    continue;
+                }
+                if listener.is_none() {
+                    listener = TcpListener::bind(address).ok();
+                }
+                let Some(open) = &listener else { continue };
+                let _ = open.set_nonblocking(true);
+                while let Ok((stream, _)) = open.accept() {
+                    let _ = stream.set_nonblocking(false);
+                    let _ = stream.set_nodelay(true);
+                    let serving = Arc::clone(&replica);
+                    thread::spawn(move || serving.serve(stream));
+                }
+            }
+        });
+    }
+
     fn serve(&self, stream: TcpStream) {
         if self.has_exited.load(Ordering::SeqCst) {
             return;
@@ -547,8 +593,16 @@
             self.id
         );
         match work {
+            Work::Crash => {
+                log(&format!("replica {}: crashes with id={id}", self.id));
+                self.exit();
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
             Work::Answer { work_ms } => {
                 sleep_ms(work_ms);
+                if self.has_exited() {
+                    return Err(std::io::ErrorKind::ConnectionReset.into());
+                }
                 let body = format!("answer to {id} by {}\n", self.id);
                 let length = body.len();
                 writer.write_all(
