--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,102 +1,145 @@
-//! SIGTERM while a stream that was preempted at its engine waits, and the other engine is full.
+//! Open connections to the store go silent; a replica leaves without reporting `draining`.
 
 #[path = "../common/mod.rs"]
 mod common;
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 
 use common::{
-    Call, Connection, GRACE_MS, Outcome, Replica, Store, Work, config, copy_log, finish,
-    has_trouble, log, one_tenant, route, say, start_gateways, start_record,
+    CONTACT_MS, Call, Connection, DRAIN_MS, Outcome, Replica, Store, Work, config, copy_log,
+    finish, has_trouble, log, one_tenant, route, say, sleep_until, start_gateways, start_record,
 };
 
-const EVENTS: u64 = 30;
+/// How late a request may reach the replica beyond the bound before it counts.
+const TOLERANCE_MS: u64 = 150;
 
-/// At other times than planned work, three such requests are allowed.
-const STREAMS: u64 = 3;
+/// How long the replica that leaves goes on serving after its entry was removed: `drainMs` and a
+/// little longer.
+const SERVES_ON_MS: u64 = DRAIN_MS + 1_500;
 
 fn main() {
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or("review/2".into()));
     start_record(&folder, 100);
     let store = Store::start();
-    let engines: Vec<Arc<Replica>> = ["i-7f3a91c2", "i-02d9e6b4"]
+    let replicas: Vec<Arc<Replica>> = ["i-7f3a91c2", "i-02d9e6b4", "i-51c07ae9"]
         .into_iter()
-        .map(|id| Replica::start(id, work))
+        .map(|id| Replica::start(id, |_, _| Some(Work::Answer { work_ms: 100 })))
         .collect();
-    for engine in &engines {
-        store.put_server(&engine.id, &engine.entry("atelier", "ready", 1));
+    for replica in &replicas {
+        store.put_server(&replica.id, &replica.entry("guichet", "ready", 1));
     }
-    let routes = [route("chat", "streaming", "atelier", 15_000, true)];
+    let routes = [
+        route("book", "non_idempotent", "guichet", 800, true),
+        route("stock", "idempotent", "guichet", 800, true),
+    ];
     store.put_config(&config(7, &routes, &one_tenant()));
-    let gateways = start_gateways(1, &store);
-    let address = gateways[0].clients;
+    let gateways = start_gateways(2, &store);
 
-    let senders: Vec<_> = (0..STREAMS)
+    let started = common::now_ms();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let next_id = Arc::new(AtomicU64::new(1));
+    let clients: Vec<_> = (0..16)
         .map(|number| {
-            thread::spawn(move || {
-                let id = format!("{:016x}", 0x100 + number);
-                let mut call = Call::new("POST", "/chat/2f", &id, 15_000);
-                call.headers = format!(
-                    "X-Curranttrestle-Model-Name: m\r\nX-Curranttrestle-Token-Count: 600,90\r\nX-Curranttrestle-Prompt-Prefix: 5c1e07a2:100,{:x}:500\r\n",
-                    0x91bd_3f06_u64 + number
-                );
-                let mut connection = Connection::open(address)
-                    .unwrap_or_else(|| common::cannot_run("the gateway accepts no connection"));
-                connection.send(&call)
-            })
+            let address = gateways[number % gateways.len()].clients;
+            let (is_over, next_id) = (Arc::clone(&is_over), Arc::clone(&next_id));
+            thread::spawn(move || client(address, &is_over, &next_id))
         })
         .collect();
-    common::sleep_ms(300);
-    let stop_ms = if has_trouble() {
-        Some(gateways[0].signal("TERM"))
+
+    let silent_ms = started + 4_300;
+    sleep_until(silent_ms);
+    let in_touch_ms = if has_trouble() {
+        store.silence_open_connections() + CONTACT_MS
     } else {
-        None
+        0
     };
-    let outcomes: Vec<Outcome> = senders
+    sleep_until(silent_ms + 500);
+    let leaving = &replicas[2];
+    let gone_ms = store.remove_server(&leaving.id);
+    sleep_until(gone_ms + SERVES_ON_MS);
+    let exit_ms = leaving.exit();
+    sleep_until(gone_ms + 7_000);
+    is_over.store(true, Ordering::SeqCst);
+    let outcomes: Vec<Outcome> = clients
         .into_iter()
-        .filter_map(|sender| sender.join().ok())
+        .flat_map(|client| client.join().unwrap_or_default())
         .collect();
 
-    let runs: Vec<_> = engines.iter().flat_map(|engine| engine.runs()).collect();
+    let limit_ms = (gone_ms + DRAIN_MS).max(in_touch_ms);
+    log(&format!(
+        "gone={gone_ms}, bound={}, in touch again={in_touch_ms}, exit={exit_ms}",
+        gone_ms + DRAIN_MS
+    ));
+    let sent_ms = |id: &str| {
+        let outcome = outcomes.iter().find(|outcome| outcome.id == id);
+        outcome.map_or(0, |outcome| outcome.sent_ms)
+    };
+    // Taken from the client and sent on while in touch, and later than the bound.
+    let late: Vec<_> = leaving
+        .runs()
+        .into_iter()
+        .filter(|run| run.at_ms > limit_ms + TOLERANCE_MS && sent_ms(&run.id) >= in_touch_ms)
+        .collect();
+    for run in &late {
+        log(&format!(
+            "late: id={} reached {} {} ms after it was gone",
+            run.id,
+            run.replica,
+            run.at_ms - gone_ms
+        ));
+    }
+    for gateway in &gateways {
+        copy_log(gateway, &["kind=dependency", "kind=endpoint-gone"]);
+    }
     let cut: Vec<&Outcome> = outcomes
         .iter()
-        .filter(|outcome| runs.iter().any(|run| run.id == outcome.id))
-        .filter(|outcome| !(outcome.is_complete && outcome.events as u64 == EVENTS))
-        .filter(|outcome| !outcome.is_timed_out)
+        .filter(|outcome| outcome.status != 200 && outcome.sent_ms >= in_touch_ms.max(gone_ms))
         .collect();
     for outcome in &cut {
-        log(&format!("cut: {}", outcome.text()));
+        log(&format!("not served: {}", outcome.text()));
     }
-    copy_log(&gateways[0], &["kind=stop", "kind=request-"]);
-    // LOST around planned work: until 1 s after the grace.
-    let lost = cut.iter().filter(|outcome| {
-        stop_ms.is_some_and(|stop_ms| outcome.ended_ms <= stop_ms + GRACE_MS + 1_000)
-    });
-    let lost = lost.count();
+    let last_ms = late.iter().map(|run| run.at_ms - gone_ms).max();
     say(&format!(
-        "streams {}, passed on {}, complete {}, cut {}, cut after SIGTERM {lost}",
+        "requests {}, not served {}, requests that reached the replica too late {}, the last {} ms after it was gone (bound {DRAIN_MS})",
         outcomes.len(),
-        runs.len(),
-        outcomes.iter().filter(|outcome| outcome.is_complete).count(),
         cut.len(),
+        late.len(),
+        last_ms.unwrap_or(0)
     ));
-    if outcomes.len() as u64 != STREAMS || runs.is_empty() {
-        common::cannot_run("the streams were not run");
+    if outcomes.len() < 200 || leaving.runs().is_empty() {
+        common::cannot_run("too few requests");
     }
-    finish(i32::from(lost > 0));
+    finish(i32::from(!late.is_empty()));
 }
 
-/// An engine takes the streams that come first and is full for others. A stream waits before its
-/// tenth event, since its memory was given to an older request and it is read again.
-fn work(_engine: &Replica, request: &common::Message) -> Option<Work> {
-    if request.header("last-event-id").is_some() {
-        return None;
+/// Sends bookings and lookups one after the other over a kept connection.
+fn client(
+    address: std::net::SocketAddr,
+    is_over: &AtomicBool,
+    next_id: &AtomicU64,
+) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    let mut connection: Option<Connection> = None;
+    while !is_over.load(Ordering::SeqCst) {
+        let number = next_id.fetch_add(1, Ordering::SeqCst);
+        let id = format!("{number:016x}");
+        let call = match number % 3 {
+            0 => Call::new("GET", "/stock/2f", &id, 1_500),
+            _ => Call::new("POST", "/book/2f", &id, 1_500),
+        };
+        let Some(mut open) = connection.take().or_else(|| Connection::open(address)) else {
+            common::sleep_ms(50);
+            continue;
+        };
+        let outcome = open.send(&call);
+        if outcome.is_complete && outcome.status == 200 {
+            connection = Some(open);
+        }
+        outcomes.push(outcome);
+        common::sleep_ms(10 + number * 37 % 60);
     }
-    Some(Work::Stream {
-        events: EVENTS,
-        gap_ms: 60,
-        pause_before: Some((10, 1_600)),
-    })
+    outcomes
 }
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -47,6 +47,11 @@
         file: Mutex::new(file),
     };
     assert!(RECORD.set(record).is_ok(), "one record for each process");
+    // No gateway outlives a case that fails.
+    std::panic::set_hook(Box::new(|panic| {
+        say(&format!("cannot run: {panic}"));
+        finish(2);
+    }));
     thread::spawn(move || {
         thread::sleep(Duration::from_secs(limit_s));
         log(&format!("the case did not end within {limit_s} s"));
