--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -65,6 +65,12 @@
     u64::try_from(record.started.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The time of day in Unix milliseconds, as replicas state the time of their start.
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Writes one line of the record.
 pub fn log(text: &str) {
     let record = RECORD.get().expect("the record is open");
@@ -464,7 +470,7 @@
             runs: Mutex::default(),
             open: Mutex::default(),
             has_exited: AtomicBool::new(false),
-            born_ms: AtomicU64::new(1_700_000_000_000),
+            born_ms: AtomicU64::new(unix_ms()),
         });
         replica.listen();
         replica
@@ -496,7 +502,7 @@
 
     /// Starts a replica that ended once more, at the same address and under the same id.
     pub fn start_again(&self) {
-        self.born_ms.fetch_add(now_ms().max(1), Ordering::SeqCst);
+        self.born_ms.store(unix_ms(), Ordering::SeqCst);
         self.has_exited.store(false, Ordering::SeqCst);
         log(&format!("replica {}: starts again", self.id));
     }
