--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use curranttrestle::coordination::gateway::control::{Placement, PlacementRequest};
+use curranttrestle::coordination::gateway::control::{Control, Placement, PlacementRequest};
 use curranttrestle::coordination::gateway::directory::EndpointRun;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::quarantine::RequestDigest;
@@ -203,6 +203,7 @@
             control
                 .quarantine
                 .endpoint_crashed(endpoint, &[self.digest], false, now);
+            self.log_suspicion(&control, endpoint, now);
             if !was_quarantined && control.is_quarantined(&self.digest, now) {
                 let id = &self.hints.attempt_id;
                 log::warn!("kind=request-quarantined id={id} endpoint={endpoint}");
@@ -214,6 +215,20 @@
         }
     }
 
+    /// Logs the evidence on a request whose endpoint may have crashed.
+    fn log_suspicion(&self, control: &Control, endpoint: &EndpointId, now: Now) {
+        let id = &self.hints.attempt_id;
+        let digest = u128::from_le_bytes(self.digest);
+        let evidence = control.quarantine.evidence(&self.digest, now);
+        let finished_age_ms = evidence.finished_age_ms;
+        let finished_age = finished_age_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
+        log::info!(
+            "kind=request-suspected id={id} endpoint={endpoint} digest={digest:032x} crashes={} finished_age_ms={finished_age} is_refused={}",
+            evidence.crashes,
+            control.is_quarantined(&self.digest, now)
+        );
+    }
+
     /// Records that an endpoint completed the request.
     pub fn record_success(&self, endpoint: &EndpointId, now: Now) {
         let mut control = self.gateway.control.borrow_mut();
--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -72,6 +72,15 @@
     Refused,
 }
 
+/// The evidence on a request, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Crashes that count against the request.
+    pub crashes: usize,
+    /// Time since the request last completed; `None` if that is not known.
+    pub finished_age_ms: Option<u64>,
+}
+
 /// State of one suspected request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
@@ -189,6 +198,19 @@
             })
     }
 
+    /// Returns the evidence on a request.
+    #[must_use]
+    pub fn evidence(&self, digest: &RequestDigest, now: Now) -> Evidence {
+        let Some(suspect) = self.suspects.get(digest) else {
+            return Evidence::default();
+        };
+        let finished_ms = Some(suspect.finished_unix_ms).filter(|ms| *ms > 0);
+        Evidence {
+            crashes: suspect.count_crashes(now, &self.options).0,
+            finished_age_ms: finished_ms.map(|ms| now.unix_ms.saturating_sub(ms)),
+        }
+    }
+
     /// Whether a request may be dispatched to an endpoint now. `alone` states that nothing else
     /// runs or will be started on that endpoint. Call this right before each dispatch: the
     /// request may have become a suspect while it was queued.
