Identify a crashing request by more than path, customer and body

Cause: the digest of a request left out method, host and query, so all lookups at the path of an open route were one request. Those of other items complete all the time, and a request that completed recently is never refused.

The digest now covers method, host, path, query, customer and body. Requests that vary their query were refused before and still are: the first crash of each also counts against the request without its query. Only the first one counts, or a single crashing lookup would close its path to all others.

Test: lookup_that_crashes_endpoints_is_refused_while_others_at_its_path_finish failed before (8 arrivals at endpoints, 3 expected) and passes. Two older tests use the new interface; their checks are the same. Ruled out: crashes that are not recorded; the daemon, which runs suspects alone.

--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -7,7 +7,7 @@
 use curranttrestle::coordination::gateway::control::{Control, Placement, PlacementRequest};
 use curranttrestle::coordination::gateway::directory::EndpointRun;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
-use curranttrestle::coordination::quarantine::RequestDigest;
+use curranttrestle::coordination::gateway::request_quarantine::RequestIdentity;
 use curranttrestle::state::gateway::{RequestHints, RetryPolicy, Route};
 use curranttrestle::state::{EndpointId, Now};
 use hyper::header::HeaderMap;
@@ -42,8 +42,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
-    /// The digest of path, customer and body.
-    pub digest: RequestDigest,
+    /// Identifies the request across its attempts.
+    pub identity: RequestIdentity,
     /// When the request arrived.
     pub arrived: Now,
     /// When the request times out, by the steady clock.
@@ -92,7 +92,7 @@
     #[must_use]
     pub fn refusal_reason(&self, now: Now) -> Option<&'static str> {
         let control = self.gateway.control.borrow();
-        if control.is_quarantined(&self.digest, now) {
+        if control.quarantine.is_refused(&self.identity, now) {
             return Some("quarantined");
         }
         let shared_parts = self.hints.shared_parts();
@@ -198,13 +198,13 @@
         attempts.with_label_values(&[kind.as_str()]).inc();
         let mut control = self.gateway.control.borrow_mut();
         if kind == FailureKind::ConnectionLost {
-            let was_quarantined = control.is_quarantined(&self.digest, now);
+            let was_quarantined = control.quarantine.is_refused(&self.identity, now);
             // The request may have crashed the endpoint.
             control
                 .quarantine
-                .endpoint_crashed(endpoint, &[self.digest], false, now);
+                .record_crash(endpoint, &self.identity, now);
             self.log_suspicion(&control, endpoint, now);
-            if !was_quarantined && control.is_quarantined(&self.digest, now) {
+            if !was_quarantined && control.quarantine.is_refused(&self.identity, now) {
                 let id = &self.hints.attempt_id;
                 log::warn!("kind=request-quarantined id={id} endpoint={endpoint}");
             }
@@ -218,14 +218,14 @@
     /// Logs the evidence on a request whose endpoint may have crashed.
     fn log_suspicion(&self, control: &Control, endpoint: &EndpointId, now: Now) {
         let id = &self.hints.attempt_id;
-        let digest = u128::from_le_bytes(self.digest);
-        let evidence = control.quarantine.evidence(&self.digest, now);
+        let digest = u128::from_le_bytes(self.identity.whole);
+        let evidence = control.quarantine.evidence(&self.identity, now);
         let finished_age_ms = evidence.finished_age_ms;
         let finished_age = finished_age_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
         log::info!(
             "kind=request-suspected id={id} endpoint={endpoint} digest={digest:032x} crashes={} finished_age_ms={finished_age} is_refused={}",
             evidence.crashes,
-            control.is_quarantined(&self.digest, now)
+            control.quarantine.is_refused(&self.identity, now)
         );
     }
 
@@ -233,7 +233,7 @@
     pub fn record_success(&self, endpoint: &EndpointId, now: Now) {
         let mut control = self.gateway.control.borrow_mut();
         control.record_success(endpoint, now);
-        control.quarantine.record_finished(&self.digest, false, now);
+        control.quarantine.record_finished(&self.identity, now);
     }
 
     /// Returns a connection to the pool if a later request can use it. This gateway keeps only its
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -5,6 +5,7 @@
 
 use curranttrestle::coordination::gateway::control::{Placement, RefusalInputs};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
+use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{RequestHints, Route};
 use http_body_util::{BodyExt, Limited};
@@ -13,7 +14,6 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::attempt::{self, Failure, ResponseHead};
 use super::body::read_body;
@@ -101,7 +101,14 @@
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     let customer = resolved.customer.as_deref().unwrap_or_default();
-    let digest = digest(parts.uri.path(), customer, &body);
+    let identity = RequestIdentity::of(&RequestParts {
+        method: parts.method.as_str(),
+        host: &host,
+        path: parts.uri.path(),
+        query: parts.uri.query(),
+        customer,
+        body: &body,
+    });
     let mut control = gateway.control.borrow_mut();
     control.record_arrival(&resolved.service, customer, &hints, now);
     drop(control);
@@ -115,7 +122,7 @@
         uri: parts.uri,
         headers,
         body,
-        digest,
+        identity,
         arrived,
         deadline_steady_ms: arrived.steady_ms.saturating_add(limit_ms),
         sends: Cell::new(0),
@@ -180,15 +187,6 @@
     })
 }
 
-fn digest(path: &str, customer: &str, body: &[u8]) -> [u8; 16] {
-    let mut hasher = Xxh3::new();
-    for part in [path.as_bytes(), customer.as_bytes(), body] {
-        hasher.update(&part.len().to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.digest128().to_le_bytes()
-}
-
 /// Sends a request to endpoints until one responds or no other may be tried.
 async fn forward(mut exchange: Exchange, mut record: RequestRecord) -> ClientResponse {
     let mut last: Option<Failure> = None;
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -94,7 +94,7 @@
     set("gateways", count(control.fleet_size()));
     set(
         "suspect_requests",
-        count(control.quarantine.suspect_count()),
+        count(control.quarantine.suspects.suspect_count()),
     );
     set(
         "suspect_prompt_parts",
--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -304,11 +304,11 @@
             outgoing.datagrams.extend(encode(targets, &message));
         }
         if uses_sums {
-            if let Some(changes) = control.quarantine.take_changes() {
+            if let Some(changes) = control.quarantine.suspects.take_changes() {
                 let message = GatewayMessage::Suspicions(changes);
                 outgoing.datagrams.extend(encode(targets(), &message));
             }
-            if let Some(gossip) = control.quarantine.next_gossip(now)
+            if let Some(gossip) = control.quarantine.suspects.next_gossip(now)
                 && !live_peers.is_empty()
             {
                 self.gossip_round = self.gossip_round.wrapping_add(1);
@@ -456,7 +456,7 @@
                 Ok(self.apply_summary(control, from, &summary, now))
             }
             GatewayMessage::Suspicions(suspicions) => {
-                control.quarantine.receive(&suspicions, now);
+                control.quarantine.suspects.receive(&suspicions, now);
                 Ok(Received::Suspicions)
             }
         }
@@ -576,7 +576,7 @@
                 .config_freshness
                 .record_proof(proof.revision, proved_ms);
         }
-        control.quarantine.receive(summary.suspicions, now);
+        control.quarantine.suspects.receive(summary.suspicions, now);
         control.observe_fleet_size(self.peering.live_count());
         Received::Report {
             has_newer_config,
@@ -590,7 +590,7 @@
         if self.uses_sums() {
             Suspicions::default()
         } else {
-            control.quarantine.next_broadcast(now)
+            control.quarantine.suspects.next_broadcast(now)
         }
     }
 
--- a/crates/curranttrestle-gateway/tests/large_fleet.rs
+++ b/crates/curranttrestle-gateway/tests/large_fleet.rs
@@ -4,6 +4,7 @@
 
 use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::coordination::gateway::endpoint_load::{EndpointKey, SentRequest};
+use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
 use curranttrestle::state::gateway::{EndpointEntry, EntryState, PromptPart};
 use curranttrestle_gateway::peers::ProofRole;
 use simulation::{Fleet, FleetOptions, data_centre, engine_entry};
@@ -220,18 +221,24 @@
 #[test]
 fn suspects_of_crashes_are_known_everywhere_and_cost_few_messages_afterwards() {
     let mut fleet = fleet(GATEWAYS);
-    let digest = [3; 16];
+    let request = RequestIdentity::of(&RequestParts {
+        method: "GET",
+        host: "host.example",
+        path: "/stock/items",
+        query: Some("item=cam"),
+        customer: "",
+        body: b"",
+    });
     for index in 0..3 {
         let (now, control) = fleet.gateway(index);
         let endpoint = engine_entry(index).endpoint;
-        control
-            .quarantine
-            .endpoint_crashed(&endpoint, &[digest], false, now);
+        control.quarantine.record_crash(&endpoint, &request, now);
     }
     fleet.run(200, &[]);
     for index in fleet.running() {
         let (now, control) = fleet.gateway(index);
-        assert!(control.is_quarantined(&digest, now), "gateway {index}");
+        let is_refused = control.quarantine.is_refused(&request, now);
+        assert!(is_refused, "gateway {index}");
     }
     let before = fleet.traffic.suspicions;
     fleet.run(2_000, &[]);
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -11,9 +11,10 @@
 use super::part_quarantine::{PartQuarantine, PartQuarantineOptions};
 use super::placement::{Choice, PlacementContext, PlacementOptions, choose_engine, choose_plain};
 use super::prompt_cache::{PromptCache, PromptCacheOptions};
+use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
-use crate::coordination::quarantine::{Admission, Quarantine, QuarantineOptions, RequestDigest};
+use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::state::gateway::{ClientLimits, EndpointEntry, RequestHints, Route, ServiceConfig};
 use crate::state::{EndpointId, Now};
@@ -166,7 +167,7 @@
     /// Endpoints that asked this gateway to send nothing for a time.
     pub pauses: EndpointPauses,
     /// Requests that crash endpoints.
-    pub quarantine: Quarantine,
+    pub quarantine: RequestQuarantine,
     /// Prompt parts that crash engines.
     pub prompt_parts: PartQuarantine,
     budgets: IndexMap<String, RetryBudget>,
@@ -187,7 +188,7 @@
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
             pauses: EndpointPauses::default(),
-            quarantine: Quarantine::new(options.quarantine),
+            quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
             fleet_size: 1,
@@ -304,12 +305,6 @@
         self.budget(service).try_withdraw(now)
     }
 
-    /// Whether a request is refused because endpoints crashed while running it.
-    #[must_use]
-    pub fn is_quarantined(&self, digest: &RequestDigest, now: Now) -> bool {
-        self.quarantine.admission(digest, now) == Admission::Refused
-    }
-
     /// Chooses an endpoint for a request, or refuses it.
     #[must_use]
     pub fn place(&self, request: PlacementRequest<'_>, now: Now) -> Placement {
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -15,5 +15,6 @@
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
+pub mod request_quarantine;
 pub mod route_table;
 pub mod shares;
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -6,7 +6,7 @@
 use curranttrestle::state::EndpointId;
 use curranttrestle::state::gateway::RequestHints;
 
-use super::support::{at, config, entry, prompt, route};
+use super::support::{at, config, entry, lookup, prompt, route};
 
 fn ready(count: u16) -> Control {
     let mut control = Control::new(ControlOptions::default());
@@ -113,17 +113,15 @@
 
 #[test]
 fn a_request_that_crashed_three_endpoints_is_refused() {
-    let mut control = ready(3);
-    let digest = [7; 16];
+    let mut quarantine = ready(3).quarantine;
+    let request = lookup("7");
     for (number, crashed) in [1_u64, 2, 3].iter().zip(["m1", "m2", "m3"]) {
-        assert!(!control.is_quarantined(&digest, at(number * 3_000)));
         let now = at(number * 3_000);
-        control
-            .quarantine
-            .endpoint_crashed(&crashed.into(), &[digest], false, now);
+        assert!(!quarantine.is_refused(&request, now));
+        quarantine.record_crash(&crashed.into(), &request, now);
     }
-    assert!(control.is_quarantined(&digest, at(10_000)));
-    assert!(!control.is_quarantined(&[8; 16], at(10_000)));
+    assert!(quarantine.is_refused(&request, at(10_000)));
+    assert!(!quarantine.is_refused(&lookup("8"), at(10_000)));
 }
 
 /// Guards against idle connections using up the endpoints' connection limit: 69 gateways kept up
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod peering;
 mod placement;
 mod prompt_uses;
+mod request_quarantine;
 mod route_table;
 mod shares;
 mod support;
--- a/crates/curranttrestle/tests/gateway/support.rs
+++ b/crates/curranttrestle/tests/gateway/support.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{
     Customer, EndpointEntry, EngineCapacity, EntryState, PromptPart, RequestHints, RetryPolicy,
@@ -48,6 +49,18 @@
     }
 }
 
+/// A lookup on an open route.
+pub fn lookup(item: &str) -> RequestIdentity {
+    RequestIdentity::of(&RequestParts {
+        method: "GET",
+        host: "host.example",
+        path: "/stock/items",
+        query: Some(item),
+        customer: "",
+        body: b"",
+    })
+}
+
 /// Capacity of an engine in the deployments `armor-pret` and `kassarulle-hq`.
 pub const ENGINE: EngineCapacity = EngineCapacity {
     slots: 64,
