Count only crashes since a request last completed in gateways

Callers would see: a lookup that completed once and crashes replicas since is forwarded for ten more minutes, and takes other clients' work with it.

Cause: the quarantine lets a recently completed request run alone on an endpoint, however often it crashed endpoints since. A gateway cannot reserve an endpoint and took that for "unrestricted".

Gateways now count the crashes since the last completion anywhere; a completion that clears crashes is sent to the peers. For requests that completed in the last ten minutes, crashes within 1 s of each other count once, so that an outage of several endpoints is not held against a popular request.

Routers, which isolate suspects, decide as before (quarantine, quarantine_naive).

--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -89,6 +89,7 @@
             outliers: OutlierOptions::default(),
             quarantine: QuarantineOptions {
                 refuse_after_crashes: 3,
+                isolates_suspects: false,
                 ..QuarantineOptions::default()
             },
             prompt_parts: PartQuarantineOptions::default(),
--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -10,6 +10,9 @@
 //! alongside others therefore stays unrestricted after a first crash, and runs exclusively after
 //! further ones, so that a popular harmless request is not slowed down by a crash that another
 //! request caused.
+//!
+//! Where endpoints cannot be reserved, suspects run beside other requests, and only the crashes since
+//! a request last completed count against it.
 
 use indexmap::IndexMap;
 
@@ -27,6 +30,11 @@
 pub struct QuarantineOptions {
     /// Number of endpoint crashes after which a request is refused.
     pub refuse_after_crashes: usize,
+    /// Whether suspects can run alone on an endpoint. If not, any completed run clears a request.
+    pub isolates_suspects: bool,
+    /// Crashes within this time of each other count once against a request that completed before,
+    /// since an outage can take several endpoints at once. Has no effect with isolation.
+    pub outage_ms: u64,
     /// How long a request stays suspected or refused after its last crash.
     pub refuse_ms: u64,
     /// How long a completed run counts in favour of its request.
@@ -49,6 +57,8 @@
     fn default() -> Self {
         Self {
             refuse_after_crashes: 2,
+            isolates_suspects: true,
+            outage_ms: 1_000,
             refuse_ms: 600_000,
             finished_retention_ms: 600_000,
             crash_dedup_ms: 2_000,
@@ -103,17 +113,24 @@
         true
     }
 
-    /// Returns the number of crashes since the last clearance that have not expired, and
-    /// whether the request ran alone in any of them.
-    fn count_crashes(&self, now: Now, options: &QuarantineOptions) -> (usize, bool) {
-        let counted = self
-            .crashes
+    /// Returns the crashes since the last clearance that have not expired, in order of time.
+    fn current_crashes(
+        &self,
+        now: Now,
+        options: &QuarantineOptions,
+    ) -> impl Iterator<Item = &EndpointCrash> {
+        let refuse_ms = options.refuse_ms;
+        self.crashes
             .iter()
             .filter(|crash| crash.seen_unix_ms > self.cleared_unix_ms)
-            .filter(|crash| now.unix_ms < crash.seen_unix_ms + options.refuse_ms);
+            .filter(move |crash| now.unix_ms < crash.seen_unix_ms + refuse_ms)
+    }
+
+    /// Returns the number of current crashes, and whether the request ran alone in any of them.
+    fn count_crashes(&self, now: Now, options: &QuarantineOptions) -> (usize, bool) {
         let mut first_seen: IndexMap<&EndpointId, Vec<u64>> = IndexMap::new();
         let mut crashed_alone = false;
-        for crash in counted {
+        for crash in self.current_crashes(now, options) {
             crashed_alone |= crash.alone;
             let seen = first_seen.entry(&crash.endpoint).or_default();
             // Several routers report the same crash, each with its own time.
@@ -127,6 +144,19 @@
         (first_seen.values().map(Vec::len).sum(), crashed_alone)
     }
 
+    /// Returns the number of current crashes, where those close to each other count as one.
+    fn count_outages(&self, now: Now, options: &QuarantineOptions) -> usize {
+        let mut count = 0;
+        let mut until_unix_ms = 0;
+        for crash in self.current_crashes(now, options) {
+            if crash.seen_unix_ms >= until_unix_ms {
+                count += 1;
+                until_unix_ms = crash.seen_unix_ms + options.outage_ms;
+            }
+        }
+        count
+    }
+
     /// Time of the last crash, zero if there was none.
     fn last_crash_unix_ms(&self) -> u64 {
         let seen = self.crashes.iter().map(|crash| crash.seen_unix_ms);
@@ -136,6 +166,18 @@
     fn admission(&self, now: Now, options: &QuarantineOptions) -> Admission {
         let (crashes, crashed_alone) = self.count_crashes(now, options);
         let has_finished = now.unix_ms < self.finished_unix_ms + options.finished_retention_ms;
+        if !options.isolates_suspects {
+            let count = if has_finished {
+                self.count_outages(now, options)
+            } else {
+                crashes
+            };
+            return if count >= options.refuse_after_crashes {
+                Admission::Refused
+            } else {
+                Admission::Unrestricted
+            };
+        }
         match crashes {
             0 => Admission::Unrestricted,
             _ if crashed_alone => Admission::Refused,
@@ -270,12 +312,17 @@
         let Some(suspect) = self.suspects.get_mut(digest) else {
             return;
         };
-        let before = suspect.admission(now, &self.options);
+        let options = &self.options;
+        let verdict = |suspect: &Suspect| {
+            let (crashes, _) = suspect.count_crashes(now, options);
+            (suspect.admission(now, options), crashes)
+        };
+        let before = verdict(suspect);
         suspect.finished_unix_ms = suspect.finished_unix_ms.max(now.unix_ms);
-        if alone {
+        if alone || !options.isolates_suspects {
             suspect.cleared_unix_ms = suspect.cleared_unix_ms.max(now.unix_ms);
         }
-        if suspect.admission(now, &self.options) != before {
+        if verdict(suspect) != before {
             self.pending.push(*digest);
         }
     }
