Log directory entries that lapse

Hypotheses: (1) the silent watch is noticed too late; (2) the removal is known in time, but the entry counts as lapsed and stays in use; (3) placement uses the removed entry. The log named an endpoint only when it was gone.

endpoint-lapsed names it when it goes missing. Tests of the directory that expected no change now expect the lapse.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -157,6 +157,7 @@
             let (what, endpoint) = match change {
                 DirectoryChange::Joined(endpoint) => ("joined", endpoint),
                 DirectoryChange::Leaving(endpoint) => ("leaving", endpoint),
+                DirectoryChange::Lapsed(endpoint) => ("lapsed", endpoint),
                 DirectoryChange::Removed(endpoint) => ("gone", endpoint),
                 DirectoryChange::Restarted(endpoint) => ("restarted", endpoint),
             };
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -59,6 +59,8 @@
     Joined(EndpointId),
     /// An endpoint is leaving and accepts no new requests.
     Leaving(EndpointId),
+    /// The entry of an endpoint went missing during or right after an outage; it stays in use.
+    Lapsed(EndpointId),
     /// An endpoint was removed.
     Removed(EndpointId),
     /// An endpoint restarted under the same id.
@@ -267,15 +269,15 @@
     }
 
     /// Removes an entry that is no longer in the store. During or right after an outage, marks it
-    /// as lapsed instead and returns `None`.
+    /// as lapsed instead.
     pub fn remove(&mut self, endpoint: &EndpointId, now: Now) -> Option<DirectoryChange> {
         let record = self.endpoints.get_mut(endpoint)?;
         let in_grace_period = self
             .store_recovered_ms
             .is_some_and(|recovered_ms| now.since_ms(recovered_ms) < self.options.lapse_grace_ms);
         if self.is_store_unavailable || in_grace_period {
-            record.is_lapsed = true;
-            return None;
+            let was_lapsed = std::mem::replace(&mut record.is_lapsed, true);
+            return (!was_lapsed).then(|| DirectoryChange::Lapsed(endpoint.clone()));
         }
         self.endpoints.shift_remove(endpoint);
         Some(DirectoryChange::Removed(endpoint.clone()))
--- a/crates/curranttrestle/tests/gateway/directory.rs
+++ b/crates/curranttrestle/tests/gateway/directory.rs
@@ -30,7 +30,10 @@
     let mut directory = loaded(3);
     directory.record_store_failure();
     // The store recovers without the entries; one is written again within the grace period.
-    assert!(directory.replace(Vec::new(), at(20_000)).is_empty());
+    let lapsed = (0..3).map(|index| DirectoryChange::Lapsed(entry("model", index).endpoint));
+    let changes = directory.replace(Vec::new(), at(20_000));
+    assert_eq!(changes, lapsed.collect::<Vec<_>>());
+    assert!(directory.replace(Vec::new(), at(20_001)).is_empty());
     assert_eq!(usable(&directory), 3);
     directory.set(entry("model", 1));
     assert!(directory.remove_lapsed(at(21_900)).is_empty());
@@ -45,9 +48,10 @@
     directory.record_store_failure();
     let entries = (0..2).map(|index| entry("model", index)).collect();
     directory.replace(entries, at(10_000));
+    let lapsed = entry("model", 0).endpoint;
     assert_eq!(
-        directory.remove(&entry("model", 0).endpoint, at(11_000)),
-        None
+        directory.remove(&lapsed, at(11_000)),
+        Some(DirectoryChange::Lapsed(lapsed))
     );
     assert_eq!(usable(&directory), 2);
     assert!(
@@ -103,7 +107,10 @@
     let endpoint = entry("model", 0).endpoint;
     // One call to the store failed, and a pending watch reports the removal.
     directory.record_store_failure();
-    assert_eq!(directory.remove(&endpoint, at(10_000)), None);
+    assert_eq!(
+        directory.remove(&endpoint, at(10_000)),
+        Some(DirectoryChange::Lapsed(endpoint))
+    );
     assert_eq!(usable(&directory), 1);
     directory.record_store_success(at(15_000));
     assert!(directory.remove_lapsed(at(16_900)).is_empty());
