Let one gateway of a small fleet read the configuration for its peers

Each gateway read the configuration when its proof of freshness had a random age, and the proofs of peers reached it too late to spare many reads: three idle gateways made 8 to 12 reads in six seconds, a fleet of nine some 4 a second.

While reports are frequent (every 200 ms or less), the gateway with the lowest live address now reads at 10 to 11 sixteenths of the longest age, and the others only at 15 sixteenths or more; a reader that is lost, slow or cut off is replaced by the reads of the others, within the same bound as before. Elsewhere nothing changes.

--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -33,6 +33,10 @@
 /// Interval between two messages with shares to or from a relay.
 const SHARE_INTERVAL_MS: u64 = 500;
 
+/// Longest interval of reports at which one gateway reads the configuration for its peers: the proofs
+/// must reach them before they read themselves.
+const READER_REPORT_INTERVAL_MS: u64 = 200;
+
 /// Interval between two proofs from a relay.
 const PROOF_INTERVAL_MS: u64 = 200;
 
@@ -119,6 +123,10 @@
     /// From all peers, or by its own reads.
     #[default]
     Peer,
+    /// By its own reads, before its peers need to read.
+    Reader,
+    /// From the reader among its peers, to which reports are frequent.
+    Follower,
     /// By its own reads, which it forwards as a relay.
     Relay,
     /// From its relay.
@@ -219,7 +227,12 @@
     #[must_use]
     pub fn proof_role(&self, now: Now) -> ProofRole {
         if !self.uses_sums() {
-            ProofRole::Peer
+            let reports_are_frequent = self.peering.interval_ms() <= READER_REPORT_INTERVAL_MS;
+            match self.peering.is_first() {
+                _ if !reports_are_frequent || self.peering.live_count() == 1 => ProofRole::Peer,
+                true => ProofRole::Reader,
+                false => ProofRole::Follower,
+            }
         } else if self.load_relay.is_relay() {
             ProofRole::Relay
         } else if self.load_relay.is_connected(now) {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -130,7 +130,7 @@
 /// Waits before asking again for the first configuration. Returns early once a peer has it.
 async fn wait_for_first_config(gateway: &Gateway, health: &StoreHealth) {
     let backoffs = match gateway.proof_role.get() {
-        ProofRole::Peer | ProofRole::Relay => 1,
+        ProofRole::Peer | ProofRole::Reader | ProofRole::Follower | ProofRole::Relay => 1,
         ProofRole::Member => MEMBER_BACKOFFS,
     };
     let backed_off = async {
@@ -144,13 +144,15 @@
 
 /// Waits until the freshness proof of the configuration is old. Peers share their proofs, so that
 /// few gateways have to read the store: each waits for a random time, and the first to read renews
-/// the proof for the others. Where relays forward proofs, they read earlier than their members, who
+/// the proof for the others. Where reports are frequent, the same gateway reads first. Where relays forward proofs, they read earlier than their members, who
 /// then need not read. Returns early once a peer has a newer configuration.
 async fn wait_until_proof_is_old(gateway: &Gateway) {
     let gateways = gateway.control.borrow().fleet_size();
     let longest_ms = gateway.settings.store.config_interval_ms_in(gateways);
     let range_ms = match gateway.proof_role.get() {
         ProofRole::Peer => longest_ms / 2..=longest_ms,
+        ProofRole::Reader => longest_ms / 16 * 10..=longest_ms / 16 * 11,
+        ProofRole::Follower => longest_ms / 16 * 15..=longest_ms,
         ProofRole::Relay => longest_ms / 4..=longest_ms / 2,
         ProofRole::Member => longest_ms / 4 * 3..=longest_ms,
     };
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -177,6 +177,13 @@
             .count()
     }
 
+    /// Whether this gateway has the lowest address of the live ones.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        let mut peers = self.peers.iter();
+        !peers.any(|(address, peer)| peer.received_ms.is_some() && *address < self.own_address)
+    }
+
     /// Returns the round of reports or summaries if one is due. Peers in data centres for which
     /// `is_relayed` is true receive none.
     pub fn round(
