Notice silent connections to the store within the contact time

This commit mends the first of two causes.

Cause: a watch on a silent connection ended after 3.7 s, its wait of 3 s and its timeout, while a gateway may be late for 3 s only (contactMs). A watch or list that took a pooled connection which had gone silent while idle began that late again.

Each call to the store now opens a connection.

Not chosen: TCP keep-alive, whose probes the far end of a silent path may still answer (not tried).

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -26,7 +26,7 @@
 use crate::store;
 use crate::strain::StrainMonitor;
 use crate::timer::sleep_ms;
-use crate::upstream::Pool;
+use crate::upstream::{HttpClient, HttpClientOptions, Pool};
 
 /// Interval for checking signals and timers and for sending to peers.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -99,8 +99,6 @@
     pub control: RefCell<Control>,
     /// Connections to endpoints.
     pub pool: Rc<Pool>,
-    /// Connections to the store.
-    pub store_pool: Rc<Pool>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The log, with the number of dropped lines.
@@ -258,7 +256,7 @@
 
 /// Runs a gateway until a signal stops it and its requests have ended.
 ///
-/// `platform` creates the adapter's store client on the given pool. `reload` reads the settings
+/// `platform` creates the adapter's store client on the given HTTP client. `reload` reads the settings
 /// again after SIGHUP and returns `None` if they are invalid.
 ///
 /// # Errors
@@ -268,19 +266,22 @@
     settings: GatewaySettings,
     dialect: Rc<dyn Dialect>,
     log_lines: Option<LogLines>,
-    platform: impl FnOnce(Rc<Pool>) -> P,
+    platform: impl FnOnce(HttpClient) -> P,
     reload: impl Fn() -> Option<GatewaySettings> + 'static,
 ) -> Result<(), StartError> {
     let flags = SignalFlags::register()?;
     let executors = Executors::default();
     let pool = Rc::new(Pool::new(Rc::clone(executors.traffic()), settings.traffic));
-    let store_pool = Rc::new(Pool::new(Rc::clone(executors.control()), settings.traffic));
-    let platform = Rc::new(platform(Rc::clone(&store_pool)));
+    let client_options = HttpClientOptions {
+        connect_timeout_ms: settings.store.timeout_ms,
+        tcp_user_timeout_ms: settings.traffic.tcp_user_timeout_ms,
+    };
+    let client = HttpClient::new(Rc::clone(executors.control()), client_options);
+    let platform = Rc::new(platform(client));
     let gateway = Rc::new(Gateway {
         control: RefCell::new(Control::new(settings.control.clone())),
         metrics: Metrics::new()?,
         pool,
-        store_pool,
         dialect,
         log_lines,
         refusal_log_limit: RefCell::new(EventRateLimiter::new(settings.logged_refusals_per_s)),
@@ -376,7 +377,6 @@
         gateway.measure_task_delay(now);
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
-        gateway.store_pool.close_expired();
         peers.send_due(&gateway, now);
         if flags.reload.swap(false, Ordering::Relaxed) {
             apply_settings(&gateway, reload());
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -94,7 +94,9 @@
     pub max_watch_interval_ms: u64,
     /// How long a watch of the directory waits for changes.
     pub watch_wait_ms: u64,
-    /// Timeout of a response, in addition to the wait of a watch.
+    /// Timeout of a watch's response after its wait.
+    pub watch_timeout_ms: u64,
+    /// Timeout of other calls.
     pub timeout_ms: u64,
     /// Backoff after the first failed call; it doubles with each further failure.
     pub min_backoff_ms: u64,
@@ -115,6 +117,7 @@
             watch_interval_ms_per_gateway: 25,
             max_watch_interval_ms: 700,
             watch_wait_ms: 3_000,
+            watch_timeout_ms: 400,
             timeout_ms: 700,
             min_backoff_ms: 100,
             max_backoff_ms: 500,
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -271,7 +271,7 @@
             .store_calls
             .with_label_values(&["directory-watch"])
             .inc();
-        let timeout_ms = options.watch_wait_ms + options.timeout_ms;
+        let timeout_ms = options.watch_wait_ms + options.watch_timeout_ms;
         let watched = platform
             .watch_endpoints(revision, options.watch_wait_ms, timeout_ms)
             .await;
--- a/crates/curranttrestle-gateway/src/upstream/client.rs
+++ b/crates/curranttrestle-gateway/src/upstream/client.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
+use smol::LocalExecutor;
 use thiserror::Error;
 
-use super::connection::{ConnectError, SendError};
-use super::pool::Pool;
+use super::connection::{ConnectError, Connection, SendError};
 use crate::timer::with_timeout;
 
 /// Maximum size of a response.
@@ -32,17 +32,28 @@
     Timeout(u64),
 }
 
-/// Makes calls over pooled connections.
+/// Makes calls, each over a new connection: an open one may have gone silent, which only the timeout
+/// of a call would show.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    pool: Rc<Pool>,
+    executor: Rc<LocalExecutor<'static>>,
+    options: HttpClientOptions,
+}
+
+/// Timeouts of the connections of an [`HttpClient`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpClientOptions {
+    /// Timeout for connecting.
+    pub connect_timeout_ms: u64,
+    /// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
+    pub tcp_user_timeout_ms: u32,
 }
 
 impl HttpClient {
-    /// Creates a client that uses `pool`.
+    /// Creates a client whose connections run on `executor`.
     #[must_use]
-    pub fn new(pool: Rc<Pool>) -> Self {
-        Self { pool }
+    pub fn new(executor: Rc<LocalExecutor<'static>>, options: HttpClientOptions) -> Self {
+        Self { executor, options }
     }
 
     /// Sends a request and reads the whole response. Returns its status and body.
@@ -56,39 +67,26 @@
         request: Request<Full<Bytes>>,
         timeout_ms: u64,
     ) -> Result<(u16, Bytes), CallError> {
-        let exchange = self.exchange(address, request, timeout_ms);
-        let completed = with_timeout(timeout_ms, exchange).await;
-        completed.unwrap_or(Err(CallError::Timeout(timeout_ms)))
-    }
-
-    async fn exchange(
-        &self,
-        address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
-        timeout_ms: u64,
-    ) -> Result<(u16, Bytes), CallError> {
-        let mut pooled = self.pool.take(address, u64::MAX);
-        loop {
-            let mut connection = match pooled.take() {
-                Some(connection) => connection,
-                None => self.pool.open(address, timeout_ms).await?,
-            };
-            let response = match connection.send(request).await {
-                Ok(response) => response,
-                // The connection was closed before anything was sent; open a new one.
-                Err(SendError::NotSent(unsent)) => {
-                    request = *unsent;
-                    pooled = None;
-                    continue;
-                }
-                Err(error) => return Err(error.into()),
-            };
+        let HttpClientOptions {
+            connect_timeout_ms,
+            tcp_user_timeout_ms,
+        } = self.options;
+        let exchange = async {
+            let opening = Connection::open(
+                &self.executor,
+                address,
+                connect_timeout_ms,
+                tcp_user_timeout_ms,
+            );
+            let mut connection = opening.await?;
+            let response = connection.send(request).await?;
             let status = response.status().as_u16();
             let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
             let body = body.collect().await;
             let body = body.map_err(|error| CallError::Body(error.to_string()))?;
-            self.pool.put_back(connection, usize::MAX);
-            return Ok((status, body.to_bytes()));
-        }
+            Ok((status, body.to_bytes()))
+        };
+        let completed = with_timeout(timeout_ms, exchange).await;
+        completed.unwrap_or(Err(CallError::Timeout(timeout_ms)))
     }
 }
--- a/crates/curranttrestle-gateway/src/upstream/mod.rs
+++ b/crates/curranttrestle-gateway/src/upstream/mod.rs
@@ -5,6 +5,6 @@
 pub mod head_limit;
 pub mod pool;
 
-pub use client::{CallError, HttpClient};
+pub use client::{CallError, HttpClient, HttpClientOptions};
 pub use connection::{ConnectError, Connection};
 pub use pool::Pool;
--- a/crates/curranttrestle/tests/gateway/request_quarantine.rs
+++ b/crates/curranttrestle/tests/gateway/request_quarantine.rs
@@ -1,6 +1,5 @@
 use curranttrestle::coordination::gateway::control::ControlOptions;
 use curranttrestle::coordination::gateway::request_quarantine::RequestQuarantine;
-use curranttrestle::protocol::peer::Suspicions;
 
 use super::support::{at, lookup};
 
@@ -77,8 +76,7 @@
     let request = lookup("item=cam");
     let send = |from: &mut RequestQuarantine, to: &mut RequestQuarantine, now| {
         let changes = from.suspects.take_changes();
-        to.suspects
-            .receive(&changes.unwrap_or_else(Suspicions::default), now);
+        to.suspects.receive(&changes.unwrap_or_default(), now);
     };
     for round in 0..6 {
         let now = at(round * 4_000);
