Tell an outage of the store from the loss of one connection to it

Cause: one failed call of any kind, here a watch or a read on a silent connection, counted as an outage of the store. Entries missing after an outage stay in use for 2 s, since entries expire while the store is away. Evidence: endpoint-lapsed 3.72 s after the silence, endpoint-gone 5.75 s; the store was there.

A call whose connection was lost now counts as an outage only if the next call over a new connection fails too. Until that call has its result, other calls than watches count, so that entries that lapse in a silent outage are kept. Refused calls, and connections that cannot be opened, count at once as before.

Ruled out: requests placed on an entry that is known to be removed (none was).

--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -127,9 +127,12 @@
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum PlatformError {
-    /// No complete response arrived.
+    /// No connection could be opened.
+    #[error("unreachable: {0}")]
+    Unreachable(String),
+    /// The connection was lost or stayed silent before the response was complete.
     #[error("call failed: {0}")]
-    CallFailed(String),
+    NoResponse(String),
     /// The platform refused the call with this status.
     #[error("refused with status {0}")]
     Refused(u16),
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -3,22 +3,25 @@
 use std::rc::Rc;
 
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
+use curranttrestle::coordination::gateway::outage_detection::{CallFailure, OutageDetector};
 use curranttrestle::state::Now;
 use futures_lite::FutureExt;
 use rand::Rng;
 
 use crate::clock;
-use crate::edge::{ConfigRead, EndpointEvent, Platform, PlatformError};
+use crate::edge::{ConfigRead, EndpointEvent, EndpointList, Platform, PlatformError};
 use crate::gateway::Gateway;
 use crate::peers::ProofRole;
 use crate::timer::sleep_ms;
 
-/// Logs the first of consecutive failures and the recovery.
+/// The failures of one task's calls: logs the first of consecutive ones and the recovery, and records
+/// outages.
 #[derive(Debug)]
 struct StoreHealth {
     name: &'static str,
     failures: u32,
     failed_since_ms: u64,
+    outages: OutageDetector,
 }
 
 impl StoreHealth {
@@ -27,10 +30,28 @@
             name,
             failures: 0,
             failed_since_ms: 0,
+            outages: OutageDetector::default(),
         }
     }
 
-    fn record_failure(&mut self, error: &PlatformError) {
+    /// Records a failed call. `lost` is the failure if its connection was lost.
+    fn record_failure(&mut self, gateway: &Gateway, error: &PlatformError, lost: CallFailure) {
+        let failure = match error {
+            PlatformError::NoResponse(_) => lost,
+            PlatformError::Unreachable(_)
+            | PlatformError::Refused(_)
+            | PlatformError::HistoryDiscarded
+            | PlatformError::NotFound
+            | PlatformError::InvalidResponse(_) => CallFailure::NotServed,
+        };
+        if self.outages.record_failure(failure) {
+            let mut control = gateway.control.borrow_mut();
+            control.directory.record_store_failure();
+        }
+        self.log_failure(error);
+    }
+
+    fn log_failure(&mut self, error: &PlatformError) {
         let now = clock::now();
         if self.failures == 0 {
             self.failed_since_ms = now.steady_ms;
@@ -43,7 +64,11 @@
         self.failures = self.failures.saturating_add(1);
     }
 
-    fn record_success(&mut self) {
+    fn record_success(&mut self, gateway: &Gateway) {
+        if self.outages.record_success() {
+            let mut control = gateway.control.borrow_mut();
+            control.directory.retract_store_failure();
+        }
         if self.failures > 0 {
             let outage_ms = clock::now().since_ms(self.failed_since_ms);
             let failures = self.failures;
@@ -97,25 +122,19 @@
         calls.with_label_values(&["config"]).inc();
         match read {
             Ok(read) => {
-                health.record_success();
+                health.record_success(&gateway);
                 record_call(&gateway, "config", sent);
                 apply_config_read(&gateway, read, sent);
             }
             Err(error) => {
                 let failures = &gateway.metrics.store_failures;
                 failures.with_label_values(&["config"]).inc();
-                // A store that has no configuration is still available.
-                if error != PlatformError::NotFound {
-                    gateway
-                        .control
-                        .borrow_mut()
-                        .directory
-                        .record_store_failure();
-                }
-                health.record_failure(&error);
                 if error == PlatformError::NotFound {
+                    // A store that has no configuration is still available.
+                    health.log_failure(&error);
                     wait_for_first_config(&gateway, &health).await;
                 } else {
+                    health.record_failure(&gateway, &error, CallFailure::NoResponse);
                     health.back_off(&gateway).await;
                 }
             }
@@ -204,12 +223,15 @@
     let mut health = StoreHealth::new("store-directory");
     loop {
         let listed = list_endpoints(&gateway, platform.as_ref()).await;
-        let error = match listed {
-            Ok(revision) => {
-                health.record_success();
-                watch_endpoints(&gateway, platform.as_ref(), revision).await
+        let (error, lost) = match listed {
+            Ok(list) => {
+                health.record_success(&gateway);
+                let revision = list.revision;
+                apply_list(&gateway, list);
+                let error = watch_endpoints(&gateway, platform.as_ref(), revision).await;
+                (error, CallFailure::WatchLost)
             }
-            Err(error) => error,
+            Err(error) => (error, CallFailure::NoResponse),
         };
         if error == PlatformError::HistoryDiscarded {
             log::info!("kind=directory-history-gone");
@@ -221,12 +243,7 @@
             .store_failures
             .with_label_values(&["directory"])
             .inc();
-        gateway
-            .control
-            .borrow_mut()
-            .directory
-            .record_store_failure();
-        health.record_failure(&error);
+        health.record_failure(&gateway, &error, lost);
         health.back_off(&gateway).await;
     }
 }
@@ -234,7 +251,7 @@
 async fn list_endpoints<P: Platform>(
     gateway: &Gateway,
     platform: &P,
-) -> Result<u64, PlatformError> {
+) -> Result<EndpointList, PlatformError> {
     let options = gateway.settings.store;
     gateway
         .metrics
@@ -244,6 +261,10 @@
     let sent = clock::now();
     let list = platform.list_endpoints(options.timeout_ms).await?;
     record_call(gateway, "directory-list", sent);
+    Ok(list)
+}
+
+fn apply_list(gateway: &Gateway, list: EndpointList) {
     for (name, reason) in &list.skipped {
         log::warn!("kind=entry-skipped name={name:?} reason={reason:?}");
     }
@@ -254,7 +275,6 @@
         .directory
         .replace(list.entries, now);
     gateway.apply_directory_changes(&changes, "list");
-    Ok(list.revision)
 }
 
 /// Watches the directory until a call fails.
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -81,7 +81,8 @@
 pub struct Directory {
     options: DirectoryOptions,
     endpoints: IndexMap<EndpointId, EndpointRecord>,
-    is_store_unavailable: bool,
+    /// Failed calls since the store last responded; it counts as unavailable if there are any.
+    failed_calls: u32,
     store_recovered_ms: Option<u64>,
     /// When the store last responded, by the steady clock.
     responded_ms: Option<u64>,
@@ -99,7 +100,7 @@
         Self {
             options,
             endpoints: IndexMap::new(),
-            is_store_unavailable: false,
+            failed_calls: 0,
             store_recovered_ms: None,
             responded_ms: None,
             leaving_runs: IndexMap::new(),
@@ -116,7 +117,7 @@
     /// Records a response of the store.
     pub fn record_store_success(&mut self, now: Now) {
         self.responded_ms = Some(now.steady_ms);
-        if std::mem::take(&mut self.is_store_unavailable) {
+        if std::mem::take(&mut self.failed_calls) > 0 {
             self.store_recovered_ms = Some(now.steady_ms);
         }
     }
@@ -130,7 +131,12 @@
 
     /// Records that a call to the store failed or was rejected.
     pub fn record_store_failure(&mut self) {
-        self.is_store_unavailable = true;
+        self.failed_calls = self.failed_calls.saturating_add(1);
+    }
+
+    /// Records that the last failed call only lost its connection. Other failed calls still count.
+    pub fn retract_store_failure(&mut self) {
+        self.failed_calls = self.failed_calls.saturating_sub(1);
     }
 
     /// Replaces the directory by the complete list from the store.
@@ -275,7 +281,7 @@
         let in_grace_period = self
             .store_recovered_ms
             .is_some_and(|recovered_ms| now.since_ms(recovered_ms) < self.options.lapse_grace_ms);
-        if self.is_store_unavailable || in_grace_period {
+        if self.failed_calls > 0 || in_grace_period {
             let was_lapsed = std::mem::replace(&mut record.is_lapsed, true);
             return (!was_lapsed).then(|| DirectoryChange::Lapsed(endpoint.clone()));
         }
@@ -287,8 +293,8 @@
     pub fn remove_lapsed(&mut self, now: Now) -> Vec<DirectoryChange> {
         let in_grace_period = self
             .store_recovered_ms
-            .is_none_or(|recovered_ms| now.since_ms(recovered_ms) < self.options.lapse_grace_ms);
-        if in_grace_period || self.is_store_unavailable {
+            .is_some_and(|recovered_ms| now.since_ms(recovered_ms) < self.options.lapse_grace_ms);
+        if in_grace_period || self.failed_calls > 0 {
             return Vec::new();
         }
         let lapsed = self.endpoints.iter().filter(|(_, record)| record.is_lapsed);
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod freshness;
 pub mod load_relay;
 pub mod load_sums;
+pub mod outage_detection;
 pub mod outlier_detection;
 pub mod part_quarantine;
 pub mod part_relay;
--- a/crates/curranttrestle/tests/gateway/directory.rs
+++ b/crates/curranttrestle/tests/gateway/directory.rs
@@ -62,6 +62,22 @@
     assert_eq!(usable(&directory), 1);
 }
 
+/// A connection that went silent used to count as an outage, after which entries stay in use.
+#[test]
+fn entry_that_is_missing_after_a_lost_connection_is_removed() {
+    let mut directory = loaded(2);
+    let endpoint = |index| entry("model", index).endpoint;
+    directory.record_store_failure();
+    assert!(directory.remove(&endpoint(0), at(9_000)).is_some());
+    directory.retract_store_failure();
+    assert_eq!(
+        directory.remove(&endpoint(1), at(10_000)),
+        Some(DirectoryChange::Removed(endpoint(1)))
+    );
+    let lapsed = directory.remove_lapsed(at(10_050));
+    assert_eq!(lapsed, [DirectoryChange::Removed(endpoint(0))]);
+}
+
 #[test]
 fn no_entry_is_removed_during_another_outage() {
     let mut directory = loaded(1);
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod freshness;
 mod load_relay;
 mod load_sums;
+mod outage_detection;
 mod outlier_detection;
 mod peering;
 mod placement;
