--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -208,10 +208,15 @@
         return;
     };
     let version = config.version;
-    let routes = config.routes.len();
+    let (routes, customers) = (config.routes.len(), config.customers.len());
+    let keys: usize = config
+        .customers
+        .iter()
+        .map(|customer| customer.keys.len())
+        .sum();
     if control.apply_config(config, read.revision, sent.steady_ms) {
         log::info!(
-            "kind=config-in-force version={version} revision={} routes={routes} age_ms={}",
+            "kind=config-in-force version={version} revision={} routes={routes} customers={customers} keys={keys} age_ms={}",
             read.revision,
             clock::now().since_ms(sent.steady_ms)
         );
