Require a key when the configuration has no customer left

Cause: a configuration that leaves customers out needs no keys, and it was decoded like one with an empty list. Evidence: config-in-force with customers=0 keys=0, and bookings 5.3 s and more after it.

A key that a request brings is checked in any case, so that leaving customers out does not accept withdrawn or unknown keys. A missing key is no longer looked up as an empty one.

Ruled out: the version was in force (0.7 s), and the bookings were new requests.

--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -165,12 +165,14 @@
     let Some(route) = table.route(host, path) else {
         return Err(LocalResponse::new(StatusCode::NOT_FOUND, "no-route"));
     };
-    let customer = if table.has_customers() && !route.anonymous {
+    // A key that the client sent is checked even if none is needed.
+    let has_key = hints.credential.is_some();
+    let customer = if (table.requires_keys() || has_key) && !route.anonymous {
         if !is_fresh {
             return Err(LocalResponse::refused(STALE_CONFIGURATION, retry_ms));
         }
-        let key = hints.credential.as_deref().unwrap_or_default();
-        let Some(customer) = table.customer(key) else {
+        let key = hints.credential.as_deref();
+        let Some(customer) = key.and_then(|key| table.customer(key)) else {
             return Err(LocalResponse::new(StatusCode::UNAUTHORIZED, "unknown-key"));
         };
         Some(customer.name.clone())
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -208,15 +208,20 @@
         return;
     };
     let version = config.version;
-    let (routes, customers) = (config.routes.len(), config.customers.len());
-    let keys: usize = config
-        .customers
-        .iter()
+    let routes = config.routes.len();
+    let customers = config.customers.as_ref();
+    let customer_count = customers.map_or_else(
+        || "none".to_owned(),
+        |customers| customers.len().to_string(),
+    );
+    let keys: usize = customers
+        .into_iter()
+        .flatten()
         .map(|customer| customer.keys.len())
         .sum();
     if control.apply_config(config, read.revision, sent.steady_ms) {
         log::info!(
-            "kind=config-in-force version={version} revision={} routes={routes} customers={customers} keys={keys} age_ms={}",
+            "kind=config-in-force version={version} revision={} routes={routes} customers={customer_count} keys={keys} age_ms={}",
             read.revision,
             clock::now().since_ms(sent.steady_ms)
         );
--- a/crates/curranttrestle-gateway/tests/simulation/mod.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/mod.rs
@@ -400,10 +400,10 @@
                 memory_tokens: 273_215,
             }),
         }],
-        customers: vec![Customer {
+        customers: Some(vec![Customer {
             name: "any".to_owned(),
             keys: vec!["key".to_owned()],
-        }],
+        }]),
         limits: ClientLimits {
             tokens_per_s,
             ..ClientLimits::default()
--- a/crates/curranttrestle/src/coordination/gateway/route_table.rs
+++ b/crates/curranttrestle/src/coordination/gateway/route_table.rs
@@ -32,7 +32,7 @@
             host.insert(route.path_prefix.clone(), index);
         }
         let mut keys = IndexMap::new();
-        for (index, customer) in config.customers.iter().enumerate() {
+        for (index, customer) in config.customers.iter().flatten().enumerate() {
             for key in &customer.keys {
                 keys.insert(key.clone(), index);
             }
@@ -68,18 +68,18 @@
             .map(|index| &self.config.routes[*index])
     }
 
-    /// Whether any customer is configured. If so, requests need an API key unless their route is
-    /// anonymous.
+    /// Whether requests need an API key unless their route is anonymous, also when no customer is
+    /// left.
     #[must_use]
-    pub fn has_customers(&self) -> bool {
-        !self.config.customers.is_empty()
+    pub fn requires_keys(&self) -> bool {
+        self.config.customers.is_some()
     }
 
     /// Returns the customer that owns `key`.
     #[must_use]
     pub fn customer(&self, key: &str) -> Option<&Customer> {
         let index = self.keys.get(key)?;
-        Some(&self.config.customers[*index])
+        self.config.customers.as_ref()?.get(*index)
     }
 
     /// Returns the service with this name.
--- a/crates/curranttrestle/src/state/gateway/config.rs
+++ b/crates/curranttrestle/src/state/gateway/config.rs
@@ -9,8 +9,8 @@
     pub routes: Vec<Route>,
     /// The groups of endpoints that routes refer to.
     pub services: Vec<Service>,
-    /// The customers and their keys. If empty, requests need no key.
-    pub customers: Vec<Customer>,
+    /// The customers and their keys; `None` if requests need no key. An empty list accepts no key.
+    pub customers: Option<Vec<Customer>>,
     /// Limits on what clients may send.
     pub limits: ClientLimits,
 }
--- a/crates/curranttrestle/tests/gateway/route_table.rs
+++ b/crates/curranttrestle/tests/gateway/route_table.rs
@@ -35,6 +35,20 @@
     assert!(table.customer("").is_none());
 }
 
+/// Removing the last customer used to open all routes.
+#[test]
+fn keys_are_required_when_no_customer_is_left() {
+    let with_customers = |customers| {
+        RouteTable::new(ServiceConfig {
+            customers,
+            ..ServiceConfig::default()
+        })
+    };
+    assert!(with_customers(Some(Vec::new())).requires_keys());
+    assert!(with_customers(Some(Vec::new())).customer("key").is_none());
+    assert!(!with_customers(None).requires_keys());
+}
+
 #[test]
 fn weights_split_a_route() {
     let mut split = route("split", "a.example", "/");
--- a/crates/curranttrestle/tests/gateway/support.rs
+++ b/crates/curranttrestle/tests/gateway/support.rs
@@ -76,10 +76,10 @@
             max_connections: 370,
             engine: Some(ENGINE),
         }],
-        customers: vec![Customer {
+        customers: Some(vec![Customer {
             name: "customer".to_owned(),
             keys: vec!["key".to_owned()],
-        }],
+        }]),
         ..ServiceConfig::default()
     }
 }
