--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -227,12 +227,7 @@
     #[must_use]
     pub fn proof_role(&self, now: Now) -> ProofRole {
         if !self.uses_sums() {
-            let reports_are_frequent = self.peering.interval_ms() <= READER_REPORT_INTERVAL_MS;
-            match self.peering.is_first() {
-                _ if !reports_are_frequent || self.peering.live_count() == 1 => ProofRole::Peer,
-                true => ProofRole::Reader,
-                false => ProofRole::Follower,
-            }
+            self.role_among_peers()
         } else if self.load_relay.is_relay() {
             ProofRole::Relay
         } else if self.load_relay.is_connected(now) {
@@ -242,6 +237,18 @@
         }
     }
 
+    /// The role where reports go to all peers.
+    fn role_among_peers(&self) -> ProofRole {
+        let reports_are_frequent = self.peering.interval_ms() <= READER_REPORT_INTERVAL_MS;
+        if !reports_are_frequent || self.peering.live_count() == 1 {
+            ProofRole::Peer
+        } else if self.peering.is_first() {
+            ProofRole::Reader
+        } else {
+            ProofRole::Follower
+        }
+    }
+
     fn uses_sums(&self) -> bool {
         self.relay_options.uses_sums_in(self.peering.live_count())
     }
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -163,8 +163,9 @@
 
 /// Waits until the freshness proof of the configuration is old. Peers share their proofs, so that
 /// few gateways have to read the store: each waits for a random time, and the first to read renews
-/// the proof for the others. Where reports are frequent, the same gateway reads first. Where relays forward proofs, they read earlier than their members, who
-/// then need not read. Returns early once a peer has a newer configuration.
+/// the proof for the others. Where reports are frequent, one gateway reads before its peers need to.
+/// Where relays forward proofs, they read earlier than their members, who then need not read. Returns
+/// early once a peer has a newer configuration.
 async fn wait_until_proof_is_old(gateway: &Gateway) {
     let gateways = gateway.control.borrow().fleet_size();
     let longest_ms = gateway.settings.store.config_interval_ms_in(gateways);
--- a/crates/curranttrestle/src/coordination/gateway/outage_detection.rs
+++ b/crates/curranttrestle/src/coordination/gateway/outage_detection.rs
@@ -1,4 +1,4 @@
-//! Tells an outage of the store from the loss of one connection to it.
+//! Distinguishes an outage of the store from the loss of one connection to it.
 //!
 //! Directory entries expire during an outage, so those that are missing after it stay in use for a
 //! while. An open connection may also go silent or be reset while the store is available. Then an
@@ -15,7 +15,7 @@
     NotServed,
 }
 
-/// What the calls of one task say about the store.
+/// Detects outages by the results of one task's calls to the store.
 ///
 /// ```
 /// use curranttrestle::coordination::gateway::outage_detection::{CallFailure, OutageDetector};
--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -164,20 +164,11 @@
     }
 
     fn admission(&self, now: Now, options: &QuarantineOptions) -> Admission {
-        let (crashes, crashed_alone) = self.count_crashes(now, options);
-        let has_finished = now.unix_ms < self.finished_unix_ms + options.finished_retention_ms;
         if !options.isolates_suspects {
-            let count = if has_finished {
-                self.count_outages(now, options)
-            } else {
-                crashes
-            };
-            return if count >= options.refuse_after_crashes {
-                Admission::Refused
-            } else {
-                Admission::Unrestricted
-            };
+            return self.admission_without_isolation(now, options);
         }
+        let (crashes, crashed_alone) = self.count_crashes(now, options);
+        let has_finished = self.has_finished(now, options);
         match crashes {
             0 => Admission::Unrestricted,
             _ if crashed_alone => Admission::Refused,
@@ -188,6 +179,24 @@
             _ => Admission::Exclusive,
         }
     }
+
+    fn admission_without_isolation(&self, now: Now, options: &QuarantineOptions) -> Admission {
+        let count = if self.has_finished(now, options) {
+            self.count_outages(now, options)
+        } else {
+            self.count_crashes(now, options).0
+        };
+        if count >= options.refuse_after_crashes {
+            Admission::Refused
+        } else {
+            Admission::Unrestricted
+        }
+    }
+
+    /// Whether the request completed recently.
+    fn has_finished(&self, now: Now, options: &QuarantineOptions) -> bool {
+        now.unix_ms < self.finished_unix_ms + options.finished_retention_ms
+    }
 }
 
 /// Suspected requests known to one router.
