Give the time for which a quarantined request is refused

Callers saw: a request that crashes endpoints was refused with Retry-After 0.5, although it stays refused for ten minutes, so they came back in vain.

Cause: only refusals for a prompt part gave the time that is left.

Test: lookup_that_crashes_endpoints_is_refused_while_others_at_its_path_finish requires more than 500 s; it got 0.5 before.

--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -18,6 +18,9 @@
 use crate::gateway::Gateway;
 use crate::upstream::Connection;
 
+/// Reason for refusing a request that crashes endpoints.
+pub const QUARANTINED: &str = "quarantined";
+
 /// Reason for refusing a request with a prompt part that crashes engines.
 pub const PROMPT_QUARANTINED: &str = "prompt-quarantined";
 
@@ -93,7 +96,7 @@
     pub fn refusal_reason(&self, now: Now) -> Option<&'static str> {
         let control = self.gateway.control.borrow();
         if control.quarantine.is_refused(&self.identity, now) {
-            return Some("quarantined");
+            return Some(QUARANTINED);
         }
         let shared_parts = self.hints.shared_parts();
         if control.prompt_parts.refusal_ms(shared_parts, now).is_some() {
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -18,7 +18,7 @@
 use super::attempt::{self, Failure, ResponseHead};
 use super::body::read_body;
 use super::event_stream::EventStream;
-use super::exchange::{Exchange, PROMPT_QUARANTINED};
+use super::exchange::{Exchange, PROMPT_QUARANTINED, QUARANTINED};
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody, full_body};
@@ -314,12 +314,16 @@
 /// When a client may retry a request that was refused for `refusal_reason`, in milliseconds.
 fn refusal_retry_after_ms(exchange: &Exchange, refusal_reason: &str) -> f64 {
     let default_ms = exchange.gateway.settings.traffic.refusal_retry_after_ms;
-    if refusal_reason != PROMPT_QUARANTINED {
-        return default_ms;
-    }
     let control = exchange.gateway.control.borrow();
-    let shared_parts = exchange.hints.shared_parts();
-    let left_ms = control.prompt_parts.refusal_ms(shared_parts, clock::now());
+    let now = clock::now();
+    let left_ms = match refusal_reason {
+        QUARANTINED => control.quarantine.refusal_ms(&exchange.identity, now),
+        PROMPT_QUARANTINED => {
+            let shared_parts = exchange.hints.shared_parts();
+            control.prompt_parts.refusal_ms(shared_parts, now)
+        }
+        _ => None,
+    };
     #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
     left_ms.map_or(default_ms, |left_ms| left_ms as f64)
 }
--- a/crates/curranttrestle/src/coordination/gateway/request_quarantine.rs
+++ b/crates/curranttrestle/src/coordination/gateway/request_quarantine.rs
@@ -9,9 +9,7 @@
 
 use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
-use crate::coordination::quarantine::{
-    Admission, Evidence, Quarantine, QuarantineOptions, RequestDigest,
-};
+use crate::coordination::quarantine::{Evidence, Quarantine, QuarantineOptions, RequestDigest};
 use crate::state::{EndpointId, Now};
 
 /// The parts of a request that identify it.
@@ -126,9 +124,16 @@
     /// Whether a request is refused because endpoints crashed while running it.
     #[must_use]
     pub fn is_refused(&self, request: &RequestIdentity, now: Now) -> bool {
-        request
-            .digests()
-            .any(|digest| self.suspects.admission(digest, now) == Admission::Refused)
+        self.refusal_ms(request, now).is_some()
+    }
+
+    /// How long a request is still refused; `None` if it is not.
+    #[must_use]
+    pub fn refusal_ms(&self, request: &RequestIdentity, now: Now) -> Option<u64> {
+        let digests = request.digests();
+        digests
+            .filter_map(|digest| self.suspects.refusal_ms(digest, now))
+            .max()
     }
 
     /// The evidence on a request.
--- a/crates/curranttrestle/src/coordination/quarantine.rs
+++ b/crates/curranttrestle/src/coordination/quarantine.rs
@@ -249,6 +249,15 @@
             })
     }
 
+    /// How long a request is still refused; `None` if it is not.
+    #[must_use]
+    pub fn refusal_ms(&self, digest: &RequestDigest, now: Now) -> Option<u64> {
+        let suspect = self.suspects.get(digest)?;
+        let is_refused = suspect.admission(now, &self.options) == Admission::Refused;
+        let until_unix_ms = suspect.last_crash_unix_ms() + self.options.refuse_ms;
+        is_refused.then(|| until_unix_ms.saturating_sub(now.unix_ms))
+    }
+
     /// Returns the evidence on a request.
     #[must_use]
     pub fn evidence(&self, digest: &RequestDigest, now: Now) -> Evidence {
