Decode warm-up, evacuation bound, allowed regions and instance limits

The settings and the configuration name limits that the gateway did not read: warmupTolerance, warmupBurst, evacuateMs, memoryMb, maxFds, the regions of data centres, warmupS and warmupPerS of a service, allowedRegions of a route or customer, warmupLeftMs of an endpoint. They are decoded into fields of the product and not used yet, so nothing changes for callers.

--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -24,6 +24,11 @@
     pub peers: SocketAddr,
     /// Gateways to contact first.
     pub seeds: Vec<SocketAddr>,
+    /// What the instance has.
+    pub resources: InstanceResources,
+    /// Maximum time until an evacuation of a data centre takes effect; `None` if evacuations are not
+    /// read.
+    pub evacuate_ms: Option<u64>,
     /// Options of the coordination layer.
     pub control: ControlOptions,
     /// Options of the calls to the store.
@@ -53,6 +58,8 @@
             metrics: None,
             peers: loopback,
             seeds: Vec::new(),
+            resources: InstanceResources::default(),
+            evacuate_ms: None,
             control: ControlOptions::default(),
             store: StoreOptions::default(),
             reports: PeeringOptions::default(),
@@ -73,6 +80,16 @@
     }
 }
 
+/// Memory and descriptors of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct InstanceResources {
+    /// Memory that the process may use, including received bytes that it has not read; `None` if
+    /// unknown.
+    pub memory_bytes: Option<u64>,
+    /// Descriptors that the process may open, including files; `None` if unknown.
+    pub descriptors: Option<u64>,
+}
+
 /// Intervals and timeouts of the calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
--- a/crates/curranttrestle-gateway/tests/simulation/mod.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/mod.rs
@@ -350,6 +350,7 @@
         data_centre: data_centre(index),
         state: EntryState::Ready,
         slots: u32::try_from(SLOTS).expect("a few slots"),
+        warmup_left_ms: 0,
         started_unix_ms: 1,
     }
 }
@@ -391,6 +392,7 @@
             }],
             max_attempts: 2,
             anonymous: false,
+            allowed_regions: Vec::new(),
         }],
         services: vec![Service {
             name: "model".to_owned(),
@@ -399,10 +401,12 @@
                 slots: u32::try_from(SLOTS).expect("a few slots"),
                 memory_tokens: 273_215,
             }),
+            warmup: None,
         }],
         customers: Some(vec![Customer {
             name: "any".to_owned(),
             keys: vec!["key".to_owned()],
+            allowed_regions: Vec::new(),
         }]),
         limits: ClientLimits {
             tokens_per_s,
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -14,6 +14,7 @@
 use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
+use super::warmup::WarmupOptions;
 use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::state::gateway::{ClientLimits, EndpointEntry, RequestHints, Route, ServiceConfig};
@@ -24,6 +25,10 @@
 pub struct ControlOptions {
     /// The data centre of this gateway.
     pub data_centre: String,
+    /// The region of each data centre; empty if regions do not matter.
+    pub regions: IndexMap<String, String>,
+    /// The limit on requests to cold endpoints; `None` if there is none.
+    pub warmup: Option<WarmupOptions>,
     /// The bound on key revocation.
     pub freshness: FreshnessOptions,
     /// Handling of lapsed directory entries.
@@ -79,6 +84,8 @@
     fn default() -> Self {
         Self {
             data_centre: String::new(),
+            regions: IndexMap::new(),
+            warmup: None,
             freshness: FreshnessOptions::default(),
             directory: DirectoryOptions::default(),
             load: LoadOptions::default(),
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -19,3 +19,4 @@
 pub mod request_quarantine;
 pub mod route_table;
 pub mod shares;
+pub mod warmup;
--- a/crates/curranttrestle/src/state/gateway/config.rs
+++ b/crates/curranttrestle/src/state/gateway/config.rs
@@ -38,6 +38,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub anonymous: bool,
+    /// The regions whose endpoints may handle the requests; empty for any.
+    pub allowed_regions: Vec<String>,
 }
 
 /// A service that a route sends requests to.
@@ -97,6 +99,17 @@
     pub max_connections: u32,
     /// The model engine of its endpoints; `None` for a plain service.
     pub engine: Option<EngineCapacity>,
+    /// How its endpoints warm up after a start; `None` if they are warm at once.
+    pub warmup: Option<Warmup>,
+}
+
+/// How an endpoint warms up after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// How long it is cold.
+    pub duration_ms: u64,
+    /// Requests per second, from all gateways together, that a cold endpoint serves.
+    pub requests_per_s: f64,
 }
 
 /// The capacity of a model engine.
@@ -116,6 +129,8 @@
     pub name: String,
     /// The keys that identify the customer.
     pub keys: Vec<String>,
+    /// The regions whose endpoints may handle the customer's requests; empty for any.
+    pub allowed_regions: Vec<String>,
 }
 
 /// Limits on what clients may send.
--- a/crates/curranttrestle/src/state/gateway/entry.rs
+++ b/crates/curranttrestle/src/state/gateway/entry.rs
@@ -30,4 +30,6 @@
     pub slots: u32,
     /// Start time as a Unix time, which distinguishes restarts under the same id.
     pub started_unix_ms: u64,
+    /// How long the endpoint stayed cold from the writing of the entry on; zero if it was warm.
+    pub warmup_left_ms: u64,
 }
--- a/crates/curranttrestle/src/state/gateway/mod.rs
+++ b/crates/curranttrestle/src/state/gateway/mod.rs
@@ -5,7 +5,8 @@
 pub mod request;
 
 pub use config::{
-    ClientLimits, Customer, EngineCapacity, RetryPolicy, Route, RouteTarget, Service, ServiceConfig,
+    ClientLimits, Customer, EngineCapacity, RetryPolicy, Route, RouteTarget, Service,
+    ServiceConfig, Warmup,
 };
 pub use entry::{EndpointEntry, EntryState};
 pub use request::{PromptPart, RequestHints};
--- a/crates/curranttrestle/tests/gateway/support.rs
+++ b/crates/curranttrestle/tests/gateway/support.rs
@@ -27,6 +27,7 @@
         data_centre: "a".to_owned(),
         state: EntryState::Ready,
         slots: 64,
+        warmup_left_ms: 0,
         started_unix_ms: 1,
     }
 }
@@ -45,6 +46,7 @@
             weight: 1,
         }],
         max_attempts: 2,
+        allowed_regions: Vec::new(),
         anonymous: false,
     }
 }
@@ -75,10 +77,12 @@
             name: "model".to_owned(),
             max_connections: 370,
             engine: Some(ENGINE),
+            warmup: None,
         }],
         customers: Some(vec![Customer {
             name: "customer".to_owned(),
             keys: vec!["key".to_owned()],
+            allowed_regions: Vec::new(),
         }]),
         ..ServiceConfig::default()
     }
