Let a silent engine keep a stream that another engine refuses

Callers of a stopping gateway, and at other times, got a third of a stream: an engine that preempts a request sends nothing for more than a second, the gateway closed the connection after its idle timeout, asked the other engine, was told that it is full, and broke the stream off. The first engine would have continued 0.6 s later. Cause: the connection was closed before another engine had accepted the stream.

The gateway now keeps the connection for up to 150 ms while it asks the other engine. Engines refuse at once, so a refusal arrives in that time, and the stream stays where it is; the same if the silent engine sends something first. Ruled out: a longer idle timeout, which costs the streams of engines that hang; checking the load of the other engine first, which does not show the load from other gateways.

--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -5,17 +5,19 @@
 use curranttrestle::coordination::gateway::control::Placement;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::placement::Choice;
+use curranttrestle::state::EndpointId;
+use futures_lite::FutureExt;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use super::attempt::{self, ResponseHead};
+use super::attempt::{self, Failure, ResponseHead};
 use super::events::{EventSplitter, Events};
 use super::exchange::Exchange;
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
 use crate::clock;
-use crate::timer::with_timeout;
+use crate::timer::{sleep_ms, with_timeout};
 
 /// A stream that is being forwarded to the client.
 pub struct EventStream {
@@ -32,9 +34,35 @@
     /// The predicted time to the first event of the current attempt.
     predicted_ms: f64,
     record: RequestRecord,
+    /// What an endpoint sent while another one was asked to resume the stream.
+    received: Option<ReceiveResult>,
     is_done: bool,
 }
 
+/// How long a silent endpoint keeps a stream while another one may refuse it. Engines refuse at once;
+/// a stream must not run at two of them for longer than some hundred milliseconds.
+const MAX_OVERLAP_MS: u64 = 150;
+
+/// What happened first while another endpoint was asked to resume the stream of a silent one.
+enum MoveEvent {
+    /// The other endpoint responded or failed.
+    Responded(Box<Result<ResponseHead, Failure>>),
+    /// The silent endpoint sent something.
+    Received(ReceiveResult),
+    /// Neither within [`MAX_OVERLAP_MS`].
+    Timeout,
+}
+
+/// The result of asking another endpoint to resume the stream of a silent one.
+enum MoveResult {
+    /// The other endpoint resumed it.
+    Moved(ResponseHead),
+    /// The silent endpoint keeps it, with what it sent.
+    Kept(ResponseHead, Option<ReceiveResult>),
+    /// The other endpoint failed after the connection to the silent one was closed.
+    Failed(FailureKind),
+}
+
 /// The result of waiting for the next part of a stream.
 enum ReceiveResult {
     Data(Bytes),
@@ -62,6 +90,7 @@
             idle_since_ms: clock::now().steady_ms,
             predicted_ms,
             record,
+            received: None,
             is_done: false,
         }
     }
@@ -99,6 +128,10 @@
                     self.idle_since_ms = clock::now().steady_ms;
                     continue;
                 }
+                ReceiveResult::Failed(FailureKind::TimedOut) => match self.move_silent().await {
+                    Ok(()) => continue,
+                    Err(aborted) => return Some(Err(aborted)),
+                },
                 ReceiveResult::Failed(kind) => kind,
                 ReceiveResult::DeadlineReached => return Some(Err(self.abort("time-limit"))),
             };
@@ -110,6 +143,9 @@
 
     /// Waits for data, the end of the stream, the idle timeout or the deadline.
     async fn receive(&mut self) -> ReceiveResult {
+        if let Some(received) = self.received.take() {
+            return received;
+        }
         let now = clock::now();
         let idle_ms = self.idle_timeout_ms();
         let limit_ms = self.exchange.remaining_ms(now);
@@ -121,14 +157,8 @@
         let Some(head) = self.head.as_mut() else {
             return ReceiveResult::Failed(FailureKind::ConnectionLost);
         };
-        let body = head.response.body_mut();
-        match with_timeout(wait_ms, body.frame()).await {
-            Some(None) => ReceiveResult::Complete,
-            Some(Some(Ok(frame))) => ReceiveResult::Data(frame.into_data().unwrap_or_default()),
-            Some(Some(Err(error))) => {
-                log::debug!("kind=stream-failed error={error:?}");
-                ReceiveResult::Failed(FailureKind::ConnectionLost)
-            }
+        match with_timeout(wait_ms, receive_from(head)).await {
+            Some(received) => received,
             None if wait_ms >= limit_ms => ReceiveResult::DeadlineReached,
             None => ReceiveResult::Failed(FailureKind::TimedOut),
         }
@@ -218,19 +248,76 @@
         BodyAborted(reason)
     }
 
+    /// Asks another endpoint to resume the stream of a silent one. The silent one keeps the stream if
+    /// the other one refuses or fails, or if it sends an event before the other one responds.
+    async fn move_silent(&mut self) -> Result<(), BodyAborted> {
+        let Some(silent) = self.head.take() else {
+            return Err(self.abort("not-resumed"));
+        };
+        let now = clock::now();
+        let from = silent.guard.endpoint.clone();
+        self.exchange
+            .record_failure(&from, FailureKind::TimedOut, now);
+        self.exchange.excluded.push(from.clone());
+        self.idle_since_ms = now.steady_ms;
+        let Placement::Send(choice) = self.exchange.place(true, now) else {
+            self.head = Some(silent);
+            return Ok(());
+        };
+        if !self.exchange.try_retry(now) {
+            self.head = Some(silent);
+            return Ok(());
+        }
+        self.exchange
+            .log_retry(FailureKind::TimedOut.as_str(), &from);
+        let result = ask_to_resume(&self.exchange, &choice, self.last_event_id, silent).await;
+        let now = clock::now();
+        match result {
+            MoveResult::Moved(head) => {
+                self.record.record_placement(&choice);
+                self.predicted_ms = choice.predicted_ms;
+                self.splitter.discard_partial();
+                self.head = Some(head);
+                self.last_event_ms = now.steady_ms;
+                self.idle_since_ms = now.steady_ms;
+                Ok(())
+            }
+            MoveResult::Kept(head, received) => {
+                let id = &self.exchange.hints.attempt_id;
+                log::info!("kind=stream-kept id={id} endpoint={from}");
+                self.head = Some(head);
+                self.received = received;
+                self.idle_since_ms = now.steady_ms;
+                Ok(())
+            }
+            MoveResult::Failed(kind) => {
+                self.splitter.discard_partial();
+                self.resume_after(choice.entry.endpoint, kind).await
+            }
+        }
+    }
+
     /// Resumes at another endpoint after the last forwarded event.
     async fn resume(&mut self, failed: FailureKind) -> Result<(), BodyAborted> {
         let Some(head) = self.head.take() else {
             return Err(self.abort("not-resumed"));
         };
-        let mut from = head.guard.endpoint.clone();
+        let from = head.guard.endpoint.clone();
         if failed == FailureKind::ConnectionLost && self.last_event_id.is_none() {
             self.exchange.record_crash(head.guard.run, clock::now());
         }
         // The connection is closed before another endpoint resumes the stream.
         drop(head);
         self.splitter.discard_partial();
-        let mut failed = failed;
+        self.resume_after(from, failed).await
+    }
+
+    /// Resumes at another endpoint after the attempt at `from` failed and its connection was closed.
+    async fn resume_after(
+        &mut self,
+        mut from: EndpointId,
+        mut failed: FailureKind,
+    ) -> Result<(), BodyAborted> {
         loop {
             let now = clock::now();
             self.exchange.record_failure(&from, failed, now);
@@ -280,3 +367,53 @@
         }
     }
 }
+
+/// Waits for data from an endpoint or for the end of its response.
+async fn receive_from(head: &mut ResponseHead) -> ReceiveResult {
+    match head.response.body_mut().frame().await {
+        None => ReceiveResult::Complete,
+        Some(Ok(frame)) => ReceiveResult::Data(frame.into_data().unwrap_or_default()),
+        Some(Err(error)) => {
+            log::debug!("kind=stream-failed error={error:?}");
+            ReceiveResult::Failed(FailureKind::ConnectionLost)
+        }
+    }
+}
+
+/// Sends the request to the chosen endpoint and keeps `silent` until that one has had time to refuse.
+async fn ask_to_resume(
+    exchange: &Exchange,
+    choice: &Choice,
+    last_event_id: Option<u64>,
+    mut silent: ResponseHead,
+) -> MoveResult {
+    let deadline_ms = exchange.deadline_steady_ms;
+    let sending = attempt::send(exchange, choice, true, last_event_id, deadline_ms);
+    let mut sending = std::pin::pin!(sending);
+    let responded = async { MoveEvent::Responded(Box::new(sending.as_mut().await)) };
+    let received = async { MoveEvent::Received(receive_from(&mut silent).await) };
+    let timeout = async {
+        sleep_ms(MAX_OVERLAP_MS).await;
+        MoveEvent::Timeout
+    };
+    let sent = match responded.or(received).or(timeout).await {
+        MoveEvent::Responded(response) => match *response {
+            Ok(head) if head.response.status().is_success() => Ok(head),
+            response => {
+                let kind = response.map_or_else(|failure| failure.kind, |_| FailureKind::Failed);
+                exchange.record_failure(&choice.entry.endpoint, kind, clock::now());
+                return MoveResult::Kept(silent, None);
+            }
+        },
+        MoveEvent::Received(ReceiveResult::Failed(_)) | MoveEvent::Timeout => {
+            drop(silent);
+            sending.await
+        }
+        MoveEvent::Received(received) => return MoveResult::Kept(silent, Some(received)),
+    };
+    match sent {
+        Ok(head) if head.response.status().is_success() => MoveResult::Moved(head),
+        Ok(_) => MoveResult::Failed(FailureKind::Failed),
+        Err(failure) => MoveResult::Failed(failure.kind),
+    }
+}
