Take the gateway's own delay out of the estimates of endpoints

A gateway without processor time reads a response long after it arrived. It took this delay for slow engines and refused requests as queued with 2 or 3 requests in flight at the chosen engine.

A probe now measures the delay in the queue that responses wait in, every 50 ms and every 10 ms while it is late. An expected probe that is overdue shows a stall of the whole process before any probe has run after it. The time of an endpoint is known only up to what the gateway may have added: one turn before the request is written and two after the response arrived. The slowness changes only if the prediction lies outside this interval, so a late gateway does not call its engines fast either. The overdue ratio subtracts the same time. Timeouts that blame an endpoint wait until what arrived before them has been handled, at most 2 s longer and never beyond the deadline of the request.

Subtracting the delay as a number was ruled out: it is an upper bound, and the slowness would fall below that of the engine.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -144,7 +144,7 @@
             let request = endpoint_request(exchange, &guard.endpoint, last_event_id);
             let sending = send_for_head(exchange, connection, request, &guard);
             let timeout = async {
-                sleep_until(response_deadline_ms).await;
+                exchange.wait_for_timeout(response_deadline_ms).await;
                 let sends = exchange.sends.get() + 1;
                 if !exchange.try_move(&guard.endpoint, sends, is_resumed, clock::now()) {
                     sleep_until(exchange.deadline_steady_ms).await;
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -5,6 +5,7 @@
 use curranttrestle::coordination::gateway::control::Placement;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::placement::Choice;
+use futures_lite::FutureExt;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -15,7 +16,6 @@
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
 use crate::clock;
-use crate::timer::with_timeout;
 
 /// A stream that is being forwarded to the client.
 pub struct EventStream {
@@ -122,7 +122,13 @@
             return ReceiveResult::Failed(FailureKind::ConnectionLost);
         };
         let body = head.response.body_mut();
-        match with_timeout(wait_ms, body.frame()).await {
+        let timeout = async {
+            let due_ms = now.steady_ms.saturating_add(wait_ms);
+            self.exchange.wait_for_timeout(due_ms).await;
+            None
+        };
+        let received = async { Some(body.frame().await) }.or(timeout);
+        match received.await {
             Some(None) => ReceiveResult::Complete,
             Some(Some(Ok(frame))) => ReceiveResult::Data(frame.into_data().unwrap_or_default()),
             Some(Some(Err(error))) => {
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -16,6 +16,7 @@
 use super::record::STALE_CONFIGURATION;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::timer::{sleep_ms, sleep_until};
 use crate::upstream::Connection;
 
 /// Reason for refusing a request that crashes endpoints.
@@ -24,6 +25,9 @@
 /// Reason for refusing a request with a prompt part that crashes engines.
 pub const PROMPT_QUARANTINED: &str = "prompt-quarantined";
 
+/// Interval for checking whether a timeout was caused by this gateway's own delay.
+const TIMEOUT_CHECK_INTERVAL_MS: u64 = 10;
+
 /// One client request and the state of its attempts.
 #[derive(Debug)]
 pub struct Exchange {
@@ -181,6 +185,25 @@
         }
     }
 
+    /// Waits until a timeout that is due at `due_ms` of the steady clock may be blamed on an endpoint,
+    /// or until the deadline of the request. A response that has arrived may still wait for its turn
+    /// in this gateway.
+    pub async fn wait_for_timeout(&self, due_ms: u64) {
+        sleep_until(due_ms.min(self.deadline_steady_ms)).await;
+        loop {
+            let now = clock::now();
+            if now.steady_ms >= self.deadline_steady_ms || self.is_timeout_certain(due_ms, now) {
+                return;
+            }
+            sleep_ms(TIMEOUT_CHECK_INTERVAL_MS).await;
+        }
+    }
+
+    fn is_timeout_certain(&self, due_ms: u64, now: Now) -> bool {
+        let control = self.gateway.control.borrow();
+        control.load.own_delay.is_timeout_certain(due_ms, now)
+    }
+
     /// Records that the connection to an endpoint was lost before the first event of the response.
     pub fn record_crash(&self, run: EndpointRun, now: Now) {
         let shared_parts = self.hints.shared_parts();
@@ -199,6 +222,14 @@
     pub fn record_failure(&self, endpoint: &EndpointId, kind: FailureKind, now: Now) {
         let attempts = &self.gateway.metrics.attempts;
         attempts.with_label_values(&[kind.as_str()]).inc();
+        let deadline_ms = self.deadline_steady_ms;
+        if kind == FailureKind::TimedOut
+            && now.steady_ms >= deadline_ms
+            && !self.is_timeout_certain(deadline_ms, now)
+        {
+            // The response may have arrived in time.
+            return;
+        }
         let mut control = self.gateway.control.borrow_mut();
         if kind == FailureKind::ConnectionLost {
             let was_quarantined = control.quarantine.is_refused(&self.identity, now);
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -24,7 +24,7 @@
 use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
 use crate::store;
-use crate::strain::StrainMonitor;
+use crate::strain::{StrainMonitor, measure_own_delay};
 use crate::timer::sleep_ms;
 use crate::upstream::{HttpClient, HttpClientOptions, Pool};
 
@@ -206,16 +206,6 @@
         control.directory.age_ms(now).unwrap_or_default()
     }
 
-    /// Measures how long a traffic task that is ready to run waits for its turn.
-    fn measure_task_delay(self: &Rc<Self>, now: Now) {
-        let gateway = Rc::clone(self);
-        let measured = async move {
-            let delay_ms = clock::now().since_ms(now.steady_ms);
-            gateway.strain.borrow_mut().record_task_delay(delay_ms);
-        };
-        self.executors.traffic().spawn(measured).detach();
-    }
-
     /// Logs when the freshness proof of the configuration becomes too old for requests with a key,
     /// and when it is renewed.
     fn log_freshness_change(&self, now: Now) {
@@ -362,6 +352,7 @@
         )),
         control.spawn(store::maintain_directory(Rc::clone(&gateway), platform)),
         traffic.spawn(Rc::clone(&peers).receive(Rc::clone(&gateway))),
+        traffic.spawn(measure_own_delay(Rc::clone(&gateway))),
     ];
     if let Some(metrics) = listeners.metrics {
         tasks.push(traffic.spawn(front::status::serve(Rc::clone(&gateway), metrics)));
@@ -374,7 +365,6 @@
         let now = clock::now();
         gateway.tick(now);
         gateway.log_strain(&peers, now.since_ms(last_tick_ms), now);
-        gateway.measure_task_delay(now);
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
--- a/crates/curranttrestle-gateway/src/strain.rs
+++ b/crates/curranttrestle-gateway/src/strain.rs
@@ -1,9 +1,14 @@
 //! Detects that this gateway lacks processor time or information from its peers.
 
+use std::rc::Rc;
+
 use curranttrestle::coordination::gateway::shares::ShareCoverage;
 use curranttrestle::state::Now;
 
+use crate::clock;
+use crate::gateway::Gateway;
 use crate::peers::ReportState;
+use crate::timer::sleep_until;
 
 /// Minimum interval between two log lines.
 const LOG_INTERVAL_MS: u64 = 1_000;
@@ -11,6 +16,33 @@
 /// A timer or task that is this late indicates a lack of processor time.
 const LOGGED_DELAY_MS: u64 = 100;
 
+/// Interval of the probes that measure the scheduling delay.
+const PROBE_INTERVAL_MS: u64 = 50;
+
+/// Interval of the probes while they are late, since the delay then changes quickly.
+const LATE_PROBE_INTERVAL_MS: u64 = 10;
+
+/// Measures how late this gateway handles events; never returns. A probe waits for the reactor and
+/// for its turn among the traffic tasks, like a response of an endpoint.
+pub async fn measure_own_delay(gateway: Rc<Gateway>) {
+    let mut interval_ms = PROBE_INTERVAL_MS;
+    loop {
+        let due_ms = clock::now().steady_ms + interval_ms;
+        let control = &gateway.control;
+        control.borrow_mut().load.own_delay.expect_probe(due_ms);
+        sleep_until(due_ms).await;
+        let now = clock::now();
+        let delay_ms = control.borrow_mut().load.own_delay.record_probe(now);
+        let delay_ms = delay_ms.unwrap_or_default();
+        gateway.strain.borrow_mut().record_task_delay(delay_ms);
+        interval_ms = if delay_ms < LATE_PROBE_INTERVAL_MS {
+            PROBE_INTERVAL_MS
+        } else {
+            LATE_PROBE_INTERVAL_MS
+        };
+    }
+}
+
 /// Tracks how late the timers of the event loop fire, and how long tasks wait for their turn.
 ///
 /// ```
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::own_delay::OwnDelay;
 use crate::state::{EndpointId, Now};
 
 /// Compact hash of an endpoint id, used in reports between gateways.
@@ -117,6 +118,8 @@
     endpoint: EndpointKey,
     sent: SentRequest,
     sent_ms: u64,
+    /// The gateway's own delay at `sent_ms`.
+    own_delay_ms: u64,
     is_waiting: bool,
 }
 
@@ -136,6 +139,9 @@
 #[derive(Clone, Debug)]
 pub struct LoadTracker {
     options: LoadOptions,
+    /// How late this gateway is. What it may have added to a response time does not count as
+    /// slowness of the endpoint.
+    pub own_delay: OwnDelay,
     attempts: IndexMap<u64, Attempt>,
     by_endpoint: IndexMap<EndpointKey, IndexMap<u64, ()>>,
     slowness: IndexMap<EndpointKey, Slowness>,
@@ -148,6 +154,7 @@
     pub fn new(options: LoadOptions) -> Self {
         Self {
             options,
+            own_delay: OwnDelay::default(),
             attempts: IndexMap::new(),
             by_endpoint: IndexMap::new(),
             slowness: IndexMap::new(),
@@ -173,6 +180,7 @@
             endpoint,
             sent,
             sent_ms: now.steady_ms,
+            own_delay_ms: self.own_delay.delay_ms(now),
             is_waiting: true,
         };
         self.attempts.insert(attempt, record);
@@ -324,7 +332,11 @@
         let waiting = attempts.keys().filter_map(|key| self.attempts.get(key));
         waiting
             .filter(|record| record.is_waiting)
-            .map(|record| now.since_ms(record.sent_ms) as f64 / record.sent.predicted_ms.max(1.0))
+            .map(|record| {
+                let elapsed_ms = now.since_ms(record.sent_ms);
+                let added_ms = self.own_delay.added_ms(record.own_delay_ms, now);
+                elapsed_ms.saturating_sub(added_ms) as f64 / record.sent.predicted_ms.max(1.0)
+            })
             .fold(0.0, f64::max)
             .min(self.options.max_slowness)
     }
@@ -340,7 +352,12 @@
 
     #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
     fn update_slowness(&mut self, record: Attempt, elapsed_ms: u64, now: Now) {
-        let observed = elapsed_ms as f64 / record.sent.predicted_ms.max(1.0);
+        // The endpoint took at most `elapsed_ms`, and less by at most what this gateway added. If the
+        // prediction lies between, nothing speaks against it.
+        let added_ms = self.own_delay.added_ms(record.own_delay_ms, now);
+        let shortest_ms = elapsed_ms.saturating_sub(added_ms) as f64;
+        let predicted_ms = record.sent.predicted_ms.max(1.0);
+        let observed = predicted_ms.clamp(shortest_ms, elapsed_ms as f64) / predicted_ms;
         let observed = observed.clamp(0.25, self.options.max_slowness);
         let before = self.slowness_now(record.endpoint, now);
         // The prediction already included the slowness at that time.
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod load_sums;
 pub mod outage_detection;
 pub mod outlier_detection;
+pub mod own_delay;
 pub mod part_quarantine;
 pub mod part_relay;
 pub mod peering;
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod load_sums;
 mod outage_detection;
 mod outlier_detection;
+mod own_delay;
 mod peering;
 mod placement;
 mod prompt_uses;
