--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -315,8 +315,7 @@
 impl Listeners {
     fn bind(settings: &GatewaySettings) -> Result<Self, StartError> {
         let listen = |address: SocketAddr| {
-            Async::<std::net::TcpListener>::bind(address)
-                .map_err(|source| StartError::Listen { address, source })
+            front::listen(address).map_err(|source| StartError::Listen { address, source })
         };
         let peers = settings.peers;
         Ok(Self {
@@ -358,7 +357,9 @@
         tasks.push(traffic.spawn(front::status::serve(Rc::clone(&gateway), metrics)));
     }
     let clients = front::ClientConnections::new(Rc::clone(&gateway));
-    let accepting = traffic.spawn(clients.clone().accept(listeners.clients));
+    // Tasks of the control path run before those of requests. A connection that is not accepted can
+    // be neither served nor refused.
+    let accepting = control.spawn(clients.clone().accept(listeners.clients));
     let mut last_tick_ms = clock::now().steady_ms;
     while !flags.stop.load(Ordering::Relaxed) {
         sleep_ms(TICK_INTERVAL_MS).await;
