--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -17,7 +17,7 @@
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
 use crate::clock;
-use crate::timer::{sleep_ms, with_timeout};
+use crate::timer::sleep_ms;
 
 /// A stream that is being forwarded to the client.
 pub struct EventStream {
@@ -157,7 +157,13 @@
         let Some(head) = self.head.as_mut() else {
             return ReceiveResult::Failed(FailureKind::ConnectionLost);
         };
-        match with_timeout(wait_ms, receive_from(head)).await {
+        let timeout = async {
+            let due_ms = now.steady_ms.saturating_add(wait_ms);
+            self.exchange.wait_for_timeout(due_ms).await;
+            None
+        };
+        let received = async { Some(receive_from(head).await) }.or(timeout);
+        match received.await {
             Some(received) => received,
             None if wait_ms >= limit_ms => ReceiveResult::DeadlineReached,
             None => ReceiveResult::Failed(FailureKind::TimedOut),
