Send no requests to endpoints of an evacuated data centre

A gateway did not read the store's evacuations, and kept sending requests to an evacuated data centre until its endpoints left. With a bound in the settings a few gateways now list and watch the evacuations and announce what they read, with its age; the others list them when that age leaves just enough of the bound for one failed call. Control::ineligibility says whether an endpoint may be sent a request, at placement and right before sending. A gateway is ready once it knows the evacuations. Without the bound nothing is read.

Two control tests pass the request to may_send and service_pause_ms, which now depend on it; what they assert is the same.

Watching on all gateways was ruled out because each call is charged for, and refusing requests while the store is silent because the last known state must hold then.

--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 
+use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationState};
 use curranttrestle::state::EndpointId;
 use curranttrestle::state::gateway::{EndpointEntry, RequestHints, ServiceConfig};
 use hyper::header::HeaderMap;
@@ -82,6 +83,29 @@
         wait_ms: u64,
         timeout_ms: u64,
     ) -> impl Future<Output = Result<EndpointChanges, PlatformError>>;
+
+    /// Reads the evacuated data centres with linearizable reads.
+    fn list_evacuations(
+        &self,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<EvacuationState, PlatformError>>;
+
+    /// Waits up to `wait_ms` for changes of the evacuated data centres after `revision`.
+    fn watch_evacuations(
+        &self,
+        revision: u64,
+        wait_ms: u64,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<EvacuationEvents, PlatformError>>;
+}
+
+/// Changes of the evacuated data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationEvents {
+    /// The changes in order.
+    pub changes: Vec<EvacuationChange>,
+    /// The store's revision after the changes.
+    pub revision: u64,
 }
 
 /// The result of a configuration read.
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -118,7 +118,7 @@
     #[must_use]
     pub fn may_send(&self, endpoint: &EndpointId, run: EndpointRun, now: Now) -> bool {
         let control = self.gateway.control.borrow();
-        let is_accepted = control.may_send(endpoint, run, now);
+        let is_accepted = control.may_send(endpoint, run, self.placement_request(false), now);
         drop(control);
         is_accepted && self.refusal_reason(now).is_none()
     }
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -258,7 +258,7 @@
 /// another endpoint may take it, or when the first of them is no longer paused.
 fn retry_after_failure_ms(exchange: &Exchange, now: Now) -> f64 {
     let control = exchange.gateway.control.borrow();
-    let pause_ms = control.service_pause_ms(&exchange.service, now);
+    let pause_ms = control.service_pause_ms(exchange.placement_request(false), now);
     #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
     pause_ms.map_or(RETRY_AFTER_FAILURE_MS, |pause_ms| {
         (pause_ms as f64).max(RETRY_AFTER_FAILURE_MS)
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -91,6 +91,11 @@
     set("body_bytes", count(gateway.body_bytes.get()));
     set("endpoints", count(control.directory.all_entries().count()));
     set("paused_endpoints", count(control.pauses.count(now)));
+    if control.evacuations.options().is_some() {
+        set("evacuated_data_centres", count(control.evacuations.count()));
+        let age_ms = control.evacuations.age_ms(now).unwrap_or(u64::MAX);
+        set("evacuation_age_ms", age_ms);
+    }
     set("gateways", count(control.fleet_size()));
     set(
         "suspect_requests",
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
+use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationOptions};
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::state::Now;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -119,6 +120,8 @@
     pub strain: RefCell<StrainMonitor>,
     /// How this gateway comes by proofs of freshness.
     pub proof_role: Cell<ProofRole>,
+    /// Whether this gateway reads the evacuations for its peers.
+    pub reads_evacuations: Cell<bool>,
     /// Whether requests with a key were allowed at the last check.
     was_fresh: Cell<bool>,
     executors: Executors,
@@ -168,6 +171,37 @@
         self.control.borrow_mut().apply_directory_changes(changes);
     }
 
+    /// Logs and counts evacuations that began or ended.
+    pub fn apply_evacuation_changes(&self, changes: &[EvacuationChange], source: &str, now: Now) {
+        let control = self.control.borrow();
+        let age_ms = control.evacuations.age_ms(now).unwrap_or_default();
+        let counter = &self.metrics.evacuation_changes;
+        for change in changes {
+            match change {
+                EvacuationChange::Began(name) if !control.is_data_centre(name) => {
+                    counter.with_label_values(&["unknown"]).inc();
+                    log::warn!("kind=evacuation-unknown name={name:?} source={source}");
+                }
+                EvacuationChange::Began(name) => {
+                    counter.with_label_values(&["began"]).inc();
+                    log::warn!(
+                        "kind=evacuation-began data_centre={name:?} source={source} age_ms={age_ms}"
+                    );
+                }
+                EvacuationChange::Ended(name) => {
+                    counter.with_label_values(&["ended"]).inc();
+                    // Their endpoints count as cold from here on, where there is a limit on requests
+                    // to cold endpoints.
+                    let endpoints = control.evacuation_ended(name, now);
+                    log::info!(
+                        "kind=evacuation-ended data_centre={name:?} source={source} age_ms={age_ms} endpoints={}",
+                        endpoints.len()
+                    );
+                }
+            }
+        }
+    }
+
     fn tick(&self, now: Now) {
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
@@ -278,8 +312,13 @@
     };
     let client = HttpClient::new(Rc::clone(executors.control()), client_options);
     let platform = Rc::new(platform(client));
+    let mut control_options = settings.control.clone();
+    control_options.evacuation = settings.evacuate_ms.map(|bound_ms| EvacuationOptions {
+        bound_ms,
+        ..EvacuationOptions::default()
+    });
     let gateway = Rc::new(Gateway {
-        control: RefCell::new(Control::new(settings.control.clone())),
+        control: RefCell::new(Control::new(control_options)),
         metrics: Metrics::new()?,
         pool,
         dialect,
@@ -292,6 +331,7 @@
         successes: Cell::new(0),
         strain: RefCell::default(),
         proof_role: Cell::default(),
+        reads_evacuations: Cell::new(false),
         was_fresh: Cell::new(false),
         executors: executors.clone(),
         settings,
@@ -360,9 +400,17 @@
             Rc::clone(&gateway),
             Rc::clone(&platform),
         )),
-        control.spawn(store::maintain_directory(Rc::clone(&gateway), platform)),
+        control.spawn(store::maintain_directory(
+            Rc::clone(&gateway),
+            Rc::clone(&platform),
+        )),
         traffic.spawn(Rc::clone(&peers).receive(Rc::clone(&gateway))),
     ];
+    let evacuation = gateway.control.borrow().evacuations.options();
+    if let Some(options) = evacuation {
+        let reading = store::maintain_evacuations(Rc::clone(&gateway), platform, options);
+        tasks.push(control.spawn(reading));
+    }
     if let Some(metrics) = listeners.metrics {
         tasks.push(traffic.spawn(front::status::serve(Rc::clone(&gateway), metrics)));
     }
--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -5,6 +5,7 @@
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::coordination::gateway::endpoint_load::PeerKey;
+use curranttrestle::coordination::gateway::evacuation::EvacuationChange;
 use curranttrestle::coordination::gateway::load_relay::{
     DataCentreKey, LoadRelay, RelayChange, RelayOptions, RelayRound, data_centre_key,
 };
@@ -22,6 +23,7 @@
 use curranttrestle::state::Now;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::evacuations::EvacuationExchange;
 use crate::settings::GatewaySettings;
 
 /// A message with several items is split if it is longer; half of the largest datagram.
@@ -93,6 +95,8 @@
     },
     /// Requests that may crash endpoints.
     Suspicions,
+    /// Evacuated data centres, with the changes.
+    Evacuations(Vec<EvacuationChange>),
     /// This gateway's own report, delivered back to it.
     OwnReport,
 }
@@ -112,6 +116,7 @@
             Self::Shares => "shares",
             Self::Proof { .. } => "proof",
             Self::Suspicions => "suspicions",
+            Self::Evacuations(_) => "evacuations",
             Self::OwnReport => "own",
         }
     }
@@ -175,6 +180,7 @@
     last_shares_ms: Option<u64>,
     last_proof_ms: Option<u64>,
     gossip_round: usize,
+    evacuations: EvacuationExchange,
 }
 
 impl PeerExchange {
@@ -199,6 +205,7 @@
             last_proof_ms: None,
             // Gateways begin with different peers.
             gossip_round: usize::try_from(run_id).unwrap_or_default(),
+            evacuations: EvacuationExchange::new(settings, now),
         }
     }
 
@@ -249,6 +256,12 @@
         }
     }
 
+    /// Whether this gateway reads the evacuations for its peers.
+    #[must_use]
+    pub fn reads_evacuations(&self) -> bool {
+        self.evacuations.is_reader(&self.peering.live_peers())
+    }
+
     fn uses_sums(&self) -> bool {
         self.relay_options.uses_sums_in(self.peering.live_count())
     }
@@ -259,6 +272,7 @@
 
     /// Returns the reports and load updates that are due.
     pub fn send_due(&mut self, control: &mut Control, now: Now) -> Outgoing {
+        self.evacuations.record_tick(now);
         let uses_sums = self.uses_sums();
         let (sums, load_relay, data_centre) = (&self.sums, &self.load_relay, self.data_centre);
         let is_relayed = |other| {
@@ -312,6 +326,10 @@
                 outgoing.datagrams.extend(encode(targets, &message));
             }
         }
+        if let Some(update) = control.evacuations.next_announcement(now) {
+            let message = GatewayMessage::Evacuations(update);
+            outgoing.datagrams.extend(encode(targets(), &message));
+        }
         let leaving = control.directory.leaving_to_announce();
         if !leaving.is_empty() {
             let message = GatewayMessage::Leaving(leaving);
@@ -479,6 +497,11 @@
                 control.quarantine.suspects.receive(&suspicions, now);
                 Ok(Received::Suspicions)
             }
+            GatewayMessage::Evacuations(update) => {
+                let received_ms = self.evacuations.received_ms(now);
+                let changes = control.evacuations.receive(update, received_ms);
+                Ok(Received::Evacuations(changes))
+            }
         }
     }
 
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -3,6 +3,7 @@
 //! A lost datagram is superseded by the next one, so there are no acknowledgements and no
 //! retransmissions.
 
+pub mod evacuations;
 pub mod exchange;
 
 use std::cell::RefCell;
@@ -51,6 +52,9 @@
         gateway
             .proof_role
             .set(self.exchange.borrow().proof_role(now));
+        gateway
+            .reads_evacuations
+            .set(self.exchange.borrow().reads_evacuations());
         outgoing.peer_changes.into_iter().for_each(log_peer_change);
         if let Some(change) = outgoing.relay_change {
             log_relay_change(change);
@@ -118,6 +122,9 @@
                     gateway.newer_config.notify();
                 }
             }
+            Ok(Received::Evacuations(changes)) => {
+                gateway.apply_evacuation_changes(&changes, "peer", now);
+            }
             Ok(Received::Leaving(changes)) => gateway.apply_directory_changes(&changes, "peer"),
             Ok(
                 Received::MemberUpdate
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! Keeps the configuration and the directory up to date.
 
+mod evacuations;
+
 use std::rc::Rc;
 
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
@@ -14,6 +16,8 @@
 use crate::peers::ProofRole;
 use crate::timer::sleep_ms;
 
+pub use evacuations::maintain_evacuations;
+
 /// The failures of one task's calls: logs the first of consecutive ones and the recovery, and records
 /// outages.
 #[derive(Debug)]
@@ -69,6 +73,10 @@
             let mut control = gateway.control.borrow_mut();
             control.directory.retract_store_failure();
         }
+        self.log_recovery();
+    }
+
+    fn log_recovery(&mut self) {
         if self.failures > 0 {
             let outage_ms = clock::now().since_ms(self.failed_since_ms);
             let failures = self.failures;
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -3,9 +3,10 @@
 use indexmap::IndexMap;
 
 use super::admission::{AdmissionDecision, AdmissionOptions, RefusalReason, admit};
-use super::directory::{Directory, DirectoryChange, DirectoryOptions, EndpointRun, endpoint_run};
+use super::directory::{Directory, DirectoryChange, DirectoryOptions};
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
 use super::endpoint_pauses::EndpointPauses;
+use super::evacuation::{EvacuationOptions, Evacuations};
 use super::freshness::{Freshness, FreshnessOptions};
 use super::outlier_detection::{FailureKind, OutlierDetector, OutlierOptions};
 use super::part_quarantine::{PartQuarantine, PartQuarantineOptions};
@@ -29,6 +30,8 @@
     pub regions: IndexMap<String, String>,
     /// The limit on requests to cold endpoints; `None` if there is none.
     pub warmup: Option<WarmupOptions>,
+    /// The bound on evacuations of data centres; `None` if they are not read.
+    pub evacuation: Option<EvacuationOptions>,
     /// The bound on key revocation.
     pub freshness: FreshnessOptions,
     /// Handling of lapsed directory entries.
@@ -86,6 +89,7 @@
             data_centre: String::new(),
             regions: IndexMap::new(),
             warmup: None,
+            evacuation: None,
             freshness: FreshnessOptions::default(),
             directory: DirectoryOptions::default(),
             load: LoadOptions::default(),
@@ -157,7 +161,7 @@
 /// The state of a gateway.
 #[derive(Clone, Debug)]
 pub struct Control {
-    options: ControlOptions,
+    pub(super) options: ControlOptions,
     /// The configuration in force; `None` before the first one.
     routes: Option<RouteTable>,
     /// Proofs that the configuration in force is the newest one.
@@ -174,6 +178,8 @@
     pub outliers: OutlierDetector,
     /// Endpoints that asked this gateway to send nothing for a time.
     pub pauses: EndpointPauses,
+    /// Data centres that must get no requests.
+    pub evacuations: Evacuations,
     /// Requests that crash endpoints.
     pub quarantine: RequestQuarantine,
     /// Prompt parts that crash engines.
@@ -196,6 +202,7 @@
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
             pauses: EndpointPauses::default(),
+            evacuations: Evacuations::new(options.evacuation),
             quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
@@ -226,10 +233,10 @@
         table.map_or_else(ClientLimits::default, |table| table.config().limits)
     }
 
-    /// Whether requests can be served: both a configuration and the directory are loaded.
+    /// Whether requests can be served: a configuration, the directory and the evacuations are loaded.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.routes.is_some() && self.directory.is_loaded()
+        self.routes.is_some() && self.directory.is_loaded() && self.evacuations.is_ready()
     }
 
     /// Applies a configuration that was read at `revision` of the store; the read was sent at
@@ -317,11 +324,14 @@
     #[must_use]
     pub fn place(&self, request: PlacementRequest<'_>, now: Now) -> Placement {
         let Some(choice) = self.choose(request, now) else {
-            let pause_ms = self.service_pause_ms(request.service, now);
+            let pause_ms = self.service_pause_ms(request, now);
             #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
             let (reason, retry_after_ms) = match pause_ms {
                 Some(pause_ms) => ("endpoints-paused", pause_ms as f64),
-                None => ("no-endpoint", self.options.no_endpoint_retry_ms),
+                None => (
+                    self.reason_without_endpoint(request, now),
+                    self.options.no_endpoint_retry_ms,
+                ),
             };
             return Placement::Refuse {
                 reason,
@@ -357,22 +367,6 @@
         }
     }
 
-    /// Whether an endpoint may be sent a request now: it accepts requests and is not paused.
-    #[must_use]
-    pub fn may_send(&self, endpoint: &EndpointId, run: EndpointRun, now: Now) -> bool {
-        self.directory.accepts_requests(endpoint) && self.pauses.left_ms(run, now).is_none()
-    }
-
-    /// The time until the first endpoint of a service may be sent requests, if all that accept
-    /// requests are paused.
-    #[must_use]
-    pub fn service_pause_ms(&self, service: &str, now: Now) -> Option<u64> {
-        let accepting = self.directory.accepting(service);
-        let pauses = accepting.map(|entry| self.pauses.left_ms(run_of(entry), now));
-        // `None` orders before any pause.
-        pauses.min().flatten()
-    }
-
     /// Records that a request is sent to the chosen endpoint. Returns the attempt number.
     pub fn record_start(
         &mut self,
@@ -422,10 +416,9 @@
     }
 
     fn choose(&self, request: PlacementRequest<'_>, now: Now) -> Option<Choice> {
-        let candidates = self.directory.accepting(request.service);
-        let candidates: Vec<&EndpointEntry> = candidates
+        let candidates: Vec<&EndpointEntry> = self
+            .eligible(request, now)
             .filter(|entry| !request.excluded.contains(&entry.endpoint))
-            .filter(|entry| self.pauses.left_ms(run_of(entry), now).is_none())
             .collect();
         let is_healthy = |entry: &&EndpointEntry| {
             !self
@@ -492,10 +485,6 @@
     }
 }
 
-fn run_of(entry: &EndpointEntry) -> EndpointRun {
-    endpoint_run(&entry.endpoint, entry.started_unix_ms)
-}
-
 /// The cost of a request for its customer's share: one per unshared prompt token, two per expected
 /// response token.
 fn cost_tokens(hints: &RequestHints) -> u64 {
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -312,6 +312,12 @@
         }
     }
 
+    /// The entry of an endpoint.
+    #[must_use]
+    pub fn entry(&self, endpoint: &EndpointId) -> Option<&EndpointEntry> {
+        self.endpoints.get(endpoint).map(|record| &record.entry)
+    }
+
     /// Whether an endpoint accepts new requests.
     #[must_use]
     pub fn accepts_requests(&self, endpoint: &EndpointId) -> bool {
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -4,8 +4,10 @@
 pub mod admission;
 pub mod control;
 pub mod directory;
+pub mod eligibility;
 pub mod endpoint_load;
 pub mod endpoint_pauses;
+pub mod evacuation;
 pub mod freshness;
 pub mod load_relay;
 pub mod load_sums;
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -39,6 +39,8 @@
     Greeting(GatewayGreeting),
     /// Requests that may crash endpoints.
     Suspicions(Suspicions),
+    /// Evacuated data centres, from a gateway that read them from the store.
+    Evacuations(EvacuationUpdate),
 }
 
 impl GatewayMessage {
@@ -62,10 +64,22 @@
             Self::RelayedProof(_) => "proof",
             Self::Greeting(_) => "greeting",
             Self::Suspicions(_) => "suspicions",
+            Self::Evacuations(_) => "evacuations",
         }
     }
 }
 
+/// All evacuated data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationUpdate {
+    /// The store's revision of this state. A later one replaces it.
+    pub revision: u64,
+    /// The state contains all that the store acknowledged until this long before the update was sent.
+    pub age_ms: u64,
+    /// The names of the data centres.
+    pub data_centres: Vec<String>,
+}
+
 /// The load and shares of all gateways of a data centre together, summed by one of its relays.
 ///
 /// A receiver keeps one sum for each data centre. A later one replaces it, also from another relay,
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -3,8 +3,8 @@
 };
 use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
-use curranttrestle::state::EndpointId;
-use curranttrestle::state::gateway::RequestHints;
+use curranttrestle::state::gateway::{RequestHints, Route};
+use curranttrestle::state::{EndpointId, Now};
 
 use super::support::{at, config, entry, lookup, prompt, route};
 
@@ -21,15 +21,32 @@
 fn place(control: &Control, hints: &RequestHints, excluded: &[EndpointId]) -> Placement {
     let route = route("drafts", "host.example", "/drafts/");
     let request = PlacementRequest {
-        route: &route,
+        excluded,
+        ..request(&route, hints)
+    };
+    control.place(request, at(0))
+}
+
+/// Whether a request may be sent to an endpoint.
+fn may_send(control: &Control, endpoint: &EndpointId, now: Now) -> bool {
+    let (route, hints) = (
+        route("drafts", "host.example", "/drafts/"),
+        prompt(1, 10, 10),
+    );
+    let request = request(&route, &hints);
+    control.may_send(endpoint, endpoint_run(endpoint, 1), request, now)
+}
+
+fn request<'a>(route: &'a Route, hints: &'a RequestHints) -> PlacementRequest<'a> {
+    PlacementRequest {
+        route,
         service: "model",
         customer: "customer",
         hints,
-        excluded,
+        excluded: &[],
         is_retry: false,
         is_resumed: false,
-    };
-    control.place(request, at(0))
+    }
 }
 
 fn chosen(placement: Placement) -> EndpointId {
@@ -149,8 +166,8 @@
     pause(&mut control, &first, 1, 2_000);
     let second = chosen(place(&control, &hints, &[]));
     assert_ne!(first, second);
-    assert!(!control.may_send(&first, endpoint_run(&first, 1), at(1_999)));
-    assert!(control.may_send(&first, endpoint_run(&first, 1), at(2_000)));
+    assert!(!may_send(&control, &first, at(1_999)));
+    assert!(may_send(&control, &first, at(2_000)));
     // A stream that broke off at the second endpoint is not resumed at the paused one, although
     // its response can no longer be refused.
     let route = route("drafts", "host.example", "/drafts/");
@@ -183,7 +200,9 @@
         panic!("a paused endpoint was chosen");
     };
     assert_eq!((reason, retry_after_ms), ("endpoints-paused", 4_000.0));
-    assert_eq!(control.service_pause_ms("model", at(4_000)), None);
+    let route = route("drafts", "host.example", "/drafts/");
+    let request = request(&route, &hints);
+    assert_eq!(control.service_pause_ms(request, at(4_000)), None);
 }
 
 #[test]
