Test what a gateway knows of evacuations, and when

Announcements out of order, late and duplicated, an evacuation that begins and ends while a gateway is cut off, all data centres evacuated, unknown names, unknown kinds of messages and announcements that a suspended process finds in its socket. A property over random changes, reads and arrivals checks that the known state contains all that was acknowledged before its date.

--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod control;
 mod directory;
+mod evacuation;
 mod freshness;
 mod load_relay;
 mod load_sums;
