Send requests only to the regions that their route and customer allow

The allowed regions of routes and customers were decoded and not used, so a request reached endpoints in any region. They are now part of the check at placement and right before a request is sent, by the configuration in force, which may be newer than the request. Without the regions of data centres in the settings the lists have no effect; a data centre without a region is in no allowed one. No gateway sends a body to another gateway, so nothing changes there.

--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -10,6 +10,8 @@
 pub enum Ineligible {
     /// It accepts no requests: it is leaving, or another endpoint has its address.
     NotAccepting,
+    /// Its data centre is in a region that the route or the customer does not allow.
+    Region,
     /// Its data centre is evacuated.
     Evacuated,
     /// It asked for a pause, which ends after this time.
@@ -19,6 +21,13 @@
     },
 }
 
+/// The regions in which a request may run; empty lists allow all.
+#[derive(Clone, Copy, Debug)]
+struct AllowedRegions<'a> {
+    route: &'a [String],
+    customer: &'a [String],
+}
+
 impl Control {
     /// Why an endpoint must not be sent a request now; `None` if it may be.
     #[must_use]
@@ -28,10 +37,21 @@
         request: PlacementRequest<'_>,
         now: Now,
     ) -> Option<Ineligible> {
-        let _ = request;
         if !self.directory.accepts_requests(&entry.endpoint) {
             return Some(Ineligible::NotAccepting);
         }
+        self.ineligibility_of_accepting(entry, self.allowed_regions(request), now)
+    }
+
+    fn ineligibility_of_accepting(
+        &self,
+        entry: &EndpointEntry,
+        allowed: AllowedRegions<'_>,
+        now: Now,
+    ) -> Option<Ineligible> {
+        if !self.is_in_allowed_region(entry, allowed) {
+            return Some(Ineligible::Region);
+        }
         if self.evacuations.is_evacuated(&entry.data_centre) {
             return Some(Ineligible::Evacuated);
         }
@@ -39,15 +59,55 @@
         pause_ms.map(|left_ms| Ineligible::Paused { left_ms })
     }
 
+    /// The regions that the configuration in force allows for a request. It may be newer than the request.
+    fn allowed_regions<'a>(&'a self, request: PlacementRequest<'a>) -> AllowedRegions<'a> {
+        let table = self.routes();
+        let route = table.and_then(|table| table.present_route(request.route));
+        let customer = table.and_then(|table| table.customer_named(request.customer));
+        AllowedRegions {
+            route: &route.unwrap_or(request.route).allowed_regions,
+            customer: customer.map_or(&[], |customer| &customer.allowed_regions),
+        }
+    }
+
+    /// Whether an endpoint is in an allowed region. A data centre without a region is in none of them.
+    fn is_in_allowed_region(&self, entry: &EndpointEntry, allowed: AllowedRegions<'_>) -> bool {
+        let regions = &self.options.regions;
+        let lists = [allowed.route, allowed.customer];
+        if regions.is_empty() || lists.iter().all(|list| list.is_empty()) {
+            return true;
+        }
+        let region = regions.get(&entry.data_centre);
+        let allows = |list: &&[String]| {
+            list.is_empty() || region.is_some_and(|region| list.contains(region))
+        };
+        lists.iter().all(allows)
+    }
+
+    /// The accepting endpoints of the service of a request, each with the reason why it must not be sent
+    /// the request now, if any.
+    fn accepting_endpoints<'a>(
+        &'a self,
+        request: PlacementRequest<'a>,
+        now: Now,
+    ) -> impl Iterator<Item = (&'a EndpointEntry, Option<Ineligible>)> {
+        let allowed = self.allowed_regions(request);
+        let accepting = self.directory.accepting(request.service);
+        accepting.map(move |entry| {
+            let ineligible = self.ineligibility_of_accepting(entry, allowed, now);
+            (entry, ineligible)
+        })
+    }
+
     /// The endpoints that may be sent a request now.
     pub fn eligible<'a>(
         &'a self,
         request: PlacementRequest<'a>,
         now: Now,
     ) -> impl Iterator<Item = &'a EndpointEntry> {
-        self.directory
-            .accepting(request.service)
-            .filter(move |entry| self.ineligibility(entry, request, now).is_none())
+        self.accepting_endpoints(request, now)
+            .filter(|(_, ineligible)| ineligible.is_none())
+            .map(|(entry, _)| entry)
     }
 
     /// Whether the endpoint that was chosen for a request may still be sent it.
@@ -68,11 +128,11 @@
     /// The time until the first endpoint may be sent a request, if all that could take it are paused.
     #[must_use]
     pub fn service_pause_ms(&self, request: PlacementRequest<'_>, now: Now) -> Option<u64> {
-        let accepting = self.directory.accepting(request.service);
-        let pauses = accepting.filter_map(|entry| match self.ineligibility(entry, request, now) {
+        let endpoints = self.accepting_endpoints(request, now);
+        let pauses = endpoints.filter_map(|(_, ineligible)| match ineligible {
             None => Some(None),
             Some(Ineligible::Paused { left_ms }) => Some(Some(left_ms)),
-            Some(Ineligible::NotAccepting | Ineligible::Evacuated) => None,
+            Some(Ineligible::NotAccepting | Ineligible::Region | Ineligible::Evacuated) => None,
         });
         // `None` orders before any pause.
         pauses.min().flatten()
@@ -84,15 +144,17 @@
         request: PlacementRequest<'_>,
         now: Now,
     ) -> &'static str {
-        let accepting = self.directory.accepting(request.service);
         let mut reason = "no-endpoint";
-        for entry in accepting {
-            match self.ineligibility(entry, request, now) {
+        for (_, ineligible) in self.accepting_endpoints(request, now) {
+            reason = match ineligible {
                 // It failed the request before.
                 None => return "no-endpoint",
-                Some(Ineligible::Evacuated) => reason = "evacuated",
-                Some(Ineligible::Paused { .. } | Ineligible::NotAccepting) => (),
-            }
+                Some(Ineligible::Evacuated) => "evacuated",
+                Some(Ineligible::Region) if reason == "no-endpoint" => "region",
+                Some(Ineligible::Region | Ineligible::Paused { .. } | Ineligible::NotAccepting) => {
+                    reason
+                }
+            };
         }
         reason
     }
--- a/crates/curranttrestle/src/coordination/gateway/route_table.rs
+++ b/crates/curranttrestle/src/coordination/gateway/route_table.rs
@@ -19,6 +19,8 @@
     hosts: IndexMap<String, IndexMap<String, usize>>,
     /// The index of a customer by key.
     keys: IndexMap<String, usize>,
+    /// The index of a customer by name.
+    customers: IndexMap<String, usize>,
     services: IndexMap<String, usize>,
 }
 
@@ -32,7 +34,9 @@
             host.insert(route.path_prefix.clone(), index);
         }
         let mut keys = IndexMap::new();
+        let mut customers = IndexMap::new();
         for (index, customer) in config.customers.iter().flatten().enumerate() {
+            customers.insert(customer.name.clone(), index);
             for key in &customer.keys {
                 keys.insert(key.clone(), index);
             }
@@ -42,6 +46,7 @@
         Self {
             hosts,
             keys,
+            customers,
             services: services.collect(),
             config,
         }
@@ -68,6 +73,18 @@
             .map(|index| &self.config.routes[*index])
     }
 
+    /// The present form of a route that may be from an earlier configuration; `None` if there is none for
+    /// its host and path prefix any more.
+    #[must_use]
+    pub fn present_route(&self, route: &Route) -> Option<&Route> {
+        let prefixes = self
+            .hosts
+            .get(&route.host)
+            .or_else(|| self.hosts.get(&route.host.to_ascii_lowercase()))?;
+        let index = prefixes.get(&route.path_prefix)?;
+        Some(&self.config.routes[*index])
+    }
+
     /// Whether requests need an API key unless their route is anonymous, also when no customer is
     /// left.
     #[must_use]
@@ -82,6 +99,13 @@
         self.config.customers.as_ref()?.get(*index)
     }
 
+    /// Returns the customer with this name.
+    #[must_use]
+    pub fn customer_named(&self, name: &str) -> Option<&Customer> {
+        let index = self.customers.get(name)?;
+        self.config.customers.as_ref()?.get(*index)
+    }
+
     /// Returns the service with this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod control;
 mod directory;
+mod eligibility;
 mod evacuation;
 mod freshness;
 mod load_relay;
