--- a/crates/curranttrestle-gateway/tests/evacuations.rs
+++ b/crates/curranttrestle-gateway/tests/evacuations.rs
@@ -67,8 +67,8 @@
         .collect();
     assert_eq!(sent.len(), 1);
     assert_eq!(sent[0].targets, [peer(9)]);
-    let (mut other, mut receiver) = gateway(true);
-    let received = receiver.receive(&mut other, peer(1), &sent[0].bytes, at(0));
+    let (mut other, mut peer_exchange) = gateway(true);
+    let received = peer_exchange.receive(&mut other, peer(1), &sent[0].bytes, at(0));
     let began = EvacuationChange::Began("b".to_owned());
     assert_eq!(received, Ok(Received::Evacuations(vec![began])));
 }
--- a/crates/curranttrestle/tests/gateway/eligibility.rs
+++ b/crates/curranttrestle/tests/gateway/eligibility.rs
@@ -39,7 +39,7 @@
     let entries = ["a", "b", "c"].into_iter().zip(0..);
     let entries = entries.map(|(data_centre, index)| {
         let mut entry = entry("model", index);
-        entry.data_centre = data_centre.to_owned();
+        data_centre.clone_into(&mut entry.data_centre);
         entry
     });
     control.directory.replace(entries.collect(), at(0));
@@ -78,9 +78,18 @@
     (sent, refusal)
 }
 
+/// The regions that a route and its customer allow, with the data centres to which a request may be sent
+/// and the reason of its refusal.
+type Case = (
+    &'static [&'static str],
+    &'static [&'static str],
+    &'static str,
+    Option<&'static str>,
+);
+
 #[test]
 fn request_is_sent_to_regions_that_both_its_route_and_its_customer_allow() {
-    let cases: [(&[&str], &[&str], &str, Option<&str>); 7] = [
+    let cases: [Case; 7] = [
         (&[], &[], "abc", None),
         (&["north"], &[], "a", None),
         (&[], &["south", "west"], "b", None),
--- a/crates/curranttrestle/tests/gateway/evacuation.rs
+++ b/crates/curranttrestle/tests/gateway/evacuation.rs
@@ -179,7 +179,7 @@
 
 fn entries() -> Vec<EndpointEntry> {
     let mut entries: Vec<EndpointEntry> = (0..3).map(|index| entry("model", index)).collect();
-    entries[2].data_centre = "b".to_owned();
+    "b".clone_into(&mut entries[2].data_centre);
     entries
 }
 
