--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod control;
 mod directory;
+mod eligibility;
+mod evacuation;
 mod freshness;
 mod load_relay;
 mod load_sums;
