Refuse requests from their head while the gateway lacks processor time

A gateway without processor time served everybody late: each request takes about six turns in the queue of tasks, and the work for a refusal by queue (body, configuration, placement, log) is a large part of that for a served request.

The gateway now refuses an adaptive fraction of the requests with 503 and Retry-After 0.150 before it reads the body or the configuration. The fraction follows the shortest scheduling delay in each 100 ms, against a sixteenth of the smallest target latency of the routes in force, 25 ms at least. Nothing is refused until every interval of 300 ms has exceeded the bound, so pauses of a process that is out of its processor quota do not count. The fraction falls again as soon as the delay does. Refusals are spread evenly, except that customers over their fair share are refused first; their status is cached for 50 ms. Refused requests still count as requested tokens. A refusal is counted by one counter and not logged; the start and the end are logged. The rest of the body is read behind the response for at most 1 s, so that the client sees the response.

A fixed change of the refused fraction per interval was ruled out: at six times the capacity it oscillates, and half of the served requests were late.

Refusing before the route is looked up was ruled out, too: a request without a route then gets 503, which the client retries, and the test of configurations in a flooded gateway failed with 503 on a dropped route. The lookup takes a fraction of a microsecond, and the 404 is as cheap as a refusal.

--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod record;
 pub mod request;
 pub mod response;
+pub mod shed;
 pub mod status;
 
 use std::cell::Cell;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -22,6 +22,7 @@
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody, full_body};
+use super::shed;
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
 use crate::timer::with_timeout;
@@ -35,11 +36,16 @@
 ) -> ClientResponse {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
-    let mut record = RequestRecord::new(&gateway, arrived);
     let is_stopping = gateway.phase.get() != Phase::Running;
-    let mut response = match prepare_exchange(&gateway, parts, body, &mut record, arrived).await {
-        Ok(exchange) => forward(exchange, record).await,
-        Err(local) => finish_locally(local, &mut record),
+    let mut response = if let Some(refusal) = shed::refusal(&gateway, &parts, arrived) {
+        shed::discard_body(&gateway, &parts, body);
+        refusal.into_response()
+    } else {
+        let mut record = RequestRecord::new(&gateway, arrived);
+        match prepare_exchange(&gateway, parts, body, &mut record, arrived).await {
+            Ok(exchange) => forward(exchange, record).await,
+            Err(local) => finish_locally(local, &mut record),
+        }
     };
     if is_over_client_limit || is_stopping || gateway.phase.get() != Phase::Running {
         let close = HeaderValue::from_static("close");
@@ -132,7 +138,8 @@
     })
 }
 
-fn host(parts: &Parts) -> Option<String> {
+/// The host that a request names; `None` if it names none or is ambiguous.
+pub fn host(parts: &Parts) -> Option<String> {
     let authority = parts.uri.authority().map(ToString::to_string);
     authority.or_else(|| {
         let mut hosts = parts.headers.get_all(header::HOST).iter();
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
+use curranttrestle::coordination::gateway::load_shedding::LoadShedder;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::state::Now;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -117,6 +118,8 @@
     pub successes: Cell<u64>,
     /// Detects a lack of processor time or of information from peers.
     pub strain: RefCell<StrainMonitor>,
+    /// Decides which requests are refused while this gateway lacks processor time.
+    pub shedder: RefCell<LoadShedder>,
     /// How this gateway comes by proofs of freshness.
     pub proof_role: Cell<ProofRole>,
     /// Whether requests with a key were allowed at the last check.
@@ -281,6 +284,7 @@
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
+        shedder: RefCell::new(LoadShedder::new(settings.shedding)),
         proof_role: Cell::default(),
         was_fresh: Cell::new(false),
         executors: executors.clone(),
@@ -366,6 +370,7 @@
         let now = clock::now();
         gateway.tick(now);
         gateway.log_strain(&peers, now.since_ms(last_tick_ms), now);
+        front::shed::record_delay(&gateway, now);
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
@@ -414,6 +419,7 @@
         sleep_ms(TICK_INTERVAL_MS).await;
         let now = clock::now();
         gateway.tick(now);
+        front::shed::record_delay(gateway, now);
         peers.send_due(gateway, now);
         let elapsed_ms = now.since_ms(started_ms);
         if elapsed_ms >= options.accept_ms
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod freshness;
 mod load_relay;
+mod load_shedding;
 mod load_sums;
 mod outage_detection;
 mod outlier_detection;
