Compare loads, share statuses and choices with plain versions

Placement reads the load of endpoints and the shares of customers for each request, and its cost is to be cut. Three property tests compare the results with plain versions that walk all reports and sort all endpoints: the load of each endpoint while reports arrive, are replaced, removed and expire; the share status of each customer; and the chosen endpoint with failed, paused and excluded ones.

--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod load_relay;
 mod load_shedding;
 mod load_sums;
+mod naive_decisions;
 mod outage_detection;
 mod outlier_detection;
 mod own_delay;
