Keep the sums of reported loads instead of adding them up per request

For each of four candidates of a placement, the load tracker walked the reports of all peers. The sums for each endpoint are now maintained when a report arrives, with integers, so they equal those of a walk. If reports have expired since the last one arrived, or the time is before a report, the reports are walked as before.

--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::own_delay::OwnDelay;
+use super::reported_load::ReportedLoad;
 use crate::state::{EndpointId, Now};
 
 /// Compact hash of an endpoint id, used in reports between gateways.
@@ -129,12 +130,6 @@
     at_ms: u64,
 }
 
-#[derive(Clone, Debug)]
-struct PeerReport {
-    lines: IndexMap<EndpointKey, LoadLine>,
-    at_ms: u64,
-}
-
 /// The load of all endpoints.
 #[derive(Clone, Debug)]
 pub struct LoadTracker {
@@ -145,7 +140,7 @@
     attempts: IndexMap<u64, Attempt>,
     by_endpoint: IndexMap<EndpointKey, IndexMap<u64, ()>>,
     slowness: IndexMap<EndpointKey, Slowness>,
-    peers: IndexMap<PeerKey, PeerReport>,
+    reported: ReportedLoad,
 }
 
 impl LoadTracker {
@@ -158,7 +153,7 @@
             attempts: IndexMap::new(),
             by_endpoint: IndexMap::new(),
             slowness: IndexMap::new(),
-            peers: IndexMap::new(),
+            reported: ReportedLoad::default(),
         }
     }
 
@@ -224,19 +219,13 @@
 
     /// Applies a peer's report, which replaces its previous one.
     pub fn apply_report(&mut self, peer: PeerKey, lines: &[LoadLine], now: Now) {
-        let report = PeerReport {
-            lines: lines.iter().map(|line| (line.endpoint, *line)).collect(),
-            at_ms: now.steady_ms,
-        };
-        self.peers.insert(peer, report);
         let max_age_ms = self.options.report_max_age_ms;
-        self.peers
-            .retain(|_, report| now.since_ms(report.at_ms) < max_age_ms);
+        self.reported.apply(peer, lines, max_age_ms, now);
     }
 
     /// Removes the reports of peers that another report includes.
     pub fn remove_reports(&mut self, is_included: impl Fn(PeerKey) -> bool) {
-        self.peers.retain(|peer, _| !is_included(*peer));
+        self.reported.remove(is_included);
     }
 
     /// The load of this gateway and of the peers in `members` together.
@@ -245,10 +234,9 @@
         let own = self.report().into_iter();
         let mut sums: IndexMap<EndpointKey, LoadLine> =
             own.map(|line| (line.endpoint, line)).collect();
-        let reports = members.filter_map(|peer| self.peers.get(&peer));
-        let current =
-            reports.filter(|report| now.since_ms(report.at_ms) < self.options.report_max_age_ms);
-        for line in current.flat_map(|report| report.lines.values()) {
+        let max_age_ms = self.options.report_max_age_ms;
+        let reports = members.filter_map(|peer| self.reported.lines(peer, max_age_ms, now));
+        for line in reports.flatten() {
             sums.entry(line.endpoint)
                 .and_modify(|sum| sum.add(*line))
                 .or_insert(*line);
@@ -281,20 +269,13 @@
             view.add(line, f64::from(line.waiting_tokens));
             view.slowness = view.slowness.max(self.overdue_ratio(attempts, now));
         }
-        let mut waiting_tokens = 0.0;
-        let mut token_ages = 0.0;
-        for report in self.peers.values() {
-            let age_ms = now.since_ms(report.at_ms);
-            if age_ms >= self.options.report_max_age_ms {
-                continue;
-            }
-            if let Some(line) = report.lines.get(&endpoint) {
-                view.add(*line, 0.0);
-                waiting_tokens += f64::from(line.waiting_tokens);
-                token_ages += f64::from(line.waiting_tokens) * age_ms as f64;
-            }
-        }
-        if waiting_tokens > 0.0 {
+        let max_age_ms = self.options.report_max_age_ms;
+        let reported = self.reported.sum(endpoint, max_age_ms, now);
+        view.in_flight += reported.in_flight;
+        view.memory_tokens += reported.memory_tokens;
+        if reported.waiting_tokens > 0 {
+            let waiting_tokens = reported.waiting_tokens as f64;
+            let token_ages = reported.token_age_ms as f64;
             // The endpoint has prefilled some of these tokens since the reports, one request
             // after the other.
             let mean_age_ms = token_ages / waiting_tokens;
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
+mod reported_load;
 pub mod request_quarantine;
 pub mod route_table;
 pub mod shares;
