Compute a share status without maps

A share status copied the map of all customers twice and sorted the requested tokens twice. It now works on one list in the order of the map, sorted once.

The property tests show the same results.

--- a/crates/curranttrestle/src/coordination/gateway/shares.rs
+++ b/crates/curranttrestle/src/coordination/gateway/shares.rs
@@ -124,6 +124,13 @@
     admitted_tokens: u64,
 }
 
+/// Requested and admitted tokens of one customer and of all.
+struct Totals {
+    /// `None` if the customer has requested nothing.
+    customer: Option<(f64, f64)>,
+    all: Vec<(f64, f64)>,
+}
+
 /// The tokens that each customer recently requested from all gateways, and those admitted.
 ///
 /// ```
@@ -269,11 +276,8 @@
     /// The tokens that a customer requested in the window, and those that were admitted.
     #[must_use]
     pub fn window_totals(&self, customer: &str, now: Now) -> (f64, f64) {
-        let totals = self.totals(now);
-        totals
-            .get(&CustomerKey::of(customer))
-            .copied()
-            .unwrap_or_default()
+        let totals = self.totals(CustomerKey::of(customer), now);
+        totals.customer.unwrap_or_default()
     }
 
     /// Returns whether a customer is over its fair share, if all engines together serve at most
@@ -287,8 +291,8 @@
         if tokens_per_s == 0 {
             return ShareStatus::Within;
         }
-        let totals = self.totals(now);
-        let Some((requested, admitted)) = totals.get(&CustomerKey::of(customer)) else {
+        let totals = self.totals(CustomerKey::of(customer), now);
+        let Some((requested, admitted)) = totals.customer else {
             return ShareStatus::Within;
         };
         #[expect(
@@ -296,20 +300,22 @@
             reason = "token counts are far below 2^52"
         )]
         let capacity = tokens_per_s as f64 * self.covered_ms(now) as f64 / 1_000.0;
-        let level_of =
-            |capacity| fair_level(totals.values().map(|(requested, _)| *requested), capacity);
+        let mut all_requested: Vec<f64> =
+            totals.all.iter().map(|(requested, _)| *requested).collect();
+        all_requested.sort_unstable_by(f64::total_cmp);
+        let level_of = |capacity| sorted_fair_level(&all_requested, capacity);
         let nominal_level = level_of(capacity);
         // The fair level of the tokens that were admitted. A customer above it got more at the
         // expense of a customer below it.
-        let all_admitted = totals.values().map(|(_, admitted)| admitted).sum();
+        let all_admitted = totals.all.iter().map(|(_, admitted)| admitted).sum();
         let level = level_of(all_admitted);
-        let has_full_share = *admitted >= nominal_level && *requested > nominal_level;
-        let exceeds_level = *admitted > level * self.options.overshoot_factor;
+        let has_full_share = admitted >= nominal_level && requested > nominal_level;
+        let exceeds_level = admitted > level * self.options.overshoot_factor;
         if has_full_share || exceeds_level {
-            let ratio = *admitted / level.min(nominal_level).max(1.0);
+            let ratio = admitted / level.min(nominal_level).max(1.0);
             ShareStatus::Over {
                 ratio: ratio.max(1.0),
-                leads: self.leads(*admitted, &totals, now),
+                leads: self.leads(admitted, &totals.all, now),
             }
         } else {
             ShareStatus::Within
@@ -322,9 +328,9 @@
         clippy::cast_precision_loss,
         reason = "token counts are far below 2^52"
     )]
-    fn leads(&self, admitted: f64, totals: &IndexMap<CustomerKey, (f64, f64)>, now: Now) -> bool {
+    fn leads(&self, admitted: f64, totals: &[(f64, f64)], now: Now) -> bool {
         let tolerance = (TOLERATED_REQUESTS * self.largest_tokens(now)) as f64;
-        totals.values().any(|(requested, other_admitted)| {
+        totals.iter().any(|(requested, other_admitted)| {
             let due = requested.min(admitted);
             other_admitted < requested
                 && (other_admitted + tolerance) * self.options.lead_factor < due
@@ -346,29 +352,38 @@
         clippy::cast_precision_loss,
         reason = "token counts are far below 2^52"
     )]
-    fn totals(&self, now: Now) -> IndexMap<CustomerKey, (f64, f64)> {
-        let mut totals = self.reported.clone();
+    fn totals(&self, customer: CustomerKey, now: Now) -> Totals {
+        let mut all: Vec<Total> = self.reported.values().copied().collect();
         for report in self.peers.values() {
-            if now.since_ms(report.at_ms) >= self.options.report_max_age_ms {
-                report
-                    .lines
-                    .iter()
-                    .for_each(|line| subtract(&mut totals, line));
+            if now.since_ms(report.at_ms) < self.options.report_max_age_ms {
+                continue;
+            }
+            for line in &report.lines {
+                if let Some(index) = self.reported.get_index_of(&line.customer) {
+                    all[index].asked_tokens -= u64::from(line.asked_tokens);
+                    all[index].admitted_tokens -= u64::from(line.admitted_tokens);
+                }
             }
         }
-        for (customer, slices) in &self.customers {
+        let mut own_index = None;
+        for (own, slices) in &self.customers {
             let (requested, admitted) = self.sums(slices, now);
-            let total = totals.entry(*customer).or_default();
-            total.asked_tokens += requested;
-            total.admitted_tokens += admitted;
+            let index = self.reported.get_index_of(own).unwrap_or(all.len());
+            if index == all.len() {
+                all.push(Total::default());
+            }
+            all[index].asked_tokens += requested;
+            all[index].admitted_tokens += admitted;
+            if *own == customer {
+                own_index = Some(index);
+            }
+        }
+        let tokens = |total: &Total| (total.asked_tokens as f64, total.admitted_tokens as f64);
+        let index = own_index.or_else(|| self.reported.get_index_of(&customer));
+        Totals {
+            customer: index.map(|index| tokens(&all[index])),
+            all: all.iter().map(tokens).collect(),
         }
-        let totals = totals.into_iter();
-        totals
-            .map(|(customer, total)| {
-                let tokens = (total.asked_tokens as f64, total.admitted_tokens as f64);
-                (customer, tokens)
-            })
-            .collect()
     }
 
     fn sums(&self, slices: &[Slice], now: Now) -> (u64, u64) {
@@ -437,6 +452,10 @@
 pub fn fair_level(requested: impl Iterator<Item = f64>, capacity: f64) -> f64 {
     let mut requested: Vec<f64> = requested.collect();
     requested.sort_unstable_by(f64::total_cmp);
+    sorted_fair_level(&requested, capacity)
+}
+
+fn sorted_fair_level(requested: &[f64], capacity: f64) -> f64 {
     let mut remaining = capacity;
     for (index, amount) in requested.iter().enumerate() {
         #[expect(clippy::cast_precision_loss, reason = "a few hundred customers")]
