Choose among the top engines without sorting all of them

A placement made two lists of all endpoints, looked up the pause and the failures of each, sorted all of them for the first four, and copied the entry of each candidate. It now keeps the first four while it ranks, looks up pauses and failures only if any are known, and copies the chosen entry only.

The property tests show the same results.

--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -430,20 +430,21 @@
         let candidates = self.directory.accepting(request.service);
         let candidates: Vec<&EndpointEntry> = candidates
             .filter(|entry| !request.excluded.contains(&entry.endpoint))
-            .filter(|entry| self.pauses.left_ms(run_of(entry), now).is_none())
+            .filter(|entry| {
+                self.pauses.is_empty() || self.pauses.left_ms(run_of(entry), now).is_none()
+            })
             .collect();
-        let is_healthy = |entry: &&EndpointEntry| {
-            !self
-                .outliers
-                .is_avoided(EndpointKey::of(&entry.endpoint), now)
+        let is_healthy = |entry: &EndpointEntry| {
+            self.outliers.is_empty()
+                || !self
+                    .outliers
+                    .is_avoided(EndpointKey::of(&entry.endpoint), now)
         };
-        let healthy: Vec<&EndpointEntry> = candidates.iter().copied().filter(is_healthy).collect();
         // If all endpoints are avoided, use any of them rather than none.
-        let entries = if healthy.is_empty() {
-            candidates
-        } else {
-            healthy
-        };
+        let uses_avoided = !candidates.iter().any(|entry| is_healthy(entry));
+        let entries = candidates
+            .into_iter()
+            .filter(|entry| uses_avoided || is_healthy(entry));
         let context = PlacementContext {
             load: &self.load,
             cache: &self.cache,
@@ -452,15 +453,8 @@
         let service = self.routes.as_ref()?.service(request.service);
         let placement = &self.options.placement;
         match service.and_then(|service| service.engine) {
-            Some(engine) => choose_engine(
-                entries.into_iter(),
-                engine,
-                request.hints,
-                context,
-                placement,
-                now,
-            ),
-            None => choose_plain(entries.into_iter(), context, placement, now),
+            Some(engine) => choose_engine(entries, engine, request.hints, context, placement, now),
+            None => choose_plain(entries, context, placement, now),
         }
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_pauses.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_pauses.rs
@@ -49,6 +49,12 @@
             .retain(|_, until_ms| *until_ms > now.steady_ms);
     }
 
+    /// Whether no pause is known, so that no endpoint has to be looked up.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.until_ms.is_empty()
+    }
+
     /// The number of runs that are paused.
     #[must_use]
     pub fn count(&self, now: Now) -> usize {
--- a/crates/curranttrestle/src/coordination/gateway/outlier_detection.rs
+++ b/crates/curranttrestle/src/coordination/gateway/outlier_detection.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Whether no failure is known, so that no endpoint has to be looked up.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.scores.is_empty()
+    }
+
     /// Whether an endpoint is avoided now. It is not avoided while a probe is due.
     #[must_use]
     pub fn is_avoided(&self, endpoint: EndpointKey, now: Now) -> bool {
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -69,6 +69,51 @@
     pub data_centre: &'a str,
 }
 
+/// A [`Choice`] whose entry is not copied yet, as only one of the candidates is chosen.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    entry: &'a EndpointEntry,
+    predicted_ms: f64,
+    wait_ms: f64,
+    load: EndpointLoad,
+    prefill_tokens: u64,
+    is_full: bool,
+}
+
+impl Candidate<'_> {
+    fn into_choice(self) -> Choice {
+        Choice {
+            entry: self.entry.clone(),
+            predicted_ms: self.predicted_ms,
+            wait_ms: self.wait_ms,
+            load: self.load,
+            prefill_tokens: self.prefill_tokens,
+            is_full: self.is_full,
+        }
+    }
+}
+
+/// The first `count` entries in the ranking for a prompt part, best first. Sorting all of them would
+/// be a large part of the cost of a placement.
+fn top_ranked<'a>(
+    entries: impl Iterator<Item = &'a EndpointEntry>,
+    part_id: u64,
+    count: usize,
+) -> Vec<(u64, &'a EndpointEntry)> {
+    let mut ranked: Vec<(u64, &EndpointEntry)> = Vec::with_capacity(count.min(16) + 1);
+    for entry in entries {
+        let score = xxh3_64_with_seed(entry.endpoint.as_str().as_bytes(), part_id);
+        let is_full = ranked.len() == count;
+        if is_full && ranked.last().is_some_and(|(last, _)| score <= *last) {
+            continue;
+        }
+        let position = ranked.partition_point(|(other, _)| *other >= score);
+        ranked.insert(position, (score, entry));
+        ranked.truncate(count);
+    }
+    ranked
+}
+
 /// Chooses an endpoint among `entries` for a request to a model engine.
 ///
 /// Returns `None` if there are no entries.
@@ -83,18 +128,11 @@
 ) -> Option<Choice> {
     let shared = hints.shared_parts();
     let seed = shared.last().map(|part| part.id);
-    let mut ranked: Vec<(u64, &EndpointEntry)> = entries
-        .map(|entry| {
-            let name = entry.endpoint.as_str().as_bytes();
-            let seed = seed.unwrap_or_else(|| hints.prompt_parts.last().map_or(0, |part| part.id));
-            (xxh3_64_with_seed(name, seed), entry)
-        })
-        .collect();
-    ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-    ranked.truncate(options.max_candidates.max(1));
+    let seed = seed.unwrap_or_else(|| hints.prompt_parts.last().map_or(0, |part| part.id));
+    let ranked = top_ranked(entries, seed, options.max_candidates.max(1));
     let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
     let needed_tokens = hints.unshared_tokens() + hints.expected_output_tokens();
-    let mut best: Option<(f64, Choice)> = None;
+    let mut best: Option<(f64, Candidate<'_>)> = None;
     for (rank, (_, entry)) in ranked.iter().enumerate() {
         let key = EndpointKey::of(&entry.endpoint);
         let view = context.load.view(key, now);
@@ -108,8 +146,8 @@
         let prefill_ms = |tokens| engine_prefill_ms(tokens, view, load_options);
         let predicted_ms = wait_ms + load_options.engine_base_ms + prefill_ms(prefill_tokens);
         let is_full = is_at_capacity(view, engine, needed_tokens, options);
-        let choice = Choice {
-            entry: (*entry).clone(),
+        let candidate = Candidate {
+            entry,
             predicted_ms,
             wait_ms,
             load: view,
@@ -125,10 +163,10 @@
             + rank_penalty_ms
             + if is_full { FULL_PENALTY_MS } else { 0.0 };
         if best.as_ref().is_none_or(|(cost, _)| cost_ms < *cost) {
-            best = Some((cost_ms, choice));
+            best = Some((cost_ms, candidate));
         }
     }
-    best.map(|(_, choice)| choice)
+    best.map(|(_, candidate)| candidate.into_choice())
 }
 
 /// Ranks endpoints at capacity behind all others.
@@ -144,13 +182,13 @@
     options: &PlacementOptions,
     now: Now,
 ) -> Option<Choice> {
-    let mut best: Option<(f64, Choice)> = None;
+    let mut best: Option<(f64, Candidate<'_>)> = None;
     for entry in entries {
         let view = context.load.view(EndpointKey::of(&entry.endpoint), now);
         let load_options = context.load.options();
         let wait_ms = plain_wait_ms(view, entry.slots, load_options);
-        let choice = Choice {
-            entry: entry.clone(),
+        let candidate = Candidate {
+            entry,
             predicted_ms: wait_ms + load_options.plain_base_ms * view.slowness,
             wait_ms,
             load: view,
@@ -161,12 +199,12 @@
         let busy_ms =
             view.in_flight as f64 * load_options.plain_base_ms / f64::from(entry.slots.max(1));
         let remote_penalty_ms = remote_penalty_ms(entry, context.data_centre, options);
-        let cost_ms = choice.predicted_ms + busy_ms + remote_penalty_ms;
+        let cost_ms = candidate.predicted_ms + busy_ms + remote_penalty_ms;
         if best.as_ref().is_none_or(|(cost, _)| cost_ms < *cost) {
-            best = Some((cost_ms, choice));
+            best = Some((cost_ms, candidate));
         }
     }
-    best.map(|(_, choice)| choice)
+    best.map(|(_, candidate)| candidate.into_choice())
 }
 
 fn engine_wait_ms(view: EndpointLoad, options: &LoadOptions) -> f64 {
