--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -309,6 +309,11 @@
         now: Now,
     ) {
         self.budget(service).record_first(now);
+        self.record_requested(customer, hints, now);
+    }
+
+    /// Records the tokens that a request asks for, also of one that is refused on arrival.
+    pub fn record_requested(&mut self, customer: &str, hints: &RequestHints, now: Now) {
         if !hints.prompt_parts.is_empty() {
             self.shares
                 .record_requested(customer, cost_tokens(hints), now);
@@ -420,18 +425,17 @@
             .eligible(request, now)
             .filter(|entry| !request.excluded.contains(&entry.endpoint))
             .collect();
-        let is_healthy = |entry: &&EndpointEntry| {
-            !self
-                .outliers
-                .is_avoided(EndpointKey::of(&entry.endpoint), now)
+        let is_healthy = |entry: &EndpointEntry| {
+            self.outliers.is_empty()
+                || !self
+                    .outliers
+                    .is_avoided(EndpointKey::of(&entry.endpoint), now)
         };
-        let healthy: Vec<&EndpointEntry> = candidates.iter().copied().filter(is_healthy).collect();
         // If all endpoints are avoided, use any of them rather than none.
-        let entries = if healthy.is_empty() {
-            candidates
-        } else {
-            healthy
-        };
+        let uses_avoided = !candidates.iter().any(|entry| is_healthy(entry));
+        let entries = candidates
+            .into_iter()
+            .filter(|entry| uses_avoided || is_healthy(entry));
         let context = PlacementContext {
             load: &self.load,
             cache: &self.cache,
@@ -440,15 +444,8 @@
         let service = self.routes.as_ref()?.service(request.service);
         let placement = &self.options.placement;
         match service.and_then(|service| service.engine) {
-            Some(engine) => choose_engine(
-                entries.into_iter(),
-                engine,
-                request.hints,
-                context,
-                placement,
-                now,
-            ),
-            None => choose_plain(entries.into_iter(), context, placement, now),
+            Some(engine) => choose_engine(entries, engine, request.hints, context, placement, now),
+            None => choose_plain(entries, context, placement, now),
         }
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -55,6 +55,10 @@
         if self.evacuations.is_evacuated(&entry.data_centre) {
             return Some(Ineligible::Evacuated);
         }
+        // Usually no pause is known, and the runs of all endpoints need not be hashed.
+        if self.pauses.is_empty() {
+            return None;
+        }
         let pause_ms = self.pauses.left_ms(run_of(entry), now);
         pause_ms.map(|left_ms| Ineligible::Paused { left_ms })
     }
