Count the bodies of requests by what they hold

Cause: memory for a body was reserved by its declared length. A chunked body counted as nothing until it was complete, and each chunk kept its own allocation and the read buffer that it came in. Clients that stop short of the end of a chunked body could take any amount of memory.

Change: one account holds the bytes of the process for clients. Its budget is the memory of the instance less the process itself, the next configuration and a quarter for the allocator; the fixed limit for bodies holds where the memory is unknown. Bodies draw on it segment by segment and are copied into the segments. When the budget is used up, bodies below 64 KB/s are refused first (503 with Retry-After), the one that lags furthest first, then newer bodies for the benefit of older ones. An eighth is kept for bodies up to 16 KB and for requests in progress. None of this applies while there is room.

Ruled out: one buffer that is enlarged, which copies the body at each step and leaves unused space of many sizes in the heap.

--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -13,6 +13,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 
+use super::held::HeldMemory;
 use super::record::STALE_CONFIGURATION;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -57,8 +58,8 @@
     pub has_retry_token: Cell<bool>,
     /// Endpoints that failed the request.
     pub excluded: Vec<EndpointId>,
-    /// Reserved memory of the body, released on drop.
-    pub memory: BodyMemory,
+    /// Memory of the body and of the request itself.
+    pub memory: [HeldMemory; 2],
 }
 
 impl Exchange {
@@ -264,34 +265,3 @@
         );
     }
 }
-
-/// Memory reserved for a body, released on drop.
-#[derive(Debug)]
-pub struct BodyMemory {
-    gateway: Rc<Gateway>,
-    bytes: usize,
-}
-
-impl BodyMemory {
-    /// Reserves memory for a body; `None` if the bodies of all requests together would exceed the
-    /// limit.
-    #[must_use]
-    pub fn reserve(gateway: &Rc<Gateway>, bytes: usize) -> Option<Self> {
-        let reserved = gateway.body_bytes.get() + bytes;
-        if reserved > gateway.settings.traffic.body_memory_bytes {
-            return None;
-        }
-        gateway.body_bytes.set(reserved);
-        Some(Self {
-            gateway: Rc::clone(gateway),
-            bytes,
-        })
-    }
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        let remaining = self.gateway.body_bytes.get().saturating_sub(self.bytes);
-        self.gateway.body_bytes.set(remaining);
-    }
-}
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub mod events;
 pub mod exchange;
 pub mod headers;
+pub mod held;
 pub mod record;
 pub mod request;
 pub mod response;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -20,10 +20,12 @@
 use super::event_stream::EventStream;
 use super::exchange::{Exchange, PROMPT_QUARANTINED, QUARANTINED};
 use super::headers::{head_bytes, remove_hop_by_hop};
+use super::held::HeldMemory;
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody, full_body};
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
+use crate::memory::MemoryKind;
 use crate::timer::with_timeout;
 
 /// Handles a request. Closes the connection afterwards if too many clients are connected or the
@@ -87,7 +89,8 @@
     record.set_attempt_id(&hints.attempt_id);
     let host = host(&parts).ok_or_else(|| bad_request("no-host"))?;
     resolve(gateway, &host, parts.uri.path(), &hints, arrived)?;
-    let (body, memory) = read_body(gateway, &parts.headers, body, &hints).await?;
+    let request_memory = take_request_memory(gateway)?;
+    let (body, body_memory) = read_body(gateway, &parts.headers, body, &hints).await?;
     // The configuration may have changed while the body was read.
     let now = clock::now();
     let resolved = resolve(gateway, &host, parts.uri.path(), &hints, now)?;
@@ -128,10 +131,18 @@
         sends: Cell::new(0),
         has_retry_token: Cell::new(false),
         excluded: Vec::new(),
-        memory,
+        memory: [body_memory, request_memory],
     })
 }
 
+/// Takes the memory of a request apart from its body.
+fn take_request_memory(gateway: &Rc<Gateway>) -> Result<HeldMemory, LocalResponse> {
+    let bytes = gateway.settings.memory.request_bytes;
+    let retry_ms = gateway.settings.traffic.refusal_retry_after_ms;
+    HeldMemory::try_take(gateway, MemoryKind::Connections, bytes)
+        .ok_or_else(|| LocalResponse::refused("client-memory", retry_ms))
+}
+
 fn host(parts: &Parts) -> Option<String> {
     let authority = parts.uri.authority().map(ToString::to_string);
     authority.or_else(|| {
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -17,6 +17,7 @@
 use super::accept_each;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::memory::MemoryKind;
 
 /// Maximum time to wait for a complete request head.
 const HEADER_READ_TIMEOUT_MS: u64 = 10_000;
@@ -88,7 +89,8 @@
     set("open_requests", count(gateway.open_requests.get()));
     set("attempts_in_flight", count(control.load.in_flight()));
     set("idle_connections", count(gateway.pool.idle_count()));
-    set("body_bytes", count(gateway.body_bytes.get()));
+    let memory = gateway.memory.borrow();
+    set("body_bytes", count(memory.held_bytes(MemoryKind::Bodies)));
     set("endpoints", count(control.directory.all_entries().count()));
     set("paused_endpoints", count(control.pauses.count(now)));
     set("gateways", count(control.fleet_size()));
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -19,7 +19,9 @@
 use crate::edge::{Dialect, Platform};
 use crate::executor::Executors;
 use crate::front;
+use crate::front::body::ReceivingBodies;
 use crate::log::{EventRateLimiter, LogLines};
+use crate::memory::{Budget, ClientMemory};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
@@ -109,8 +111,10 @@
     pub newer_config: Notify,
     /// Requests whose response is not complete yet.
     pub open_requests: Cell<usize>,
-    /// Memory used by the bodies of open requests.
-    pub body_bytes: Cell<usize>,
+    /// Memory held for clients.
+    pub memory: RefCell<ClientMemory>,
+    /// The bodies that are being received.
+    pub receiving: ReceivingBodies,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
@@ -287,7 +291,16 @@
         refusal_log_limit: RefCell::new(EventRateLimiter::new(settings.logged_refusals_per_s)),
         newer_config: Notify::default(),
         open_requests: Cell::new(0),
-        body_bytes: Cell::new(0),
+        memory: RefCell::new(ClientMemory::new(
+            Budget::of(
+                settings.resources.memory_bytes,
+                0,
+                &settings.memory,
+                &settings.traffic,
+            ),
+            settings.memory,
+        )),
+        receiving: ReceivingBodies::default(),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod gateway;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod settings;
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub seeds: Vec<SocketAddr>,
     /// What the instance has.
     pub resources: InstanceResources,
+    /// How the memory of the instance is divided.
+    pub memory: MemoryOptions,
     /// Maximum time until an evacuation of a data centre takes effect; `None` if evacuations are not
     /// read.
     pub evacuate_ms: Option<u64>,
@@ -59,6 +61,7 @@
             peers: loopback,
             seeds: Vec::new(),
             resources: InstanceResources::default(),
+            memory: MemoryOptions::default(),
             evacuate_ms: None,
             control: ControlOptions::default(),
             store: StoreOptions::default(),
@@ -90,6 +93,41 @@
     pub descriptors: Option<u64>,
 }
 
+/// How the memory of an instance is divided. Only used where the memory is known, except for the rate
+/// of bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryOptions {
+    /// Assumed memory of the process without clients, unless more is measured.
+    pub min_process_bytes: usize,
+    /// Kept for reading the next configuration while the present one is in use; an eighth of the
+    /// memory if that is more.
+    pub min_config_bytes: usize,
+    /// Memory of a client connection without a request, apart from its receive buffer.
+    pub connection_bytes: usize,
+    /// Additional memory of a request in progress, with its connection to an endpoint.
+    pub request_bytes: usize,
+    /// A body up to this size may use the part of the budget that is kept for small bodies.
+    pub small_body_bytes: usize,
+    /// When memory is needed, bodies that arrive more slowly are refused first.
+    pub min_body_bytes_per_s: u64,
+    /// How far a body may be behind the minimum rate.
+    pub rate_grace_ms: u64,
+}
+
+impl Default for MemoryOptions {
+    fn default() -> Self {
+        Self {
+            min_process_bytes: 12_582_912,
+            min_config_bytes: 6_291_456,
+            connection_bytes: 20_480,
+            request_bytes: 49_152,
+            small_body_bytes: 16_384,
+            min_body_bytes_per_s: 65_536,
+            rate_grace_ms: 1_000,
+        }
+    }
+}
+
 /// Intervals and timeouts of the calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
