Refuse a body of which nothing arrives for five seconds

Cause: a body that stalled kept its memory and its connection until the deadline that its client had sent, which may be a minute.

Change: where the memory of the instance is known, a body ends with 408 (body-stalled) when nothing of it arrives for 5 s. Clients inside the limits send a whole head within 3 s. A body that arrives slowly but steadily is not affected while there is memory.

--- a/crates/curranttrestle-gateway/src/front/body.rs
+++ b/crates/curranttrestle-gateway/src/front/body.rs
@@ -20,7 +20,7 @@
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::memory::{BodyId, Growth, MemoryKind};
-use crate::timer::{sleep_until, with_timeout};
+use crate::timer::{sleep_ms, with_timeout};
 
 /// Reads the whole body of a request, within the client limits and the memory for clients.
 ///
@@ -193,13 +193,37 @@
         }
     }
 
-    /// Completes at the deadline.
+    /// Completes when nothing has arrived for too long, or at the deadline.
     async fn wait_until_too_slow(&self, deadline_ms: u64) -> Result<(), BodyRefusal> {
-        sleep_until(deadline_ms).await;
-        Err(BodyRefusal {
-            response: LocalResponse::new(StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
-            is_client_sending: false,
-        })
+        let stall_ms = self.stall_ms();
+        loop {
+            let now = clock::now();
+            let deadline_left_ms = deadline_ms.saturating_sub(now.steady_ms);
+            let stall_left_ms = stall_ms.map_or(u64::MAX, |stall_ms| {
+                let memory = self.gateway.memory.borrow();
+                memory.stall_left_ms(self.id, stall_ms, now)
+            });
+            let left_ms = deadline_left_ms.min(stall_left_ms);
+            if left_ms == 0 {
+                let reason = if deadline_left_ms == 0 {
+                    "body-too-slow"
+                } else {
+                    "body-stalled"
+                };
+                return Err(BodyRefusal {
+                    response: LocalResponse::new(StatusCode::REQUEST_TIMEOUT, reason),
+                    is_client_sending: false,
+                });
+            }
+            sleep_ms(left_ms).await;
+        }
+    }
+
+    /// How long nothing may arrive; `None` if only the deadline counts.
+    fn stall_ms(&self) -> Option<u64> {
+        let settings = &self.gateway.settings;
+        settings.resources.memory_bytes?;
+        Some(settings.memory.body_stall_ms)
     }
 
     fn no_memory(&self, reason: &'static str) -> BodyRefusal {
--- a/crates/curranttrestle-gateway/src/memory.rs
+++ b/crates/curranttrestle-gateway/src/memory.rs
@@ -116,6 +116,7 @@
     held_bytes: usize,
     /// Below the minimum rate after this time, by the steady clock.
     due_ms: u64,
+    last_byte_ms: u64,
 }
 
 /// The bytes held for clients.
@@ -204,6 +205,7 @@
         let body = Receiving {
             held_bytes: 0,
             due_ms: now.steady_ms + self.options.rate_grace_ms,
+            last_byte_ms: now.steady_ms,
         };
         self.receiving.insert(id, body);
         id
@@ -217,6 +219,7 @@
             ..
         } = self.options;
         if let Some(body) = self.receiving.get_mut(&id) {
+            body.last_byte_ms = now.steady_ms;
             let earned_ms = u64::try_from(bytes)
                 .unwrap_or(u64::MAX)
                 .saturating_mul(1_000)
@@ -253,6 +256,15 @@
         slowest.inspect(|id| self.discard(*id))
     }
 
+    /// How long nothing more may arrive of a body before it has stalled for `stall_ms`.
+    #[must_use]
+    pub fn stall_left_ms(&self, id: BodyId, stall_ms: u64, now: Now) -> u64 {
+        let body = self.receiving.get(&id);
+        body.map_or(stall_ms, |body| {
+            stall_ms.saturating_sub(now.since_ms(body.last_byte_ms))
+        })
+    }
+
     /// A body is complete, and is not evicted from now on. Returns the bytes that it holds, which
     /// must be released.
     pub fn complete_body(&mut self, id: BodyId) -> usize {
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -112,6 +112,8 @@
     pub min_body_bytes_per_s: u64,
     /// How far a body may be behind the minimum rate.
     pub rate_grace_ms: u64,
+    /// A body of which nothing arrives for this long is refused.
+    pub body_stall_ms: u64,
 }
 
 impl Default for MemoryOptions {
@@ -124,6 +126,7 @@
             small_body_bytes: 16_384,
             min_body_bytes_per_s: 65_536,
             rate_grace_ms: 1_000,
+            body_stall_ms: 5_000,
         }
     }
 }
--- a/crates/curranttrestle-gateway/tests/client_memory.rs
+++ b/crates/curranttrestle-gateway/tests/client_memory.rs
@@ -110,6 +110,7 @@
     let mut memory = account();
     let id = add_body(&mut memory, LARGE_BODY_BYTES, at_ms(0));
     assert_eq!(memory.evict_slowest(at_ms(1_000)), None);
+    assert_eq!(memory.stall_left_ms(id, 5_000, at_ms(1_000)), 4_000);
     assert_eq!(memory.evict_slowest(at_ms(1_001)), Some(id));
     assert_eq!(memory.total_bytes(), 0);
 }
