Limit client connections by the descriptors and memory of the instance

Cause: any number of client connections could be open. Clients that send nothing, never end a head or keep connections used up the descriptors; then no one could connect, and the gateway could not reach endpoints or its store.

Change: two fifths of the sockets that 200 reserved descriptors and 32 sockets of the gateway leave may be client connections, and half of the memory budget. At the limit, a connection without a request is closed for a new one: first those without a complete head for 1 s (at once when a quarter of all are new), then kept ones, the longest idle first. If all carry a request, the body that lags furthest behind is refused; only without one is the new connection closed. The pool of idle connections to endpoints is limited to a fifth of the sockets. The future of a request is allocated when its head has arrived.

The budget uses 32 KB for a connection.

Ruled out: a fixed number of connections, which would be too low for large instances; closing the longest idle one whether or not it ever sent a request, which lets silent connections drive out kept ones.

--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 pub mod body;
+pub mod connection;
 pub mod event_stream;
 pub mod events;
 pub mod exchange;
@@ -24,6 +25,7 @@
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use self::connection::{Admitted, BusyGuard, ConnectionWakers, TrackedBody};
 use crate::gateway::Gateway;
 use crate::timer::sleep_ms;
 
@@ -39,6 +41,7 @@
 pub struct ClientConnections {
     gateway: Rc<Gateway>,
     open: Rc<Cell<usize>>,
+    wakers: Rc<ConnectionWakers>,
     /// Closed when idle connections have to end.
     close_receiver: async_channel::Receiver<()>,
     close_sender: async_channel::Sender<()>,
@@ -52,6 +55,7 @@
         Self {
             gateway,
             open: Rc::default(),
+            wakers: Rc::default(),
             close_receiver,
             close_sender,
         }
@@ -71,13 +75,16 @@
     /// Accepts connections until the task is cancelled.
     pub async fn accept(self, listener: Async<TcpListener>) {
         accept_each(&listener, |stream, address| {
-            let serving = self.clone().serve(stream, address);
-            self.gateway.executors().traffic().spawn(serving).detach();
+            // Without room for it, the new connection is closed.
+            if let Some(admitted) = self.admit() {
+                let serving = self.clone().serve(stream, address, admitted);
+                self.gateway.executors().traffic().spawn(serving).detach();
+            }
         })
         .await;
     }
 
-    async fn serve(self, stream: Async<TcpStream>, address: SocketAddr) {
+    async fn serve(self, stream: Async<TcpStream>, address: SocketAddr, admitted: Admitted) {
         let _open = OpenGuard::new(&self.open);
         if let Err(error) = stream.get_ref().set_nodelay(true) {
             log::debug!("kind=socket-option-failed error={error:?}");
@@ -90,12 +97,16 @@
         let limits = self.gateway.control.borrow().client_limits();
         let gateway = Rc::clone(&self.gateway);
         let open = Rc::clone(&self.open);
+        let id = admitted.id();
         let service = service_fn(move |request| {
             let gateway = Rc::clone(&gateway);
             let is_over_client_limit = open.get() > gateway.settings.traffic.max_keep_alive_clients;
-            async move {
-                Ok::<_, Infallible>(request::handle(gateway, request, is_over_client_limit).await)
-            }
+            let busy = BusyGuard::new(&gateway, id);
+            // Boxed, so that a connection without a request does not hold the memory of one.
+            Box::pin(async move {
+                let handled = request::handle(gateway, request, is_over_client_limit).await;
+                Ok::<_, Infallible>(handled.map(|body| TrackedBody::new(body, busy)))
+            })
         });
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
@@ -110,13 +121,20 @@
             let _ = close_receiver.recv().await;
             None
         };
-        let served = async { Some(connection.as_mut().await) };
-        let ended = if let Some(ended) = served.or(close_requested).await {
-            ended
-        } else {
+        let serving = async {
+            let served = async { Some(connection.as_mut().await) };
+            if let Some(ended) = served.or(close_requested).await {
+                return ended;
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         };
+        // Closing is checked first, so that no request is read from a connection that is closed.
+        let closed = async {
+            admitted.closed().await;
+            Ok(())
+        };
+        let ended = closed.or(serving).await;
         if let Err(error) = ended {
             log::debug!("kind=client-connection-failed client={address} error={error:?}");
         }
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::clock;
+use crate::connections::{ConnectionLimit, max_by_descriptors, max_idle_by_descriptors};
 use crate::edge::{Dialect, Platform};
 use crate::executor::Executors;
 use crate::front;
@@ -115,6 +116,8 @@
     pub memory: RefCell<ClientMemory>,
     /// The bodies that are being received.
     pub receiving: ReceivingBodies,
+    /// The client connections.
+    pub connections: RefCell<ConnectionLimit>,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
@@ -172,6 +175,19 @@
         self.control.borrow_mut().apply_directory_changes(changes);
     }
 
+    /// Derives the limit on client connections from the memory and the descriptors.
+    fn update_client_limits(&self) {
+        let settings = &self.settings;
+        let budget = self.memory.borrow().budget();
+        let by_memory = budget.max_connections(settings.memory.connection_bytes);
+        let by_descriptors = settings
+            .resources
+            .descriptors
+            .map(|descriptors| max_by_descriptors(descriptors, &settings.connections));
+        let max = by_memory.into_iter().chain(by_descriptors).min();
+        self.connections.borrow_mut().set_max(max);
+    }
+
     fn tick(&self, now: Now) {
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
@@ -275,7 +291,12 @@
 ) -> Result<(), StartError> {
     let flags = SignalFlags::register()?;
     let executors = Executors::default();
-    let pool = Rc::new(Pool::new(Rc::clone(executors.traffic()), settings.traffic));
+    let max_idle = settings
+        .resources
+        .descriptors
+        .map(|descriptors| max_idle_by_descriptors(descriptors, &settings.connections));
+    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, max_idle);
+    let pool = Rc::new(pool);
     let client_options = HttpClientOptions {
         connect_timeout_ms: settings.store.timeout_ms,
         tcp_user_timeout_ms: settings.traffic.tcp_user_timeout_ms,
@@ -301,6 +322,7 @@
             settings.memory,
         )),
         receiving: ReceivingBodies::default(),
+        connections: RefCell::new(ConnectionLimit::new(None, settings.connections)),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
@@ -309,6 +331,7 @@
         executors: executors.clone(),
         settings,
     });
+    gateway.update_client_limits();
     // The gateways share the retry budgets. Assume twice as many as seeds; reports from peers can
     // only raise this number.
     let assumed_size = 2 * gateway.settings.seeds.len();
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! behind the traits of [`edge`].
 
 pub mod clock;
+pub mod connections;
 pub mod edge;
 pub mod executor;
 pub mod front;
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -28,6 +28,8 @@
     pub resources: InstanceResources,
     /// How the memory of the instance is divided.
     pub memory: MemoryOptions,
+    /// How the descriptors of the instance are divided.
+    pub connections: ConnectionOptions,
     /// Maximum time until an evacuation of a data centre takes effect; `None` if evacuations are not
     /// read.
     pub evacuate_ms: Option<u64>,
@@ -62,6 +64,7 @@
             seeds: Vec::new(),
             resources: InstanceResources::default(),
             memory: MemoryOptions::default(),
+            connections: ConnectionOptions::default(),
             evacuate_ms: None,
             control: ControlOptions::default(),
             store: StoreOptions::default(),
@@ -102,7 +105,7 @@
     /// Kept for reading the next configuration while the present one is in use; an eighth of the
     /// memory if that is more.
     pub min_config_bytes: usize,
-    /// Memory of a client connection without a request, apart from its receive buffer.
+    /// Memory of a client connection without a request. An unfinished head is what needs most.
     pub connection_bytes: usize,
     /// Additional memory of a request in progress, with its connection to an endpoint.
     pub request_bytes: usize,
@@ -121,7 +124,7 @@
         Self {
             min_process_bytes: 12_582_912,
             min_config_bytes: 6_291_456,
-            connection_bytes: 20_480,
+            connection_bytes: 32_768,
             request_bytes: 49_152,
             small_body_bytes: 16_384,
             min_body_bytes_per_s: 65_536,
@@ -131,6 +134,29 @@
     }
 }
 
+/// How the descriptors of an instance are divided. Only used where they are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionOptions {
+    /// Descriptors for files, which sockets do not use.
+    pub reserved_descriptors: u64,
+    /// Sockets and pipes other than those of clients and endpoints: listeners, peers, calls to the
+    /// store, readiness and metrics.
+    pub own_sockets: u64,
+    /// A new connection on which no complete request head has arrived is closed after this time at
+    /// the earliest, unless a quarter of all connections are new.
+    pub head_grace_ms: u64,
+}
+
+impl Default for ConnectionOptions {
+    fn default() -> Self {
+        Self {
+            reserved_descriptors: 200,
+            own_sockets: 32,
+            head_grace_ms: 1_000,
+        }
+    }
+}
+
 /// Intervals and timeouts of the calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
--- a/crates/curranttrestle-gateway/src/upstream/pool.rs
+++ b/crates/curranttrestle-gateway/src/upstream/pool.rs
@@ -16,16 +16,24 @@
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     options: TrafficOptions,
+    /// The most idle connections of all addresses together, if they are limited.
+    max_idle: Option<usize>,
     idle: RefCell<IndexMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Pool {
-    /// Creates an empty pool whose connections run on `executor`.
+    /// Creates an empty pool whose connections run on `executor`. It keeps at most `max_idle` idle
+    /// ones.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>, options: TrafficOptions) -> Self {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        options: TrafficOptions,
+        max_idle: Option<usize>,
+    ) -> Self {
         Self {
             executor,
             options,
+            max_idle,
             idle: RefCell::default(),
         }
     }
@@ -65,9 +73,10 @@
     }
 
     /// Keeps a connection whose response was read completely, at most `max_idle` per address. Drops
-    /// the least recently used one when there are more.
+    /// the least recently used one when there are more, and this one when the pool is full.
     pub fn put_back(&self, mut connection: Connection, max_idle: usize) {
-        if connection.will_close() || max_idle == 0 {
+        let is_full = self.max_idle.is_some_and(|max| self.idle_count() >= max);
+        if connection.will_close() || max_idle == 0 || is_full {
             return;
         }
         connection.last_used_ms = clock::now().steady_ms;
