--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -18,10 +18,13 @@
 use thiserror::Error;
 
 use crate::clock;
+use crate::connections::{ConnectionLimit, max_by_descriptors, max_idle_by_descriptors};
 use crate::edge::{Dialect, Platform};
 use crate::executor::Executors;
 use crate::front;
+use crate::front::body::ReceivingBodies;
 use crate::log::{EventRateLimiter, LogLines};
+use crate::memory::{Budget, ClientMemory};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
@@ -111,8 +114,12 @@
     pub newer_config: Notify,
     /// Requests whose response is not complete yet.
     pub open_requests: Cell<usize>,
-    /// Memory used by the bodies of open requests.
-    pub body_bytes: Cell<usize>,
+    /// Memory held for clients.
+    pub memory: RefCell<ClientMemory>,
+    /// The bodies that are being received.
+    pub receiving: ReceivingBodies,
+    /// The client connections.
+    pub connections: RefCell<ConnectionLimit>,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
@@ -205,6 +212,19 @@
         }
     }
 
+    /// Derives the limit on client connections from the memory and the descriptors.
+    fn update_client_limits(&self) {
+        let settings = &self.settings;
+        let budget = self.memory.borrow().budget();
+        let by_memory = budget.max_connections(settings.memory.connection_bytes);
+        let by_descriptors = settings
+            .resources
+            .descriptors
+            .map(|descriptors| max_by_descriptors(descriptors, &settings.connections));
+        let max = by_memory.into_iter().chain(by_descriptors).min();
+        self.connections.borrow_mut().set_max(max);
+    }
+
     fn tick(&self, now: Now) {
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
@@ -303,7 +323,12 @@
     reload: impl Fn() -> Option<GatewaySettings> + 'static,
 ) -> Result<(), StartError> {
     let executors = Executors::default();
-    let pool = Rc::new(Pool::new(Rc::clone(executors.traffic()), settings.traffic));
+    let max_idle = settings
+        .resources
+        .descriptors
+        .map(|descriptors| max_idle_by_descriptors(descriptors, &settings.connections));
+    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, max_idle);
+    let pool = Rc::new(pool);
     let client_options = HttpClientOptions {
         connect_timeout_ms: settings.store.timeout_ms,
         tcp_user_timeout_ms: settings.traffic.tcp_user_timeout_ms,
@@ -324,7 +349,17 @@
         refusal_log_limit: RefCell::new(EventRateLimiter::new(settings.logged_refusals_per_s)),
         newer_config: Notify::default(),
         open_requests: Cell::new(0),
-        body_bytes: Cell::new(0),
+        memory: RefCell::new(ClientMemory::new(
+            Budget::of(
+                settings.resources.memory_bytes,
+                0,
+                &settings.memory,
+                &settings.traffic,
+            ),
+            settings.memory,
+        )),
+        receiving: ReceivingBodies::default(),
+        connections: RefCell::new(ConnectionLimit::new(None, settings.connections)),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
@@ -335,6 +370,7 @@
         executors: executors.clone(),
         settings,
     });
+    gateway.update_client_limits();
     // The gateways share the retry budgets. Assume twice as many as seeds; reports from peers can
     // only raise this number.
     let assumed_size = 2 * gateway.settings.seeds.len();
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -7,11 +7,13 @@
 //! behind the traits of [`edge`].
 
 pub mod clock;
+pub mod connections;
 pub mod edge;
 pub mod executor;
 pub mod front;
 pub mod gateway;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod settings;
