Count only complete events of a silent engine while another one is asked

An engine that sends an endless event a few bytes at a time kept its stream: while the gateway asked another engine to resume, any byte counted as a sign that the silent one goes on.

--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -47,7 +47,7 @@
 enum MoveEvent {
     /// The other endpoint responded or failed.
     Responded(Box<Result<ResponseHead, Failure>>),
-    /// The silent endpoint sent something.
+    /// The silent endpoint sent events, or its response ended.
     Received(ReceiveResult),
     /// Neither within [`MAX_OVERLAP_MS`].
     Timeout,
@@ -66,6 +66,8 @@
 /// The result of waiting for the next part of a stream.
 enum ReceiveResult {
     Data(Bytes),
+    /// Complete events, already split.
+    Events(Events),
     Complete,
     Failed(FailureKind),
     DeadlineReached,
@@ -119,6 +121,10 @@
                     },
                     None => FailureKind::Malformed,
                 },
+                ReceiveResult::Events(events) => match self.filter_events(events) {
+                    Some(bytes) => return Some(Ok(bytes)),
+                    None => continue,
+                },
                 ReceiveResult::Complete if !self.splitter.has_partial() => {
                     self.complete();
                     return None;
@@ -276,7 +282,14 @@
         }
         self.exchange
             .log_retry(FailureKind::TimedOut.as_str(), &from);
-        let result = ask_to_resume(&self.exchange, &choice, self.last_event_id, silent).await;
+        let result = ask_to_resume(
+            &self.exchange,
+            &choice,
+            self.last_event_id,
+            silent,
+            &mut self.splitter,
+        )
+        .await;
         let now = clock::now();
         match result {
             MoveResult::Moved(head) => {
@@ -386,18 +399,34 @@
     }
 }
 
+/// Waits for a complete event from an endpoint or for the end of its response. Parts of an event do
+/// not count, since an endpoint may send them without end.
+async fn receive_events(head: &mut ResponseHead, splitter: &mut EventSplitter) -> ReceiveResult {
+    loop {
+        match receive_from(head).await {
+            ReceiveResult::Data(bytes) => match splitter.push(bytes) {
+                Some(events) if events.bytes.is_empty() => {}
+                Some(events) => return ReceiveResult::Events(events),
+                None => return ReceiveResult::Failed(FailureKind::Malformed),
+            },
+            received => return received,
+        }
+    }
+}
+
 /// Sends the request to the chosen endpoint and keeps `silent` until that one has had time to refuse.
 async fn ask_to_resume(
     exchange: &Exchange,
     choice: &Choice,
     last_event_id: Option<u64>,
     mut silent: ResponseHead,
+    splitter: &mut EventSplitter,
 ) -> MoveResult {
     let deadline_ms = exchange.deadline_steady_ms;
     let sending = attempt::send(exchange, choice, true, last_event_id, deadline_ms);
     let mut sending = std::pin::pin!(sending);
     let responded = async { MoveEvent::Responded(Box::new(sending.as_mut().await)) };
-    let received = async { MoveEvent::Received(receive_from(&mut silent).await) };
+    let received = async { MoveEvent::Received(receive_events(&mut silent, splitter).await) };
     let timeout = async {
         sleep_ms(MAX_OVERLAP_MS).await;
         MoveEvent::Timeout
