Send no requests by knowledge of evacuations that is too old, unless the store is unavailable

A process that is suspended for longer than the bound and resumed sent waiting requests by what it knew before. A list that ended much later than at its timeout does not count as failed.

The fixture of the tests of allowed regions reads the evacuations first, which sending now requires; what these tests assert is the same.

--- a/crates/curranttrestle-gateway/src/store/evacuations.rs
+++ b/crates/curranttrestle-gateway/src/store/evacuations.rs
@@ -101,7 +101,13 @@
     let state = match platform.list_evacuations(timeout_ms).await {
         // The store does not have evacuations.
         Err(PlatformError::NotFound) => EvacuationState::default(),
-        listed => listed?,
+        Ok(state) => state,
+        Err(error) => {
+            let mut control = gateway.control.borrow_mut();
+            let evacuations = &mut control.evacuations;
+            evacuations.record_failed_list(sent.steady_ms, timeout_ms, clock::now());
+            return Err(error);
+        }
     };
     record_call(gateway, "evacuations-list", sent);
     apply(gateway, state, sent.steady_ms, "list");
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -12,6 +12,8 @@
     NotAccepting,
     /// Its data centre is in a region that the route or the customer does not allow.
     Region,
+    /// What this gateway knows of evacuations is too old, and it has not tried to read them since.
+    EvacuationsUnknown,
     /// Its data centre is evacuated.
     Evacuated,
     /// It asked for a pause, which ends after this time.
@@ -52,6 +54,9 @@
         if !self.is_in_allowed_region(entry, allowed) {
             return Some(Ineligible::Region);
         }
+        if !self.evacuations.may_be_used(now) {
+            return Some(Ineligible::EvacuationsUnknown);
+        }
         if self.evacuations.is_evacuated(&entry.data_centre) {
             return Some(Ineligible::Evacuated);
         }
@@ -132,7 +137,12 @@
         let pauses = endpoints.filter_map(|(_, ineligible)| match ineligible {
             None => Some(None),
             Some(Ineligible::Paused { left_ms }) => Some(Some(left_ms)),
-            Some(Ineligible::NotAccepting | Ineligible::Region | Ineligible::Evacuated) => None,
+            Some(
+                Ineligible::NotAccepting
+                | Ineligible::Region
+                | Ineligible::EvacuationsUnknown
+                | Ineligible::Evacuated,
+            ) => None,
         });
         // `None` orders before any pause.
         pauses.min().flatten()
@@ -149,6 +159,7 @@
             reason = match ineligible {
                 // It failed the request before.
                 None => return "no-endpoint",
+                Some(Ineligible::EvacuationsUnknown) => "evacuations-unknown",
                 Some(Ineligible::Evacuated) => "evacuated",
                 Some(Ineligible::Region) if reason == "no-endpoint" => "region",
                 Some(Ineligible::Region | Ineligible::Paused { .. } | Ineligible::NotAccepting) => {
--- a/crates/curranttrestle/src/coordination/gateway/evacuation.rs
+++ b/crates/curranttrestle/src/coordination/gateway/evacuation.rs
@@ -38,6 +38,9 @@
     pub watch_lag_ms: u64,
     /// Time for the announcement of a watch's response.
     pub announcement_ms: u64,
+    /// The store counts as unavailable for this long after a list failed: longer than the timeout of the
+    /// next list and the backoff before it, in the largest fleet.
+    pub unavailable_ms: u64,
 }
 
 impl Default for EvacuationOptions {
@@ -49,6 +52,7 @@
             age_range_ms: 300,
             watch_lag_ms: 1_000,
             announcement_ms: 300,
+            unavailable_ms: 3_000,
         }
     }
 }
@@ -158,6 +162,8 @@
     /// All evacuations that the store acknowledged until then are in the state, by the steady clock.
     proved_ms: u64,
     announcements_left: u32,
+    /// When a list last failed, by the steady clock.
+    failed_ms: Option<u64>,
 }
 
 impl Evacuations {
@@ -210,6 +216,30 @@
         Some(now.since_ms(self.proved_ms))
     }
 
+    /// Whether requests may be sent by what is known. Knowledge that is too old for the bound counts only
+    /// while the store is unavailable: a process that was suspended must read first.
+    #[must_use]
+    pub fn may_be_used(&self, now: Now) -> bool {
+        let Some(options) = self.options else {
+            return true;
+        };
+        let max_age_ms = options.bound_ms.saturating_sub(options.margin_ms);
+        let is_unavailable = || {
+            self.failed_ms
+                .is_some_and(|failed_ms| now.since_ms(failed_ms) < options.unavailable_ms)
+        };
+        self.age_ms(now)
+            .is_some_and(|age_ms| age_ms < max_age_ms || is_unavailable())
+    }
+
+    /// Records that a list failed that was sent at `sent_ms` with this timeout. If it ended much later
+    /// than at its timeout, the process did not run and the failure says nothing about the store.
+    pub fn record_failed_list(&mut self, sent_ms: u64, timeout_ms: u64, now: Now) {
+        if now.since_ms(sent_ms) <= 2 * timeout_ms {
+            self.failed_ms = Some(now.steady_ms);
+        }
+    }
+
     /// Applies what this gateway read from the store, which tells all that was acknowledged until
     /// `proved_ms`. It is announced to the peers.
     pub fn record_read(&mut self, state: EvacuationState, proved_ms: u64) -> Vec<EvacuationChange> {
--- a/crates/curranttrestle/tests/gateway/eligibility.rs
+++ b/crates/curranttrestle/tests/gateway/eligibility.rs
@@ -43,6 +43,11 @@
         entry
     });
     control.directory.replace(entries.collect(), at(0));
+    let none = EvacuationState {
+        revision: 1,
+        ..EvacuationState::default()
+    };
+    control.evacuations.record_read(none, at(0).steady_ms);
     control
 }
 
--- a/crates/curranttrestle/tests/gateway/evacuation.rs
+++ b/crates/curranttrestle/tests/gateway/evacuation.rs
@@ -112,6 +112,29 @@
     assert_eq!(evacuations.next_announcement(at(900)), None);
 }
 
+/// The last known state holds while the store is unavailable, but not at a process that was suspended
+/// and has not tried to read since.
+#[test]
+fn old_knowledge_is_used_only_while_lists_fail() {
+    let mut evacuations = evacuations();
+    assert!(!evacuations.may_be_used(at(0)));
+    evacuations.record_read(state(7, &["a"]), at(0).steady_ms);
+    assert!(evacuations.may_be_used(at(4_499)));
+    assert!(!evacuations.may_be_used(at(4_500)));
+    // Lists were sent at 3,600 and then after each failure; the last one ended at 20,400.
+    for sent_ms in (3_600..20_000).step_by(800) {
+        evacuations.record_failed_list(at(sent_ms).steady_ms, 700, at(sent_ms + 700));
+        assert!(evacuations.may_be_used(at(sent_ms + 700)));
+        assert!(evacuations.may_be_used(at(sent_ms + 2_900)));
+    }
+    // Suspended from then on, with a list under way, which fails at once.
+    evacuations.record_failed_list(at(20_400).steady_ms, 700, at(30_000));
+    assert!(!evacuations.may_be_used(at(30_000)));
+    evacuations.record_read(state(8, &[]), at(30_001).steady_ms);
+    assert!(evacuations.may_be_used(at(30_002)));
+    assert!(Evacuations::new(None).may_be_used(at(60_000)));
+}
+
 #[test]
 fn watch_proves_less_than_it_waited() {
     let options = EvacuationOptions::default();
