Read the evacuations after the directory

A gateway that starts during an evacuation could list the evacuations before the directory, for example if that has several pages, and logged the name of a data centre as unknown. It now waits for the directory, which it needs before it is ready anyway. The new test, with a directory that answers 300 ms late, fails without the change and passes with it, in one run each. Five restarts without the delay did not show the fault.

--- a/crates/curranttrestle-gateway/src/store/evacuations.rs
+++ b/crates/curranttrestle-gateway/src/store/evacuations.rs
@@ -24,6 +24,10 @@
     platform: Rc<P>,
     options: EvacuationOptions,
 ) {
+    // Without the directory, the names of other data centres would be logged as unknown.
+    while !gateway.control.borrow().directory.is_loaded() {
+        sleep_ms(CHECK_INTERVAL_MS).await;
+    }
     let mut health = StoreHealth::new("store-evacuations");
     let mut must_list = false;
     let mut max_age_ms = random_max_age_ms(options);
