--- a/crates/curranttrestle-gateway/src/store/evacuations.rs
+++ b/crates/curranttrestle-gateway/src/store/evacuations.rs
@@ -24,6 +24,10 @@
     platform: Rc<P>,
     options: EvacuationOptions,
 ) {
+    // Without the directory, the names of other data centres would be logged as unknown.
+    while !gateway.control.borrow().directory.is_loaded() {
+        sleep_ms(CHECK_INTERVAL_MS).await;
+    }
     let mut health = StoreHealth::new("store-evacuations");
     let mut must_list = false;
     let mut max_age_ms = random_max_age_ms(options);
@@ -101,7 +105,13 @@
     let state = match platform.list_evacuations(timeout_ms).await {
         // The store does not have evacuations.
         Err(PlatformError::NotFound) => EvacuationState::default(),
-        listed => listed?,
+        Ok(state) => state,
+        Err(error) => {
+            let mut control = gateway.control.borrow_mut();
+            let evacuations = &mut control.evacuations;
+            evacuations.record_failed_list(sent.steady_ms, timeout_ms, clock::now());
+            return Err(error);
+        }
     };
     record_call(gateway, "evacuations-list", sent);
     apply(gateway, state, sent.steady_ms, "list");
