Bound what responses and sockets hold while nobody reads them

Cause: the HTTP library doubled the read buffer of an endpoint connection up to 417,792 bytes while its client did not read, and copied bodies and responses into its write buffer. A response that had been collected counted as nothing. The operating system enlarged receive buffers while the gateway did not read.

Change: an endpoint connection reads at most 16 KB at a time, so that its buffer stays small, and bodies and responses are sent without a copy. A collected response is held in segments that draw on the account and are released as they are sent; a stream draws 128 KB once it arrives in parts of 8 KB or more. While there is no memory the endpoint has to wait, since a request that ran is not refused. Where the memory is known, receive buffers have 1/4096 of it, from 16 to 64 KB, as have the send buffers of clients. A request draws 16 KB and one such buffer.

Ruled out: a smaller maximum for the read buffer, which would also refuse response heads that are allowed today.

--- a/crates/curranttrestle-gateway/src/front/body.rs
+++ b/crates/curranttrestle-gateway/src/front/body.rs
@@ -1,6 +1,7 @@
 //! Reads the bodies of requests.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -328,6 +329,18 @@
         self.capacity_bytes += bytes;
     }
 
+    /// The length of the body so far.
+    #[must_use]
+    pub fn length_bytes(&self) -> usize {
+        self.length_bytes
+    }
+
+    /// Returns the segments.
+    #[must_use]
+    pub fn into_segments(self) -> VecDeque<Bytes> {
+        self.segments.into_iter().map(BytesMut::freeze).collect()
+    }
+
     /// Returns the body in one piece.
     #[must_use]
     pub fn into_bytes(mut self) -> Bytes {
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -12,10 +12,16 @@
 use super::attempt::{self, ResponseHead};
 use super::events::{EventSplitter, Events};
 use super::exchange::Exchange;
+use super::held::{HeldMemory, MEMORY_WAIT_MS};
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
 use crate::clock;
-use crate::timer::with_timeout;
+use crate::memory::MemoryKind;
+use crate::timer::{sleep_ms, with_timeout};
+
+/// A part of a stream of this size has waited for the client to read, or belongs to a stream that
+/// fills the buffers anyway. Events of ordinary streams are much smaller.
+const BACKLOG_PART_BYTES: usize = 8_192;
 
 /// A stream that is being forwarded to the client.
 pub struct EventStream {
@@ -32,6 +38,8 @@
     /// The predicted time to the first event of the current attempt.
     predicted_ms: f64,
     record: RequestRecord,
+    /// Memory of a stream that arrives faster than the client reads it.
+    backlog: Option<HeldMemory>,
     is_done: bool,
 }
 
@@ -62,6 +70,7 @@
             idle_since_ms: clock::now().steady_ms,
             predicted_ms,
             record,
+            backlog: None,
             is_done: false,
         }
     }
@@ -81,7 +90,13 @@
             return None;
         }
         loop {
-            let failed = match self.receive().await {
+            let received = self.receive().await;
+            if let ReceiveResult::Data(bytes) = &received
+                && bytes.len() >= BACKLOG_PART_BYTES
+            {
+                self.hold_backlog().await;
+            }
+            let failed = match received {
                 ReceiveResult::Data(bytes) => match self.splitter.push(bytes) {
                     Some(events) if events.bytes.is_empty() => continue,
                     Some(events) => match self.filter_events(events) {
@@ -134,6 +149,18 @@
         }
     }
 
+    /// Takes memory for the buffers of the stream. While there is none, the endpoint has to wait.
+    async fn hold_backlog(&mut self) {
+        let gateway = &self.exchange.gateway;
+        let bytes = gateway.settings.memory.stream_backlog_bytes;
+        while self.backlog.is_none() && self.exchange.remaining_ms(clock::now()) > 0 {
+            self.backlog = HeldMemory::try_take(gateway, MemoryKind::Responses, bytes);
+            if self.backlog.is_none() {
+                sleep_ms(MEMORY_WAIT_MS).await;
+            }
+        }
+    }
+
     /// Whether the stream may move to another endpoint now. If so, takes a retry from the
     /// budget.
     fn try_move(&self) -> bool {
--- a/crates/curranttrestle-gateway/src/front/held.rs
+++ b/crates/curranttrestle-gateway/src/front/held.rs
@@ -6,6 +6,9 @@
 use crate::gateway::Gateway;
 use crate::memory::{Growth, MemoryKind};
 
+/// How long a response waits before it asks for memory again.
+pub const MEMORY_WAIT_MS: u64 = 20;
+
 /// Memory that is released on drop.
 #[derive(Debug)]
 pub struct HeldMemory {
@@ -39,6 +42,16 @@
         }
     }
 
+    /// Releases a part.
+    pub fn shrink(&mut self, bytes: usize) {
+        let released = bytes.min(self.bytes);
+        self.bytes -= released;
+        self.gateway
+            .memory
+            .borrow_mut()
+            .release(self.kind, released);
+    }
+
     /// Takes more; false if the budget is used up.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -11,6 +11,7 @@
 pub mod record;
 pub mod request;
 pub mod response;
+pub mod response_body;
 pub mod status;
 
 use std::cell::Cell;
@@ -113,6 +114,8 @@
             .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
             .max_buf_size(MAX_BUFFER_BYTES)
             .auto_date_header(false)
+            // Otherwise the library copies a response before it sends it.
+            .writev(true)
             .serve_connection(FuturesIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let close_receiver = self.close_receiver.clone();
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -8,7 +8,6 @@
 use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{RequestHints, Route};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
@@ -22,10 +21,11 @@
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::held::HeldMemory;
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
-use super::response::{ClientResponse, LocalResponse, ResponseBody, full_body};
+use super::response::{ClientResponse, LocalResponse, ResponseBody};
+use super::response_body::collect_response;
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
-use crate::memory::MemoryKind;
+use crate::memory::{MemoryKind, socket_buffer_bytes};
 use crate::timer::with_timeout;
 
 /// Handles a request. Closes the connection afterwards if too many clients are connected or the
@@ -137,7 +137,9 @@
 
 /// Takes the memory of a request apart from its body.
 fn take_request_memory(gateway: &Rc<Gateway>) -> Result<HeldMemory, LocalResponse> {
-    let bytes = gateway.settings.memory.request_bytes;
+    let buffer_bytes = socket_buffer_bytes(gateway.settings.resources.memory_bytes);
+    // Bytes of the body or of the response that are not read yet.
+    let bytes = gateway.settings.memory.request_bytes + buffer_bytes.unwrap_or_default();
     let retry_ms = gateway.settings.traffic.refusal_retry_after_ms;
     HeldMemory::try_take(gateway, MemoryKind::Connections, bytes)
         .ok_or_else(|| LocalResponse::refused("client-memory", retry_ms))
@@ -402,16 +404,10 @@
         guard,
     } = head;
     let remaining_ms = exchange.remaining_ms(clock::now());
-    let max_bytes = exchange
-        .gateway
-        .settings
-        .traffic
-        .max_buffered_response_bytes;
-    let collect = Limited::new(response.into_body(), max_bytes).collect();
+    let collect = collect_response(&exchange.gateway, response.into_body());
     let body = match with_timeout(remaining_ms, collect).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(error)) => {
-            log::debug!("kind=answer-broken error={error:?}");
+        Some(Some(body)) => body,
+        Some(None) => {
             exchange.record_crash(guard.run, clock::now());
             let failure = Failure::possibly_run(FailureKind::ConnectionLost);
             return Forwarded::Failed(failure, Box::new((exchange, record)));
@@ -451,7 +447,7 @@
         if info.is_signed { "signed" } else { "unsigned" },
         now,
     );
-    Forwarded::Sent(with_body(parts, full_body(body)))
+    Forwarded::Sent(with_body(parts, Box::pin(body)))
 }
 
 /// Whether another endpoint could take the request; the retry budget is checked later.
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::state::Now;
+use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Async;
 use thiserror::Error;
@@ -22,14 +23,14 @@
 use crate::front;
 use crate::front::body::ReceivingBodies;
 use crate::log::{EventRateLimiter, LogLines};
-use crate::memory::{Budget, ClientMemory};
+use crate::memory::{Budget, ClientMemory, socket_buffer_bytes};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
 use crate::store;
 use crate::strain::StrainMonitor;
 use crate::timer::sleep_ms;
-use crate::upstream::{HttpClient, HttpClientOptions, Pool};
+use crate::upstream::{HttpClient, HttpClientOptions, Pool, PoolLimits};
 
 /// Interval for checking signals and timers and for sending to peers.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -291,11 +292,16 @@
 ) -> Result<(), StartError> {
     let flags = SignalFlags::register()?;
     let executors = Executors::default();
+    let receive_buffer_bytes = socket_buffer_bytes(settings.resources.memory_bytes);
     let max_idle = settings
         .resources
         .descriptors
         .map(|descriptors| max_idle_by_descriptors(descriptors, &settings.connections));
-    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, max_idle);
+    let limits = PoolLimits {
+        max_idle,
+        receive_buffer_bytes,
+    };
+    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, limits);
     let pool = Rc::new(pool);
     let client_options = HttpClientOptions {
         connect_timeout_ms: settings.store.timeout_ms,
@@ -365,8 +371,17 @@
                 .map_err(|source| StartError::Listen { address, source })
         };
         let peers = settings.peers;
+        let clients = listen(settings.client_listen)?;
+        if let Some(bytes) = socket_buffer_bytes(settings.resources.memory_bytes) {
+            // Accepted sockets inherit the sizes.
+            let receive = sockopt::set_socket_recv_buffer_size(&clients, bytes);
+            let send = sockopt::set_socket_send_buffer_size(&clients, bytes);
+            if let Err(error) = receive.and(send) {
+                log::warn!("kind=socket-option-failed error={:?}", error.to_string());
+            }
+        }
         Ok(Self {
-            clients: listen(settings.client_listen)?,
+            clients,
             readiness: listen(settings.readiness)?,
             metrics: settings.metrics.map(listen).transpose()?,
             peers: Async::<UdpSocket>::bind(peers).map_err(|source| StartError::Listen {
--- a/crates/curranttrestle-gateway/src/memory.rs
+++ b/crates/curranttrestle-gateway/src/memory.rs
@@ -110,6 +110,21 @@
     }
 }
 
+/// The size of a socket buffer of an instance; `None` if the memory is unknown, so that the operating
+/// system chooses it. Received bytes that are not read yet count toward the memory.
+///
+/// ```
+/// use curranttrestle_gateway::memory::socket_buffer_bytes;
+/// assert_eq!(socket_buffer_bytes(None), None);
+/// assert_eq!(socket_buffer_bytes(Some(88 << 20)), Some(22 << 10));
+/// assert_eq!(socket_buffer_bytes(Some(512 << 20)), Some(64 << 10));
+/// ```
+#[must_use]
+pub fn socket_buffer_bytes(memory_bytes: Option<u64>) -> Option<usize> {
+    let share = usize::try_from(memory_bytes? / 4_096).unwrap_or(usize::MAX);
+    Some(share.clamp(16_384, 65_536))
+}
+
 /// A body that is being received.
 #[derive(Clone, Copy, Debug)]
 struct Receiving {
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -107,8 +107,11 @@
     pub min_config_bytes: usize,
     /// Memory of a client connection without a request. An unfinished head is what needs most.
     pub connection_bytes: usize,
-    /// Additional memory of a request in progress, with its connection to an endpoint.
+    /// Additional memory of a request in progress, with its connection to an endpoint and apart from
+    /// a socket buffer.
     pub request_bytes: usize,
+    /// Additional memory of a stream that arrives faster than its client reads it.
+    pub stream_backlog_bytes: usize,
     /// A body up to this size may use the part of the budget that is kept for small bodies.
     pub small_body_bytes: usize,
     /// When memory is needed, bodies that arrive more slowly are refused first.
@@ -125,7 +128,8 @@
             min_process_bytes: 12_582_912,
             min_config_bytes: 6_291_456,
             connection_bytes: 32_768,
-            request_bytes: 49_152,
+            request_bytes: 16_384,
+            stream_backlog_bytes: 131_072,
             small_body_bytes: 16_384,
             min_body_bytes_per_s: 65_536,
             rate_grace_ms: 1_000,
--- a/crates/curranttrestle-gateway/src/upstream/client.rs
+++ b/crates/curranttrestle-gateway/src/upstream/client.rs
@@ -9,7 +9,7 @@
 use smol::LocalExecutor;
 use thiserror::Error;
 
-use super::connection::{ConnectError, Connection, SendError};
+use super::connection::{ConnectError, Connection, SendError, SocketOptions};
 use crate::timer::with_timeout;
 
 /// Maximum size of a response.
@@ -72,12 +72,11 @@
             tcp_user_timeout_ms,
         } = self.options;
         let exchange = async {
-            let opening = Connection::open(
-                &self.executor,
-                address,
-                connect_timeout_ms,
+            let options = SocketOptions {
                 tcp_user_timeout_ms,
-            );
+                receive_buffer_bytes: None,
+            };
+            let opening = Connection::open(&self.executor, address, connect_timeout_ms, options);
             let mut connection = opening.await?;
             let response = connection.send(request).await?;
             let status = response.status().as_u16();
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response};
+use rustix::net::sockopt;
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
@@ -43,6 +44,15 @@
     ConnectionFailed(hyper::Error),
 }
 
+/// Options of the socket of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SocketOptions {
+    /// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
+    pub tcp_user_timeout_ms: u32,
+    /// Size of the receive buffer; `None` leaves it to the operating system.
+    pub receive_buffer_bytes: Option<usize>,
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -68,19 +78,24 @@
         executor: &Rc<LocalExecutor<'static>>,
         address: SocketAddr,
         timeout_ms: u64,
-        tcp_user_timeout_ms: u32,
+        options: SocketOptions,
     ) -> Result<Self, ConnectError> {
         let connected = with_timeout(timeout_ms, TcpStream::connect(address)).await;
         let stream = connected.ok_or(ConnectError::Timeout(timeout_ms))??;
         stream.set_nodelay(true)?;
         // Without this timeout, a peer that vanished would hold the connection forever.
-        if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(&stream, tcp_user_timeout_ms)
-        {
+        let set_timeout = sockopt::set_tcp_user_timeout(&stream, options.tcp_user_timeout_ms);
+        let set_buffer = options.receive_buffer_bytes.map_or(Ok(()), |bytes| {
+            sockopt::set_socket_recv_buffer_size(&stream, bytes)
+        });
+        if let Err(error) = set_timeout.and(set_buffer) {
             log::debug!("kind=socket-option-failed address={address} error={error:?}");
         }
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
+            // Otherwise the library copies a body before it sends it.
+            .writev(true)
             .handshake(FuturesIo::new(stream))
             .await?;
         let driver = executor.spawn(async move {
--- a/crates/curranttrestle-gateway/src/upstream/head_limit.rs
+++ b/crates/curranttrestle-gateway/src/upstream/head_limit.rs
@@ -1,4 +1,5 @@
-//! Limits the bytes that a peer may send before the head of a response is complete.
+//! Limits the bytes that a peer may send before the head of a response is complete, and those of one
+//! read.
 
 use std::cell::Cell;
 use std::io;
@@ -12,6 +13,10 @@
 /// Maximum bytes before the end of a response head, including interim responses.
 const MAX_HEAD_BYTES: usize = 65_536;
 
+/// Maximum bytes of one read. The HTTP library doubles its buffer after each read that fills it, up to
+/// 417,792 bytes, which a connection would hold while its client does not read.
+const MAX_READ_BYTES: usize = 16_384;
+
 /// The bytes that may still be received before the head of the response is complete; `None` while
 /// no head is expected.
 #[derive(Clone, Debug, Default)]
@@ -58,7 +63,8 @@
             let error = io::Error::new(io::ErrorKind::InvalidData, "the response head is too long");
             return Poll::Ready(Err(error));
         }
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let length = buffer.len().min(MAX_READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
         if let (Some(left_bytes), Poll::Ready(Ok(length))) = (left_bytes, &read) {
             self.limit.0.set(Some(left_bytes.saturating_sub(*length)));
         }
@@ -75,6 +81,14 @@
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
--- a/crates/curranttrestle-gateway/src/upstream/mod.rs
+++ b/crates/curranttrestle-gateway/src/upstream/mod.rs
@@ -7,4 +7,4 @@
 
 pub use client::{CallError, HttpClient, HttpClientOptions};
 pub use connection::{ConnectError, Connection};
-pub use pool::Pool;
+pub use pool::{Pool, PoolLimits};
--- a/crates/curranttrestle-gateway/src/upstream/pool.rs
+++ b/crates/curranttrestle-gateway/src/upstream/pool.rs
@@ -7,33 +7,40 @@
 use indexmap::IndexMap;
 use smol::LocalExecutor;
 
-use super::connection::{ConnectError, Connection};
+use super::connection::{ConnectError, Connection, SocketOptions};
 use crate::clock;
 use crate::settings::TrafficOptions;
 
+/// Limits that follow from what the instance has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// The most idle connections of all addresses together; `None` if they are not limited.
+    pub max_idle: Option<usize>,
+    /// Size of the receive buffers; `None` leaves it to the operating system.
+    pub receive_buffer_bytes: Option<usize>,
+}
+
 /// Idle connections by address.
 #[derive(Debug)]
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     options: TrafficOptions,
-    /// The most idle connections of all addresses together, if they are limited.
-    max_idle: Option<usize>,
+    limits: PoolLimits,
     idle: RefCell<IndexMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Pool {
-    /// Creates an empty pool whose connections run on `executor`. It keeps at most `max_idle` idle
-    /// ones.
+    /// Creates an empty pool whose connections run on `executor`.
     #[must_use]
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         options: TrafficOptions,
-        max_idle: Option<usize>,
+        limits: PoolLimits,
     ) -> Self {
         Self {
             executor,
             options,
-            max_idle,
+            limits,
             idle: RefCell::default(),
         }
     }
@@ -68,14 +75,20 @@
         address: SocketAddr,
         timeout_ms: u64,
     ) -> Result<Connection, ConnectError> {
-        let tcp_user_timeout_ms = self.options.tcp_user_timeout_ms;
-        Connection::open(&self.executor, address, timeout_ms, tcp_user_timeout_ms).await
+        let options = SocketOptions {
+            tcp_user_timeout_ms: self.options.tcp_user_timeout_ms,
+            receive_buffer_bytes: self.limits.receive_buffer_bytes,
+        };
+        Connection::open(&self.executor, address, timeout_ms, options).await
     }
 
     /// Keeps a connection whose response was read completely, at most `max_idle` per address. Drops
     /// the least recently used one when there are more, and this one when the pool is full.
     pub fn put_back(&self, mut connection: Connection, max_idle: usize) {
-        let is_full = self.max_idle.is_some_and(|max| self.idle_count() >= max);
+        let is_full = self
+            .limits
+            .max_idle
+            .is_some_and(|max| self.idle_count() >= max);
         if connection.will_close() || max_idle == 0 || is_full {
             return;
         }
