Report the limits on clients, and measure the process for the budget

Cause: nothing showed what clients hold, which limit took effect or how often. The budget assumed 12 MB for the process itself, which is too little for an instance with a large configuration and many endpoints.

Change: gauges of the bytes held by kind, the budget, the bodies in progress and the connections; a counter of connections closed to make room, by reason; one log line a second (client-limit-reached) while a limit takes effect. Refusals are counted by reason as before. The resident memory less the account is measured every 5 s. The smallest figure of 5 to 10 minutes sets the budget, since a momentary one includes freed memory that the allocator keeps.

--- a/crates/curranttrestle-gateway/src/front/body.rs
+++ b/crates/curranttrestle-gateway/src/front/body.rs
@@ -187,7 +187,7 @@
             let Growth::Granted(evicted) = growth else {
                 return false;
             };
-            receiving.evict(&evicted);
+            self.gateway.evict_bodies(&evicted);
             if let Some(body) = receiving.0.borrow_mut().get_mut(&self.id) {
                 body.buffer.add_segment(segment_bytes);
             }
--- a/crates/curranttrestle-gateway/src/front/connection.rs
+++ b/crates/curranttrestle-gateway/src/front/connection.rs
@@ -42,14 +42,19 @@
         match made {
             Ok(None) => {}
             Ok(Some(closed)) => {
+                gateway.count_closed(closed.reason);
                 let waker = self.wakers.0.borrow_mut().swap_remove(&closed.id);
                 if let Some(waker) = waker {
                     waker.wake();
                 }
             }
-            Err(_) => {
-                let slowest = gateway.memory.borrow_mut().evict_slowest(now)?;
-                gateway.receiving.evict(&[slowest]);
+            Err(reason) => {
+                let slowest = gateway.memory.borrow_mut().evict_slowest(now);
+                let Some(slowest) = slowest else {
+                    gateway.count_closed(reason);
+                    return None;
+                };
+                gateway.evict_bodies(&[slowest]);
             }
         }
         let bytes = gateway.settings.memory.connection_bytes;
--- a/crates/curranttrestle-gateway/src/front/held.rs
+++ b/crates/curranttrestle-gateway/src/front/held.rs
@@ -61,7 +61,7 @@
         let Growth::Granted(evicted) = growth else {
             return false;
         };
-        self.gateway.receiving.evict(&evicted);
+        self.gateway.evict_bodies(&evicted);
         self.bytes += bytes;
         true
     }
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -89,8 +89,9 @@
     set("open_requests", count(gateway.open_requests.get()));
     set("attempts_in_flight", count(control.load.in_flight()));
     set("idle_connections", count(gateway.pool.idle_count()));
-    let memory = gateway.memory.borrow();
-    set("body_bytes", count(memory.held_bytes(MemoryKind::Bodies)));
+    let body_bytes = gateway.memory.borrow().held_bytes(MemoryKind::Bodies);
+    set("body_bytes", count(body_bytes));
+    gateway.set_client_gauges(|name, value| set(name, count(value)));
     set("endpoints", count(control.directory.all_entries().count()));
     set("paused_endpoints", count(control.pauses.count(now)));
     set("gateways", count(control.fleet_size()));
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -16,8 +16,9 @@
 use smol::Async;
 use thiserror::Error;
 
+use crate::client_limits::ClientLimits;
 use crate::clock;
-use crate::connections::{ConnectionLimit, max_by_descriptors, max_idle_by_descriptors};
+use crate::connections::{ConnectionLimit, max_idle_by_descriptors};
 use crate::edge::{Dialect, Platform};
 use crate::executor::Executors;
 use crate::front;
@@ -119,6 +120,8 @@
     pub receiving: ReceivingBodies,
     /// The client connections.
     pub connections: RefCell<ConnectionLimit>,
+    /// State of the limits on clients.
+    pub client_limits: ClientLimits,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
@@ -176,20 +179,8 @@
         self.control.borrow_mut().apply_directory_changes(changes);
     }
 
-    /// Derives the limit on client connections from the memory and the descriptors.
-    fn update_client_limits(&self) {
-        let settings = &self.settings;
-        let budget = self.memory.borrow().budget();
-        let by_memory = budget.max_connections(settings.memory.connection_bytes);
-        let by_descriptors = settings
-            .resources
-            .descriptors
-            .map(|descriptors| max_by_descriptors(descriptors, &settings.connections));
-        let max = by_memory.into_iter().chain(by_descriptors).min();
-        self.connections.borrow_mut().set_max(max);
-    }
-
     fn tick(&self, now: Now) {
+        self.update_client_limits(now);
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.control.borrow_mut().pauses.remove_ended(now);
@@ -328,6 +319,7 @@
             settings.memory,
         )),
         receiving: ReceivingBodies::default(),
+        client_limits: ClientLimits::default(),
         connections: RefCell::new(ConnectionLimit::new(None, settings.connections)),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
@@ -337,7 +329,7 @@
         executors: executors.clone(),
         settings,
     });
-    gateway.update_client_limits();
+    gateway.update_connection_limit();
     // The gateways share the retry budgets. Assume twice as many as seeds; reports from peers can
     // only raise this number.
     let assumed_size = 2 * gateway.settings.seeds.len();
--- a/crates/curranttrestle-gateway/src/memory.rs
+++ b/crates/curranttrestle-gateway/src/memory.rs
@@ -94,6 +94,13 @@
         Self::Total(available - slack)
     }
 
+    /// The limit.
+    #[must_use]
+    pub fn bytes(self) -> usize {
+        let (Self::Bodies(bytes) | Self::Total(bytes)) = self;
+        bytes
+    }
+
     /// The bytes that connections without a request may use, all together.
     fn connection_bytes(self) -> Option<usize> {
         match self {
@@ -252,7 +259,7 @@
         let Some(body) = self.receiving.get(&id) else {
             return Growth::Refused;
         };
-        let (Budget::Bodies(limit) | Budget::Total(limit)) = self.budget;
+        let limit = self.budget.bytes();
         let is_small = body.held_bytes + bytes <= self.options.small_body_bytes;
         let limit = if is_small { limit } else { limit - limit / 8 };
         let Some(evicted) = self.make_room(Some(id), bytes, limit, now) else {
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub directory_changes: IntCounterVec,
     /// Messages from peers by kind, and messages that could not be read or sent.
     pub peer_reports: IntCounterVec,
+    /// Client connections closed to make room, by reason.
+    pub closed_connections: IntCounterVec,
     /// Bytes of messages to and from peers by direction and kind.
     pub peer_bytes: IntCounterVec,
     /// Current values by name.
@@ -85,6 +87,11 @@
                 "Messages from peers by kind, and messages that could not be read or sent",
                 &["outcome"],
             )?,
+            closed_connections: counter(
+                "client_connections_closed_total",
+                "Client connections closed to make room, by reason",
+                &["reason"],
+            )?,
             peer_bytes: counter(
                 "peer_bytes_total",
                 "Bytes of messages to and from peers by direction and kind",
@@ -101,6 +108,7 @@
         registry.register(Box::new(metrics.store_failures.clone()))?;
         registry.register(Box::new(metrics.directory_changes.clone()))?;
         registry.register(Box::new(metrics.peer_reports.clone()))?;
+        registry.register(Box::new(metrics.closed_connections.clone()))?;
         registry.register(Box::new(metrics.peer_bytes.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         registry.register(Box::new(metrics.times.clone()))?;
