Leave a budget for clients on very small instances

Cause: below 24 MB, the reserves for the process and the next configuration left a budget of zero, so that every request with a body was refused. Where the memory is unknown, large bodies had seven eighths of the fixed limit.

Change: the budget is at least an eighth of the memory and 2 MB. The part for small bodies is only kept where the memory is known.

--- a/crates/curranttrestle-gateway/src/memory.rs
+++ b/crates/curranttrestle-gateway/src/memory.rs
@@ -72,6 +72,7 @@
     /// // A larger process leaves less for clients, but at least a part.
     /// assert_eq!(budget(Some(96 << 20), 16 << 20), Budget::Total(51 << 20));
     /// assert_eq!(budget(Some(96 << 20), 90 << 20), budget(Some(96 << 20), 48 << 20));
+    /// assert_eq!(budget(Some(8 << 20), 0), Budget::Total(memory.min_budget_bytes));
     /// ```
     #[must_use]
     pub fn of(
@@ -91,7 +92,9 @@
         let available = memory_bytes.saturating_sub(process_bytes + config_bytes);
         // The allocator does not return all freed memory, and buffers are larger than their content.
         let slack = available / 4;
-        Self::Total(available - slack)
+        // The reserves must not leave nothing on an instance that is too small for them.
+        let min_bytes = options.min_budget_bytes.max(memory_bytes / 8);
+        Self::Total((available - slack).max(min_bytes))
     }
 
     /// The limit.
@@ -261,7 +264,10 @@
         };
         let limit = self.budget.bytes();
         let is_small = body.held_bytes + bytes <= self.options.small_body_bytes;
-        let limit = if is_small { limit } else { limit - limit / 8 };
+        let limit = match self.budget {
+            Budget::Total(_) if !is_small => limit - limit / 8,
+            Budget::Total(_) | Budget::Bodies(_) => limit,
+        };
         let Some(evicted) = self.make_room(Some(id), bytes, limit, now) else {
             return Growth::Refused;
         };
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -105,6 +105,8 @@
     /// Kept for reading the next configuration while the present one is in use; an eighth of the
     /// memory if that is more.
     pub min_config_bytes: usize,
+    /// The smallest budget for clients, however small the memory of the instance is.
+    pub min_budget_bytes: usize,
     /// Memory of a client connection without a request. An unfinished head is what needs most.
     pub connection_bytes: usize,
     /// Additional memory of a request in progress, with its connection to an endpoint and apart from
@@ -127,6 +129,7 @@
         Self {
             min_process_bytes: 12_582_912,
             min_config_bytes: 6_291_456,
+            min_budget_bytes: 2_097_152,
             connection_bytes: 32_768,
             request_bytes: 16_384,
             stream_backlog_bytes: 131_072,
