--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -13,25 +13,27 @@
 use curranttrestle::coordination::gateway::load_shedding::LoadShedder;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::state::Now;
+use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Async;
 use thiserror::Error;
 
+use crate::client_limits::ClientLimits;
 use crate::clock;
-use crate::connections::{ConnectionLimit, max_by_descriptors, max_idle_by_descriptors};
+use crate::connections::{ConnectionLimit, max_idle_by_descriptors};
 use crate::edge::{Dialect, Platform};
 use crate::executor::Executors;
 use crate::front;
 use crate::front::body::ReceivingBodies;
 use crate::log::{EventRateLimiter, LogLines};
-use crate::memory::{Budget, ClientMemory};
+use crate::memory::{Budget, ClientMemory, socket_buffer_bytes};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
 use crate::store;
 use crate::strain::{StrainMonitor, measure_own_delay};
 use crate::timer::sleep_ms;
-use crate::upstream::{HttpClient, HttpClientOptions, Pool};
+use crate::upstream::{HttpClient, HttpClientOptions, Pool, PoolLimits};
 
 /// Interval for checking signals and timers and for sending to peers.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -120,6 +122,8 @@
     pub receiving: ReceivingBodies,
     /// The client connections.
     pub connections: RefCell<ConnectionLimit>,
+    /// State of the limits on clients.
+    pub client_limits: ClientLimits,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
@@ -212,20 +216,8 @@
         }
     }
 
-    /// Derives the limit on client connections from the memory and the descriptors.
-    fn update_client_limits(&self) {
-        let settings = &self.settings;
-        let budget = self.memory.borrow().budget();
-        let by_memory = budget.max_connections(settings.memory.connection_bytes);
-        let by_descriptors = settings
-            .resources
-            .descriptors
-            .map(|descriptors| max_by_descriptors(descriptors, &settings.connections));
-        let max = by_memory.into_iter().chain(by_descriptors).min();
-        self.connections.borrow_mut().set_max(max);
-    }
-
     fn tick(&self, now: Now) {
+        self.update_client_limits(now);
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.control.borrow_mut().pauses.remove_ended(now);
@@ -323,11 +315,16 @@
     reload: impl Fn() -> Option<GatewaySettings> + 'static,
 ) -> Result<(), StartError> {
     let executors = Executors::default();
+    let receive_buffer_bytes = socket_buffer_bytes(settings.resources.memory_bytes);
     let max_idle = settings
         .resources
         .descriptors
         .map(|descriptors| max_idle_by_descriptors(descriptors, &settings.connections));
-    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, max_idle);
+    let limits = PoolLimits {
+        max_idle,
+        receive_buffer_bytes,
+    };
+    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, limits);
     let pool = Rc::new(pool);
     let client_options = HttpClientOptions {
         connect_timeout_ms: settings.store.timeout_ms,
@@ -359,6 +356,7 @@
             settings.memory,
         )),
         receiving: ReceivingBodies::default(),
+        client_limits: ClientLimits::default(),
         connections: RefCell::new(ConnectionLimit::new(None, settings.connections)),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
@@ -370,7 +368,7 @@
         executors: executors.clone(),
         settings,
     });
-    gateway.update_client_limits();
+    gateway.update_connection_limit();
     // The gateways share the retry budgets. Assume twice as many as seeds; reports from peers can
     // only raise this number.
     let assumed_size = 2 * gateway.settings.seeds.len();
@@ -403,8 +401,17 @@
             front::listen(address).map_err(|source| StartError::Listen { address, source })
         };
         let peers = settings.peers;
+        let clients = listen(settings.client_listen)?;
+        if let Some(bytes) = socket_buffer_bytes(settings.resources.memory_bytes) {
+            // Accepted sockets inherit the sizes.
+            let receive = sockopt::set_socket_recv_buffer_size(&clients, bytes);
+            let send = sockopt::set_socket_send_buffer_size(&clients, bytes);
+            if let Err(error) = receive.and(send) {
+                log::warn!("kind=socket-option-failed error={:?}", error.to_string());
+            }
+        }
         Ok(Self {
-            clients: listen(settings.client_listen)?,
+            clients,
             readiness: listen(settings.readiness)?,
             metrics: settings.metrics.map(listen).transpose()?,
             peers: Async::<UdpSocket>::bind(peers).map_err(|source| StartError::Listen {
--- a/crates/curranttrestle-gateway/src/memory.rs
+++ b/crates/curranttrestle-gateway/src/memory.rs
@@ -72,6 +72,7 @@
     /// // A larger process leaves less for clients, but at least a part.
     /// assert_eq!(budget(Some(96 << 20), 16 << 20), Budget::Total(51 << 20));
     /// assert_eq!(budget(Some(96 << 20), 90 << 20), budget(Some(96 << 20), 48 << 20));
+    /// assert_eq!(budget(Some(8 << 20), 0), Budget::Total(memory.min_budget_bytes));
     /// ```
     #[must_use]
     pub fn of(
@@ -91,7 +92,16 @@
         let available = memory_bytes.saturating_sub(process_bytes + config_bytes);
         // The allocator does not return all freed memory, and buffers are larger than their content.
         let slack = available / 4;
-        Self::Total(available - slack)
+        // The reserves must not leave nothing on an instance that is too small for them.
+        let min_bytes = options.min_budget_bytes.max(memory_bytes / 8);
+        Self::Total((available - slack).max(min_bytes))
+    }
+
+    /// The limit.
+    #[must_use]
+    pub fn bytes(self) -> usize {
+        let (Self::Bodies(bytes) | Self::Total(bytes)) = self;
+        bytes
     }
 
     /// The bytes that connections without a request may use, all together.
@@ -110,6 +120,21 @@
     }
 }
 
+/// The size of a socket buffer of an instance; `None` if the memory is unknown, so that the operating
+/// system chooses it. Received bytes that are not read yet count toward the memory.
+///
+/// ```
+/// use curranttrestle_gateway::memory::socket_buffer_bytes;
+/// assert_eq!(socket_buffer_bytes(None), None);
+/// assert_eq!(socket_buffer_bytes(Some(88 << 20)), Some(22 << 10));
+/// assert_eq!(socket_buffer_bytes(Some(512 << 20)), Some(64 << 10));
+/// ```
+#[must_use]
+pub fn socket_buffer_bytes(memory_bytes: Option<u64>) -> Option<usize> {
+    let share = usize::try_from(memory_bytes? / 4_096).unwrap_or(usize::MAX);
+    Some(share.clamp(16_384, 65_536))
+}
+
 /// A body that is being received.
 #[derive(Clone, Copy, Debug)]
 struct Receiving {
@@ -237,9 +262,12 @@
         let Some(body) = self.receiving.get(&id) else {
             return Growth::Refused;
         };
-        let (Budget::Bodies(limit) | Budget::Total(limit)) = self.budget;
+        let limit = self.budget.bytes();
         let is_small = body.held_bytes + bytes <= self.options.small_body_bytes;
-        let limit = if is_small { limit } else { limit - limit / 8 };
+        let limit = match self.budget {
+            Budget::Total(_) if !is_small => limit - limit / 8,
+            Budget::Total(_) | Budget::Bodies(_) => limit,
+        };
         let Some(evicted) = self.make_room(Some(id), bytes, limit, now) else {
             return Growth::Refused;
         };
