Limit requests to cold endpoints by a fixed split of their rate

Gateways treated an endpoint that had just started like any other, so the fleet sent it more requests a second than it can take. Messages cannot bound the sum, because gateways may be cut off from each other.

Rendezvous hashing over the run of the endpoint and all gateways that were ever heard of now selects a few gateways. Each of them sends a fixed part of the rate, which does not depend on the size of the fleet. Three groups of gateways that know nothing of each other stay within the bound. A gateway that does not know its peers yet has no part. The directory reports first sights, restarts, removals and written entries, from which the time until an endpoint is warm follows. An endpoint whose connection was lost counts as cold until it answers, writes its entry again or shows that it did not crash. Without the options or a warm-up of the service nothing changes.

Ruled out: a part of the rate for each of the known gateways, since a gateway that knows few would take much; exchange of permits, which fails with the messages.

--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -14,7 +14,7 @@
 use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
-use super::warmup::WarmupOptions;
+use super::warmup::{ColdEndpoints, ENDPOINTS_COLD, WarmupOptions, prefer_warm};
 use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::state::gateway::{ClientLimits, EndpointEntry, RequestHints, Route, ServiceConfig};
@@ -174,6 +174,8 @@
     pub outliers: OutlierDetector,
     /// Endpoints that asked this gateway to send nothing for a time.
     pub pauses: EndpointPauses,
+    /// Endpoints that are cold after a start.
+    pub cold: ColdEndpoints,
     /// Requests that crash endpoints.
     pub quarantine: RequestQuarantine,
     /// Prompt parts that crash engines.
@@ -196,6 +198,7 @@
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
             pauses: EndpointPauses::default(),
+            cold: ColdEndpoints::new(options.warmup),
             quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
@@ -319,9 +322,10 @@
         let Some(choice) = self.choose(request, now) else {
             let pause_ms = self.service_pause_ms(request.service, now);
             #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-            let (reason, retry_after_ms) = match pause_ms {
-                Some(pause_ms) => ("endpoints-paused", pause_ms as f64),
-                None => ("no-endpoint", self.options.no_endpoint_retry_ms),
+            let (reason, retry_after_ms) = match (pause_ms, self.cold_wait_ms(request, now)) {
+                (Some(pause_ms), _) => ("endpoints-paused", pause_ms as f64),
+                (None, Some(wait_ms)) => (ENDPOINTS_COLD, wait_ms as f64),
+                (None, None) => ("no-endpoint", self.options.no_endpoint_retry_ms),
             };
             return Placement::Refuse {
                 reason,
@@ -389,6 +393,7 @@
         };
         self.load.record_start(self.last_attempt, key, sent, now);
         self.outliers.record_attempt(key, now);
+        self.record_cold_placement(request.service, &choice.entry.endpoint, now);
         if !request.hints.prompt_parts.is_empty() {
             let added_tokens = choice.prefill_tokens + request.hints.expected_output_tokens();
             let shared = request.hints.shared_parts();
@@ -403,6 +408,9 @@
 
     /// Records a failed attempt. Returns whether its endpoint is avoided from now on.
     pub fn record_failure(&mut self, endpoint: &EndpointId, kind: FailureKind, now: Now) -> bool {
+        if kind == FailureKind::ConnectionLost {
+            self.cold.record_connection_lost(endpoint, now);
+        }
         self.outliers
             .record_failure(EndpointKey::of(endpoint), kind, now)
     }
@@ -432,13 +440,26 @@
                 .outliers
                 .is_avoided(EndpointKey::of(&entry.endpoint), now)
         };
-        let healthy: Vec<&EndpointEntry> = candidates.iter().copied().filter(is_healthy).collect();
+        let (warm, cold) = self.split_cold(request.service, candidates, now);
+        let healthy_warm: Vec<&EndpointEntry> = warm.iter().copied().filter(is_healthy).collect();
+        let healthy_cold: Vec<&EndpointEntry> = cold.iter().copied().filter(is_healthy).collect();
         // If all endpoints are avoided, use any of them rather than none.
-        let entries = if healthy.is_empty() {
-            candidates
+        let (warm, cold) = if healthy_warm.is_empty() && healthy_cold.is_empty() {
+            (warm, cold)
         } else {
-            healthy
+            (healthy_warm, healthy_cold)
         };
+        let warm = self.choose_among(warm, request, now);
+        let cold = self.choose_among(cold, request, now);
+        prefer_warm(warm, cold)
+    }
+
+    fn choose_among(
+        &self,
+        entries: Vec<&EndpointEntry>,
+        request: PlacementRequest<'_>,
+        now: Now,
+    ) -> Option<Choice> {
         let context = PlacementContext {
             load: &self.load,
             cache: &self.cache,
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -67,6 +67,39 @@
     Restarted(EndpointId),
 }
 
+/// What an entry of the directory says about the start of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SightingKind {
+    /// The endpoint is in the first list that was read, so it may have started long before.
+    FirstList,
+    /// The endpoint was not known before, or its entry returned after it lapsed and does not say
+    /// whether this is the same run.
+    New,
+    /// The endpoint is another run than before.
+    Restarted,
+    /// The entry of a known run was read again. It may be old.
+    Listed,
+    /// A known run wrote its entry again.
+    Written,
+    /// The endpoint was removed.
+    Removed,
+}
+
+/// An endpoint as the directory lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its service.
+    pub service: String,
+    /// Its run.
+    pub run: EndpointRun,
+    /// How long it stayed cold from the writing of the entry on.
+    pub warmup_left_ms: u64,
+    /// What the entry says about its start.
+    pub kind: SightingKind,
+}
+
 #[derive(Clone, Debug)]
 struct EndpointRecord {
     entry: EndpointEntry,
@@ -91,6 +124,10 @@
     /// again.
     leaving_runs: IndexMap<EndpointRun, u32>,
     is_loaded: bool,
+    /// Whether a list is being applied, rather than a change.
+    is_listing: bool,
+    /// What was read since the last call of [`Directory::take_sightings`].
+    sightings: Vec<Sighting>,
 }
 
 impl Directory {
@@ -105,6 +142,8 @@
             responded_ms: None,
             leaving_runs: IndexMap::new(),
             is_loaded: false,
+            is_listing: false,
+            sightings: Vec::new(),
         }
     }
 
@@ -142,12 +181,14 @@
     /// Replaces the directory by the complete list from the store.
     pub fn replace(&mut self, entries: Vec<EndpointEntry>, now: Now) -> Vec<DirectoryChange> {
         self.record_store_success(now);
-        self.is_loaded = true;
         let mut changes = Vec::new();
         let listed: Vec<EndpointId> = entries.iter().map(|entry| entry.endpoint.clone()).collect();
+        self.is_listing = true;
         for entry in entries {
             changes.extend(self.set(entry));
         }
+        self.is_listing = false;
+        self.is_loaded = true;
         let missing: Vec<EndpointId> = self
             .endpoints
             .keys()
@@ -230,6 +271,42 @@
         }
     }
 
+    /// Returns what was read of the endpoints since the last call.
+    pub fn take_sightings(&mut self) -> Vec<Sighting> {
+        std::mem::take(&mut self.sightings)
+    }
+
+    fn add_sighting(&mut self, entry: &EndpointEntry, kind: SightingKind) {
+        self.sightings.push(Sighting {
+            endpoint: entry.endpoint.clone(),
+            service: entry.service.clone(),
+            run: endpoint_run(&entry.endpoint, entry.started_unix_ms),
+            warmup_left_ms: entry.warmup_left_ms,
+            kind,
+        });
+    }
+
+    /// What an entry says about the start of its endpoint.
+    fn sighting_kind(&self, entry: &EndpointEntry) -> SightingKind {
+        let Some(old) = self.endpoints.get(&entry.endpoint) else {
+            return if self.is_loaded {
+                SightingKind::New
+            } else {
+                SightingKind::FirstList
+            };
+        };
+        if old.entry.started_unix_ms != entry.started_unix_ms || old.entry.address != entry.address
+        {
+            SightingKind::Restarted
+        } else if old.is_lapsed && entry.started_unix_ms == 0 {
+            SightingKind::New
+        } else if self.is_listing {
+            SightingKind::Listed
+        } else {
+            SightingKind::Written
+        }
+    }
+
     /// Adds or updates an entry.
     ///
     /// A run that was announced as leaving stays so. Without a start time, runs cannot be told
@@ -237,6 +314,7 @@
     pub fn set(&mut self, mut entry: EndpointEntry) -> Option<DirectoryChange> {
         let endpoint = entry.endpoint.clone();
         let run = endpoint_run(&endpoint, entry.started_unix_ms);
+        self.add_sighting(&entry, self.sighting_kind(&entry));
         if self.leaving_runs.contains_key(&run) {
             // The store's answer may be older than what a peer announced.
             entry.state = EntryState::Leaving;
@@ -285,7 +363,7 @@
             let was_lapsed = std::mem::replace(&mut record.is_lapsed, true);
             return (!was_lapsed).then(|| DirectoryChange::Lapsed(endpoint.clone()));
         }
-        self.endpoints.shift_remove(endpoint);
+        self.remove_record(endpoint);
         Some(DirectoryChange::Removed(endpoint.clone()))
     }
 
@@ -300,11 +378,17 @@
         let lapsed = self.endpoints.iter().filter(|(_, record)| record.is_lapsed);
         let lapsed: Vec<EndpointId> = lapsed.map(|(endpoint, _)| endpoint.clone()).collect();
         for endpoint in &lapsed {
-            self.endpoints.shift_remove(endpoint);
+            self.remove_record(endpoint);
         }
         lapsed.into_iter().map(DirectoryChange::Removed).collect()
     }
 
+    fn remove_record(&mut self, endpoint: &EndpointId) {
+        if let Some(record) = self.endpoints.shift_remove(endpoint) {
+            self.add_sighting(&record.entry, SightingKind::Removed);
+        }
+    }
+
     /// Marks an endpoint as displaced: another endpoint responded at its address.
     pub fn mark_displaced(&mut self, endpoint: &EndpointId) {
         if let Some(record) = self.endpoints.get_mut(endpoint) {
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -127,6 +127,8 @@
     last_report_ms: Option<u64>,
     last_full_ms: Option<u64>,
     next_announced: usize,
+    /// Peers that were added since the last call of [`Peering::take_added`].
+    added: Vec<SocketAddr>,
 }
 
 impl Peering {
@@ -148,6 +150,7 @@
             last_report_ms: None,
             last_full_ms: None,
             next_announced: 0,
+            added: Vec::new(),
         };
         for seed in seeds {
             peering.add(*seed, true, now);
@@ -155,6 +158,18 @@
         peering
     }
 
+    /// The address of this gateway.
+    #[must_use]
+    pub fn own_address(&self) -> SocketAddr {
+        self.own_address
+    }
+
+    /// Returns the peers that were added since the last call, live or not. Peers that were removed
+    /// and added again are among them.
+    pub fn take_added(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.added)
+    }
+
     /// Current interval between two reports to the same peer.
     #[must_use]
     pub fn interval_ms(&self) -> u64 {
@@ -356,13 +371,18 @@
         if address == self.own_address {
             return;
         }
-        self.peers.entry(address).or_insert(Peer {
+        if self.peers.contains_key(&address) {
+            return;
+        }
+        self.added.push(address);
+        let peer = Peer {
             is_seed,
             received_ms: None,
             lost_since_ms: now.steady_ms,
             last_sent_ms: None,
             echo: None,
             data_centre: None,
-        });
+        };
+        self.peers.insert(address, peer);
     }
 }
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -15,3 +15,5 @@
 mod route_table;
 mod shares;
 mod support;
+mod warmup;
+mod warmup_simulation;
