Take a permit for a cold endpoint right before sending

The limit on cold endpoints was not yet asked by the gateway. A request may wait for its connection, so a decision at placement would let requests that waited together arrive together.

The check before a request is written now takes a permit as its last step. A request without one was not run and is placed elsewhere or refused. A permit is returned if a kept connection was closed before sending. Refused and reset connections and data on older connections are reported to the limit. Every address that a gateway hears of is passed on, also when the peer is removed later. Endpoints that become cold or warm are logged and counted, as are requests refused for lack of a permit.

In the simulated fleet all 120 gateways with relays rank the same peers 8.5 s after the start, and 12 gateways with direct reports still rank six that were silent for 70 s.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at an endpoint, from the chosen endpoint to the head of its response.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -76,11 +77,16 @@
     pub endpoint: EndpointId,
     /// The run of the endpoint.
     pub run: EndpointRun,
+    /// When the request got its connection, by the steady clock.
+    connected_ms: Cell<u64>,
+    /// When the request was last allowed to be sent, by the steady clock.
+    allowed_ms: Cell<u64>,
 }
 
 impl AttemptGuard {
-    /// Records the time of the first part of the response.
+    /// Records that a part of the response was received, and the time of the first one.
     pub fn record_first_event(&self, now: Now) {
+        self.record_answer(now);
         let mut control = self.gateway.control.borrow_mut();
         if let Some(elapsed_ms) = control.load.record_first_event(self.number, now) {
             let times = self
@@ -92,6 +98,22 @@
             times.observe(elapsed_ms as f64 / 1_000.0);
         }
     }
+
+    /// Records that the endpoint was running when it sent what was received now.
+    fn record_answer(&self, now: Now) {
+        let mut control = self.gateway.control.borrow_mut();
+        control
+            .cold
+            .record_answer(&self.endpoint, self.connected_ms.get(), now);
+    }
+
+    /// Returns the permit of the request, which was not sent after all.
+    fn return_permit(&self) {
+        let mut control = self.gateway.control.borrow_mut();
+        control
+            .cold
+            .return_permit(&self.endpoint, self.allowed_ms.get());
+    }
 }
 
 impl Drop for AttemptGuard {
@@ -131,15 +153,18 @@
         number,
         endpoint: choice.entry.endpoint.clone(),
         run: endpoint_run(&choice.entry.endpoint, choice.entry.started_unix_ms),
+        connected_ms: Cell::new(u64::MAX),
+        allowed_ms: Cell::new(u64::MAX),
     };
     let run = guard.run;
     let result = match connect(exchange, choice.entry.address).await {
         // The directory and the configuration may have changed while the request waited.
-        Ok(connection) if !exchange.may_send(&guard.endpoint, run, clock::now()) => {
+        Ok(connection) if !may_send_now(exchange, &guard) => {
             exchange.return_connection(connection);
             Err(Failure::not_sent(FailureKind::Withdrawn))
         }
         Ok(connection) => {
+            guard.connected_ms.set(clock::now().steady_ms);
             record_connected(exchange, &guard.endpoint, started, clock::now());
             let request = endpoint_request(exchange, &guard.endpoint, last_event_id);
             let sending = send_for_head(exchange, connection, request, &guard);
@@ -158,6 +183,7 @@
                 "kind=connect-failed endpoint={} error={error}",
                 guard.endpoint
             );
+            record_connect_error(&guard, &error);
             Err(Failure::not_sent(FailureKind::Unreachable))
         }
     };
@@ -195,6 +221,23 @@
     }
 }
 
+/// Whether the request may be sent now. Takes a permit if the endpoint is cold, as the last check.
+fn may_send_now(exchange: &Exchange, guard: &AttemptGuard) -> bool {
+    let now = clock::now();
+    guard.allowed_ms.set(now.steady_ms);
+    exchange.may_send(&guard.endpoint, guard.run, now) && exchange.take_permit(&guard.endpoint, now)
+}
+
+/// Records that no connection to an endpoint could be opened.
+fn record_connect_error(guard: &AttemptGuard, error: &ConnectError) {
+    if error.is_refused() {
+        let mut control = guard.gateway.control.borrow_mut();
+        control
+            .cold
+            .record_connection_lost(&guard.endpoint, clock::now());
+    }
+}
+
 /// Takes a pooled connection or opens a new one.
 async fn connect(exchange: &Exchange, address: SocketAddr) -> Result<Connection, ConnectError> {
     let options = &exchange.gateway.settings.traffic;
@@ -239,14 +282,18 @@
     // The connection was closed before anything was sent; open a new one.
     let address = connection.address();
     drop(connection);
+    guard.return_permit();
     let connect_timeout_ms = exchange.gateway.settings.traffic.connect_timeout_ms;
     let opened = exchange
         .gateway
         .pool
         .open(address, connect_timeout_ms)
         .await;
-    let mut connection = opened.map_err(|_error| Failure::not_sent(FailureKind::Unreachable))?;
-    if !exchange.may_send(&guard.endpoint, guard.run, clock::now()) {
+    let mut connection = opened.map_err(|error| {
+        record_connect_error(guard, &error);
+        Failure::not_sent(FailureKind::Unreachable)
+    })?;
+    if !may_send_now(exchange, guard) {
         exchange.return_connection(connection);
         return Err(Failure::not_sent(FailureKind::Withdrawn));
     }
@@ -323,6 +370,7 @@
         // The intended endpoint did not receive the request.
         return Err(Failure::not_sent(FailureKind::Unreachable));
     }
+    guard.record_answer(clock::now());
     record_announcements(exchange, info.announcements, &guard);
     if info.not_run {
         return Err(Failure {
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -123,6 +123,21 @@
         is_accepted && self.refusal_reason(now).is_none()
     }
 
+    /// Takes a permit to send the request to the endpoint now. Returns false if the endpoint is cold
+    /// and this gateway may not send to it now.
+    #[must_use]
+    pub fn take_permit(&self, endpoint: &EndpointId, now: Now) -> bool {
+        let mut control = self.gateway.control.borrow_mut();
+        let is_granted = control.take_permit(&self.service, endpoint, now);
+        drop(control);
+        if !is_granted {
+            let id = &self.hints.attempt_id;
+            log::info!("kind=send-not-permitted id={id} endpoint={endpoint}");
+            self.gateway.count_cold_refusal();
+        }
+        is_granted
+    }
+
     /// Whether the request may be sent to another endpoint. Uses the retry that [`Self::try_move`]
     /// took, if any. Otherwise checks the route, the time left and the retry budget, and takes a
     /// retry from the budget.
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -6,6 +6,7 @@
 use curranttrestle::coordination::gateway::control::{Placement, RefusalInputs};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
+use curranttrestle::coordination::gateway::warmup::ENDPOINTS_COLD;
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{RequestHints, Route};
 use http_body_util::{BodyExt, Limited};
@@ -205,6 +206,9 @@
                 retry_after_ms,
                 inputs,
             } => {
+                if reason == ENDPOINTS_COLD {
+                    exchange.gateway.count_cold_refusal();
+                }
                 if record.should_log_refusal(now) {
                     log_refusal(&exchange, reason, inputs, retry_after_ms);
                 }
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -91,6 +91,8 @@
     set("body_bytes", count(gateway.body_bytes.get()));
     set("endpoints", count(control.directory.all_entries().count()));
     set("paused_endpoints", count(control.pauses.count(now)));
+    set("cold_endpoints", count(control.cold.count()));
+    set("known_gateways", count(control.cold.gateways().count() + 1));
     set("gateways", count(control.fleet_size()));
     set(
         "suspect_requests",
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
+use curranttrestle::coordination::gateway::warmup::ColdChange;
 use curranttrestle::state::Now;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Async;
@@ -172,6 +173,7 @@
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.control.borrow_mut().pauses.remove_ended(now);
+        self.log_cold_changes(now);
         self.log_freshness_change(now);
         for change in self.control.borrow_mut().prompt_parts.update(now) {
             match change {
@@ -184,6 +186,40 @@
         }
     }
 
+    /// Counts a request that got no permit for a cold endpoint.
+    pub fn count_cold_refusal(&self) {
+        let counter = &self.metrics.cold_endpoints;
+        counter.with_label_values(&["refused"]).inc();
+    }
+
+    /// Logs and counts endpoints that became cold or warm.
+    fn log_cold_changes(&self, now: Now) {
+        for change in self.control.borrow_mut().update_cold(now) {
+            let event = match change {
+                ColdChange::Cold {
+                    endpoint,
+                    cause,
+                    left_ms,
+                    has_part,
+                } => {
+                    let why = cause.as_str();
+                    log::info!(
+                        "kind=endpoint-cold endpoint={endpoint} why={why} left_ms={left_ms} has_part={has_part}"
+                    );
+                    "cold"
+                }
+                ColdChange::Warm(endpoint) => {
+                    log::info!("kind=endpoint-warm endpoint={endpoint}");
+                    "warm"
+                }
+            };
+            self.metrics
+                .cold_endpoints
+                .with_label_values(&[event])
+                .inc();
+        }
+    }
+
     /// Logs when this gateway lacks processor time or information from its peers. The last timer
     /// fired after `elapsed_ms`.
     fn log_strain(&self, peers: &Peers, elapsed_ms: u64, now: Now) {
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub store_failures: IntCounterVec,
     /// Changes of the directory by kind.
     pub directory_changes: IntCounterVec,
+    /// Endpoints that became cold or warm, and requests refused because of cold endpoints, by event.
+    pub cold_endpoints: IntCounterVec,
     /// Messages from peers by kind, and messages that could not be read or sent.
     pub peer_reports: IntCounterVec,
     /// Bytes of messages to and from peers by direction and kind.
@@ -80,6 +82,11 @@
                 "Changes of the directory",
                 &["change"],
             )?,
+            cold_endpoints: counter(
+                "cold_endpoints_total",
+                "Endpoints that became cold or warm, and requests refused for lack of a permit",
+                &["event"],
+            )?,
             peer_reports: counter(
                 "peer_reports_total",
                 "Messages from peers by kind, and messages that could not be read or sent",
@@ -100,6 +107,7 @@
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.store_failures.clone()))?;
         registry.register(Box::new(metrics.directory_changes.clone()))?;
+        registry.register(Box::new(metrics.cold_endpoints.clone()))?;
         registry.register(Box::new(metrics.peer_reports.clone()))?;
         registry.register(Box::new(metrics.peer_bytes.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
--- a/crates/curranttrestle-gateway/src/peers/exchange.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange.rs
@@ -257,8 +257,21 @@
         self.relay_options.interval_ms_in(self.peering.live_count())
     }
 
+    /// Passes the gateways that this one heard of to the limit on cold endpoints.
+    fn record_gateways(&mut self, control: &mut Control, now: Now) {
+        control
+            .cold
+            .set_own_address(self.peering.own_address(), now);
+        for address in self.peering.take_added() {
+            control.cold.record_gateway(address, now);
+        }
+    }
+
     /// Returns the reports and load updates that are due.
     pub fn send_due(&mut self, control: &mut Control, now: Now) -> Outgoing {
+        self.record_gateways(control, now);
+        let live_peers = self.peering.live_count() - 1;
+        control.cold.observe_live_peers(live_peers, now);
         let uses_sums = self.uses_sums();
         let (sums, load_relay, data_centre) = (&self.sums, &self.load_relay, self.data_centre);
         let is_relayed = |other| {
@@ -391,14 +404,29 @@
         bytes: &[u8],
         now: Now,
     ) -> Result<Received, postcard::Error> {
-        match postcard::from_bytes::<GatewayMessage>(bytes)? {
+        let message = postcard::from_bytes::<GatewayMessage>(bytes)?;
+        let received = self.apply_message(control, from, message, now);
+        // In a large fleet, a member or relay may be heard before its first report.
+        if from != self.peering.own_address() {
+            control.cold.record_gateway(from, now);
+        }
+        self.record_gateways(control, now);
+        Ok(received)
+    }
+
+    fn apply_message(
+        &mut self,
+        control: &mut Control,
+        from: SocketAddr,
+        message: GatewayMessage,
+        now: Now,
+    ) -> Received {
+        match message {
             GatewayMessage::Report(report) if report.update.sender == self.key => {
-                Ok(Received::OwnReport)
-            }
-            GatewayMessage::Summary(summary) if summary.sender == self.key => {
-                Ok(Received::OwnReport)
+                Received::OwnReport
             }
-            GatewayMessage::Report(report) => Ok(self.receive_report(control, from, report, now)),
+            GatewayMessage::Summary(summary) if summary.sender == self.key => Received::OwnReport,
+            GatewayMessage::Report(report) => self.receive_report(control, from, report, now),
             GatewayMessage::Summary(summary) => {
                 let GatewaySummary { sender, shares, .. } = summary;
                 self.sums.record_gateway(sender, summary.data_centre);
@@ -412,7 +440,7 @@
                     peers: &[],
                     suspicions: &summary.suspicions,
                 };
-                Ok(self.apply_summary(control, from, &summary, now))
+                self.apply_summary(control, from, &summary, now)
             }
             GatewayMessage::PromptParts(report) => {
                 control.prompt_parts.receive(&report, now);
@@ -424,12 +452,12 @@
                     };
                     forwarded.add(&report, now);
                 }
-                Ok(Received::PromptParts)
+                Received::PromptParts
             }
             GatewayMessage::Leaving(runs) => {
                 let is_forwarded = self.uses_sums() && self.load_relay.is_relay();
                 let changes = control.directory.receive_leaving(&runs, is_forwarded);
-                Ok(Received::Leaving(changes))
+                Received::Leaving(changes)
             }
             GatewayMessage::News(update) => {
                 if self.load_relay.receive_update(from, &update, now) {
@@ -440,16 +468,16 @@
                         self.sum_uses.push(prompt_use.clone(), now);
                     }
                 }
-                Ok(Received::MemberUpdate)
+                Received::MemberUpdate
             }
             GatewayMessage::PassedOn(mut updates) => {
                 updates.retain(|relayed| relayed.update.sender != self.key);
                 for relayed in self.load_relay.receive_relayed(from, updates, now) {
                     apply_update(control, &relayed.update, relayed.held_ms, now);
                 }
-                Ok(Received::RelayedUpdates)
+                Received::RelayedUpdates
             }
-            GatewayMessage::DataCentre(update) => Ok(self.receive_sum(control, from, update, now)),
+            GatewayMessage::DataCentre(update) => self.receive_sum(control, from, update, now),
             GatewayMessage::Shares(updates) => {
                 for update in updates {
                     if update.sender != self.key {
@@ -457,11 +485,11 @@
                         control.shares.apply_report(sender, lines, now);
                     }
                 }
-                Ok(Received::Shares)
+                Received::Shares
             }
             GatewayMessage::RelayedProof(proof) => {
                 let has_newer_config = self.apply_relayed_proof(control, &proof, now);
-                Ok(Received::Proof { has_newer_config })
+                Received::Proof { has_newer_config }
             }
             GatewayMessage::Greeting(greeting) => {
                 self.sums
@@ -473,11 +501,11 @@
                     peers: &greeting.peers,
                     suspicions: &Suspicions::default(),
                 };
-                Ok(self.apply_summary(control, from, &summary, now))
+                self.apply_summary(control, from, &summary, now)
             }
             GatewayMessage::Suspicions(suspicions) => {
                 control.quarantine.suspects.receive(&suspicions, now);
-                Ok(Received::Suspicions)
+                Received::Suspicions
             }
         }
     }
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -280,11 +280,10 @@
         log::warn!("kind=entry-skipped name={name:?} reason={reason:?}");
     }
     let now = clock::now();
-    let changes = gateway
-        .control
-        .borrow_mut()
-        .directory
-        .replace(list.entries, now);
+    let mut control = gateway.control.borrow_mut();
+    let changes = control.directory.replace(list.entries, now);
+    control.apply_sightings(now);
+    drop(control);
     gateway.apply_directory_changes(&changes, "list");
 }
 
@@ -333,12 +332,14 @@
 fn apply_event(gateway: &Gateway, event: EndpointEvent) -> Option<DirectoryChange> {
     let mut control = gateway.control.borrow_mut();
     let now = clock::now();
-    match event {
+    let change = match event {
         EndpointEvent::Written(entry) => control.directory.set(entry),
         EndpointEvent::Removed(endpoint) => control.directory.remove(&endpoint, now),
         EndpointEvent::Unreadable(endpoint, reason) => {
             log::warn!("kind=entry-skipped name={endpoint} reason={reason:?}");
             control.directory.remove(&endpoint, now)
         }
-    }
+    };
+    control.apply_sightings(now);
+    change
 }
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection. Dropping it closes it, also with a request in flight.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -32,6 +33,20 @@
     Http(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether the connection was refused or reset, so that the peer may have crashed.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Io(error) => matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ),
+            Self::Timeout(_) | Self::Http(_) => false,
+        }
+    }
+}
+
 /// Why a request got no response.
 #[derive(Debug, Error)]
 pub enum SendError {
--- a/crates/curranttrestle-gateway/tests/large_fleet.rs
+++ b/crates/curranttrestle-gateway/tests/large_fleet.rs
@@ -5,6 +5,7 @@
 use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::coordination::gateway::endpoint_load::{EndpointKey, SentRequest};
 use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
+use curranttrestle::state::EndpointId;
 use curranttrestle::state::gateway::{EndpointEntry, EntryState, PromptPart};
 use curranttrestle_gateway::peers::ProofRole;
 use simulation::{Fleet, FleetOptions, data_centre, engine_entry};
@@ -245,3 +246,46 @@
     let sent = fleet.traffic.suspicions - before;
     assert!(sent <= 3 * GATEWAYS as u64, "{sent} datagrams");
 }
+
+/// How long no other gateway must have been heard of before the known ones count as complete.
+const COMPLETE_MS: u64 = 8_500;
+
+/// Checks that each running gateway knows all others, and that `gateways` are selected for a cold
+/// endpoint.
+fn assert_split(fleet: &mut Fleet, gateways: usize) {
+    let endpoint: EndpointId = "cold".into();
+    for run in 0..10 {
+        let mut selected = 0;
+        for index in fleet.running() {
+            let (_, control) = fleet.gateway(index);
+            let known = control.cold.gateways();
+            assert_eq!(known.count(), gateways - 1, "gateway {index}");
+            assert!(known.is_complete(), "gateway {index}");
+            let before = known.count_before_own(endpoint_run(&endpoint, run));
+            selected += usize::from(before < 7);
+        }
+        assert!(selected <= 7, "{selected} gateways selected");
+        assert!(fleet.running().len() < gateways || selected == 7);
+    }
+}
+
+/// Gateways that rank different peers would together send more than a cold endpoint can take.
+#[test]
+fn all_gateways_rank_the_same_peers_with_relays() {
+    let mut fleet = fleet(GATEWAYS);
+    fleet.run(COMPLETE_MS, &[]);
+    assert_split(&mut fleet, GATEWAYS);
+}
+
+/// A silent peer is removed after a minute, but may be cut off and still send.
+#[test]
+fn silent_gateways_are_still_ranked_after_they_were_removed_as_peers() {
+    let mut fleet = fleet(12);
+    fleet.run(COMPLETE_MS, &[]);
+    assert_split(&mut fleet, 12);
+    for index in 6..12 {
+        fleet.stop(index);
+    }
+    fleet.run(70_000, &[]);
+    assert_split(&mut fleet, 12);
+}
--- a/crates/curranttrestle-gateway/tests/simulation/mod.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/mod.rs
@@ -12,6 +12,7 @@
 use curranttrestle::coordination::gateway::control::{
     Control, ControlOptions, Placement, PlacementRequest,
 };
+use curranttrestle::coordination::gateway::warmup::WarmupOptions;
 use curranttrestle::state::gateway::{
     ClientLimits, Customer, EndpointEntry, EngineCapacity, EntryState, PromptPart, RequestHints,
     RetryPolicy, Route, RouteTarget, Service, ServiceConfig,
@@ -362,6 +363,10 @@
         seeds: (0..3).map(gateway_address).collect(),
         control: ControlOptions {
             data_centre: data_centre(index),
+            warmup: Some(WarmupOptions {
+                tolerance: 1.5,
+                burst: 5.0,
+            }),
             ..ControlOptions::default()
         },
         ..GatewaySettings::default()
