Use an endpoint again whose other connections stay open after a reset

A reset connection made an endpoint count as cold for 3 to 5.8 s at a gateway without a part of its rate, also if its process did not crash. A service with a few endpoints that reset some of their connections would often have had none left at such a gateway.

All connections of a process end with it. So a kept connection that is older than the loss and still open 1 s later now ends the suspicion, as data on an older connection already did. The second leaves time for a busy gateway to notice closed connections.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -173,6 +173,7 @@
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.control.borrow_mut().pauses.remove_ended(now);
+        self.check_lost_endpoints(now);
         self.log_cold_changes(now);
         self.log_freshness_change(now);
         for change in self.control.borrow_mut().prompt_parts.update(now) {
@@ -192,6 +193,20 @@
         counter.with_label_values(&["refused"]).inc();
     }
 
+    /// Passes on which endpoints still hold connections that are older than the loss of another one.
+    fn check_lost_endpoints(&self, now: Now) {
+        let mut control = self.control.borrow_mut();
+        for endpoint in control.cold.lost_endpoints(now) {
+            let address = control.directory.address(&endpoint);
+            let opened_ms = address.and_then(|address| self.pool.oldest_open_ms(address));
+            if let Some(opened_ms) = opened_ms {
+                control
+                    .cold
+                    .record_open_connection(&endpoint, opened_ms, now);
+            }
+        }
+    }
+
     /// Logs and counts endpoints that became cold or warm.
     fn log_cold_changes(&self, now: Now) {
         for change in self.control.borrow_mut().update_cold(now) {
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -66,6 +66,8 @@
     /// Drives the connection; dropping it closes the socket.
     _driver: Task<()>,
     address: SocketAddr,
+    /// When the connection was opened, by the steady clock.
+    opened_ms: u64,
     /// When the connection was last used, by the steady clock.
     pub(super) last_used_ms: u64,
     /// Idle timeout that the peer announced.
@@ -108,6 +110,7 @@
             head_limit,
             _driver: driver,
             address,
+            opened_ms: clock::now().steady_ms,
             last_used_ms: clock::now().steady_ms,
             keep_alive_ms: None,
             will_close: false,
@@ -156,6 +159,12 @@
             && now_ms.saturating_sub(self.last_used_ms) < max_idle_ms.min(idle_timeout_ms)
     }
 
+    /// When the connection was opened, by the steady clock; `None` if it is closed.
+    #[must_use]
+    pub fn open_since_ms(&self) -> Option<u64> {
+        (!self.sender.is_closed()).then_some(self.opened_ms)
+    }
+
     /// Whether the peer announced that it closes the connection.
     #[must_use]
     pub fn will_close(&self) -> bool {
--- a/crates/curranttrestle-gateway/src/upstream/pool.rs
+++ b/crates/curranttrestle-gateway/src/upstream/pool.rs
@@ -90,6 +90,15 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
+    /// When the oldest idle connection to an address that is still open was opened, by the steady
+    /// clock.
+    #[must_use]
+    pub fn oldest_open_ms(&self, address: SocketAddr) -> Option<u64> {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&address)?.iter();
+        connections.filter_map(Connection::open_since_ms).min()
+    }
+
     /// The number of idle connections.
     #[must_use]
     pub fn idle_count(&self) -> usize {
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -5,6 +5,8 @@
 //! or right after an outage counts as lapsed and stays in use for a grace period; an entry that
 //! goes missing at any other time is removed.
 
+use std::net::SocketAddr;
+
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -404,6 +406,13 @@
             .is_some_and(EndpointRecord::accepts_requests)
     }
 
+    /// The address of an endpoint.
+    #[must_use]
+    pub fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
+        let record = self.endpoints.get(endpoint)?;
+        Some(record.entry.address)
+    }
+
     /// The endpoints of a service that accept requests.
     pub fn accepting<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EndpointEntry> {
         self.endpoints
--- a/crates/curranttrestle/src/coordination/gateway/warmup/cold_record.rs
+++ b/crates/curranttrestle/src/coordination/gateway/warmup/cold_record.rs
@@ -11,6 +11,10 @@
 /// are written every 1,200 ms and watched every 1,550 ms in a fleet of 62 gateways.
 pub(super) const ENTRY_LAG_MS: u64 = 3_000;
 
+/// Time after which an older connection that is open proves that its endpoint did not crash. A busy
+/// gateway may notice that it is closed some 100 ms late.
+const ALIVE_AFTER_MS: u64 = 1_000;
+
 /// Why an endpoint counts as cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdCause {
@@ -69,6 +73,13 @@
     pub(super) answered_ms: Option<u64>,
 }
 
+impl Suspicion {
+    /// Whether an older connection that is open now shows that the suspicion is unfounded.
+    pub(super) fn is_unproven_loss(&self, now: Now) -> bool {
+        self.cause == ColdCause::ConnectionLost && now.since_ms(self.since_ms) >= ALIVE_AFTER_MS
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct ColdRecord {
     pub(super) service: String,
--- a/crates/curranttrestle/src/coordination/gateway/warmup/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/warmup/mod.rs
@@ -33,10 +33,6 @@
     pub burst: f64,
 }
 
-/// Time after which data on an older connection proves that its endpoint did not crash. Before
-/// that, the data may have been received before the crash.
-const ALIVE_AFTER_MS: u64 = 1_000;
-
 /// How long the requests sent to an endpoint are remembered after its removal, in case it returns.
 const REMOVED_KEPT_MS: u64 = 10_000;
 
@@ -267,15 +263,35 @@
         };
         if connected_ms > suspicion.since_ms {
             suspicion.answered_ms.get_or_insert(now.steady_ms);
-        } else if suspicion.cause == ColdCause::ConnectionLost
-            && connected_ms < suspicion.since_ms
-            && now.since_ms(suspicion.since_ms) >= ALIVE_AFTER_MS
+        } else {
+            self.record_open_connection(endpoint, connected_ms, now);
+        }
+    }
+
+    /// Records that a connection to an endpoint that was opened at `opened_ms` is still open. It
+    /// would have been lost as well if the endpoint had crashed.
+    pub fn record_open_connection(&mut self, endpoint: &EndpointId, opened_ms: u64, now: Now) {
+        if let Some(record) = self.records.get_mut(endpoint)
+            && let Some(suspicion) = &record.suspicion
+            && suspicion.is_unproven_loss(now)
+            && opened_ms < suspicion.since_ms
         {
-            // The older connection would have been lost as well if the endpoint had crashed.
             record.suspicion = None;
         }
     }
 
+    /// The endpoints whose connections were lost, if connections that are still open now would
+    /// show that they did not crash.
+    #[must_use]
+    pub fn lost_endpoints(&self, now: Now) -> Vec<EndpointId> {
+        let is_lost = |record: &ColdRecord| {
+            let suspicion = record.suspicion.as_ref();
+            suspicion.is_some_and(|suspicion| suspicion.is_unproven_loss(now))
+        };
+        let lost = self.records.iter().filter(|(_, record)| is_lost(record));
+        lost.map(|(endpoint, _)| endpoint.clone()).collect()
+    }
+
     /// Whether a request may be placed on an endpoint now.
     #[must_use]
     pub fn status(&self, endpoint: &EndpointId, limit: &ColdLimit, now: Now) -> ColdStatus {
--- a/crates/curranttrestle/tests/gateway/warmup.rs
+++ b/crates/curranttrestle/tests/gateway/warmup.rs
@@ -334,6 +334,30 @@
     assert!(!is_warm(&control, 0, at(32_000)));
 }
 
+/// A plain endpoint reset one connection in a hundred, and gateways left it out for seconds each time.
+#[test]
+fn kept_connection_that_stays_open_shows_that_a_lost_endpoint_did_not_crash() {
+    let mut control = without_part(gateway(1));
+    let endpoint = entry("model", 0).endpoint;
+    control.cold.record_connection_lost(&endpoint, at(20_000));
+    assert!(control.cold.lost_endpoints(at(20_999)).is_empty());
+    assert_eq!(
+        control.cold.lost_endpoints(at(21_000)),
+        std::slice::from_ref(&endpoint)
+    );
+    let [before, after] = [19_999, 20_001].map(|opened_ms| at(opened_ms).steady_ms);
+    for (opened_ms, now_ms) in [(before, 20_999), (after, 21_000)] {
+        control
+            .cold
+            .record_open_connection(&endpoint, opened_ms, at(now_ms));
+        assert!(!is_warm(&control, 0, at(now_ms)));
+    }
+    control
+        .cold
+        .record_open_connection(&endpoint, before, at(21_000));
+    assert!(is_warm(&control, 0, at(21_000)));
+}
+
 /// Requests that waited for their connections were sent together.
 #[test]
 fn permit_is_taken_when_the_request_is_sent() {
