Do not take an undated entry as proof of the same run

An entry without a start time may have been written by the next run, so it no longer ends the suspicion after a lost connection. The test fails without the change and passes with it.

The rank of this gateway is computed only for new runs. It was computed for every written entry, which with 240 endpoints and 295 gateways is some 60,000 hashes a second by calculation; not measured.

Test binary gateway: 106 passed.

--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -79,7 +79,7 @@
     New,
     /// The endpoint is another run than before.
     Restarted,
-    /// The entry of a known run was read again. It may be old.
+    /// The entry of a known endpoint was read again. It may be old or of another run.
     Listed,
     /// A known run wrote its entry again.
     Written,
@@ -302,7 +302,7 @@
             SightingKind::Restarted
         } else if old.is_lapsed && entry.started_unix_ms == 0 {
             SightingKind::New
-        } else if self.is_listing {
+        } else if self.is_listing || entry.started_unix_ms == 0 {
             SightingKind::Listed
         } else {
             SightingKind::Written
--- a/crates/curranttrestle/src/coordination/gateway/warmup/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/warmup/mod.rs
@@ -170,11 +170,12 @@
             warmup_left_ms,
             kind,
         } = sighting;
-        let ranked_before = self.gateways.count_before_own(run);
-        let record = self.records.entry(endpoint).or_insert(ColdRecord {
+        let gateways = &self.gateways;
+        let entry = self.records.entry(endpoint);
+        let record = entry.or_insert_with(|| ColdRecord {
             service: String::new(),
             run,
-            ranked_before,
+            ranked_before: gateways.count_before_own(run),
             new_ms: None,
             entry_until_ms: 0,
             suspicion: None,
@@ -187,7 +188,7 @@
         record.service = service;
         if record.run != run {
             record.run = run;
-            record.ranked_before = ranked_before;
+            record.ranked_before = gateways.count_before_own(run);
         }
         record.removed_ms = None;
         match kind {
--- a/crates/curranttrestle/tests/gateway/warmup.rs
+++ b/crates/curranttrestle/tests/gateway/warmup.rs
@@ -311,6 +311,21 @@
     assert!(is_warm(&control, 0, at(39_000)));
 }
 
+/// Without a start time, the entry may have been written by the next run.
+#[test]
+fn entry_without_a_start_time_does_not_show_that_a_lost_endpoint_is_the_same_run() {
+    let undated = EndpointEntry {
+        started_unix_ms: 0,
+        ..entry("model", 0)
+    };
+    let mut control = gateway(0);
+    write(&mut control, undated.clone(), at(15_000));
+    let endpoint = undated.endpoint.clone();
+    control.cold.record_connection_lost(&endpoint, at(20_000));
+    write(&mut control, undated, at(23_600));
+    assert!(!is_warm(&control, 0, at(23_600)));
+}
+
 #[test]
 fn data_on_an_older_connection_shows_that_a_lost_endpoint_did_not_crash() {
     let mut control = without_part(gateway(1));
