--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -99,6 +99,8 @@
         let age_ms = control.evacuations.age_ms(now).unwrap_or(u64::MAX);
         set("evacuation_age_ms", age_ms);
     }
+    set("cold_endpoints", count(control.cold.count()));
+    set("known_gateways", count(control.cold.gateways().count() + 1));
     set("gateways", count(control.fleet_size()));
     set(
         "suspect_requests",
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationOptions};
 use curranttrestle::coordination::gateway::load_shedding::LoadShedder;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
+use curranttrestle::coordination::gateway::warmup::ColdChange;
 use curranttrestle::state::Now;
 use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -187,7 +188,7 @@
 
     /// Logs and counts evacuations that began or ended.
     pub fn apply_evacuation_changes(&self, changes: &[EvacuationChange], source: &str, now: Now) {
-        let control = self.control.borrow();
+        let mut control = self.control.borrow_mut();
         let age_ms = control.evacuations.age_ms(now).unwrap_or_default();
         let counter = &self.metrics.evacuation_changes;
         for change in changes {
@@ -204,12 +205,9 @@
                 }
                 EvacuationChange::Ended(name) => {
                     counter.with_label_values(&["ended"]).inc();
-                    // Their endpoints count as cold from here on, where there is a limit on requests
-                    // to cold endpoints.
                     let endpoints = control.evacuation_ended(name, now);
                     log::info!(
-                        "kind=evacuation-ended data_centre={name:?} source={source} age_ms={age_ms} endpoints={}",
-                        endpoints.len()
+                        "kind=evacuation-ended data_centre={name:?} source={source} age_ms={age_ms} endpoints={endpoints}"
                     );
                 }
             }
@@ -221,6 +219,8 @@
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.control.borrow_mut().pauses.remove_ended(now);
+        self.check_lost_endpoints(now);
+        self.log_cold_changes(now);
         self.log_freshness_change(now);
         for change in self.control.borrow_mut().prompt_parts.update(now) {
             match change {
@@ -233,6 +233,54 @@
         }
     }
 
+    /// Counts a request that got no permit for a cold endpoint.
+    pub fn count_cold_refusal(&self) {
+        let counter = &self.metrics.cold_endpoints;
+        counter.with_label_values(&["refused"]).inc();
+    }
+
+    /// Passes on which endpoints still hold connections that are older than the loss of another one.
+    fn check_lost_endpoints(&self, now: Now) {
+        let mut control = self.control.borrow_mut();
+        for endpoint in control.cold.lost_endpoints(now) {
+            let address = control.directory.address(&endpoint);
+            let opened_ms = address.and_then(|address| self.pool.oldest_open_ms(address));
+            if let Some(opened_ms) = opened_ms {
+                control
+                    .cold
+                    .record_open_connection(&endpoint, opened_ms, now);
+            }
+        }
+    }
+
+    /// Logs and counts endpoints that became cold or warm.
+    fn log_cold_changes(&self, now: Now) {
+        for change in self.control.borrow_mut().update_cold(now) {
+            let event = match change {
+                ColdChange::Cold {
+                    endpoint,
+                    cause,
+                    left_ms,
+                    has_part,
+                } => {
+                    let why = cause.as_str();
+                    log::info!(
+                        "kind=endpoint-cold endpoint={endpoint} why={why} left_ms={left_ms} has_part={has_part}"
+                    );
+                    "cold"
+                }
+                ColdChange::Warm(endpoint) => {
+                    log::info!("kind=endpoint-warm endpoint={endpoint}");
+                    "warm"
+                }
+            };
+            self.metrics
+                .cold_endpoints
+                .with_label_values(&[event])
+                .inc();
+        }
+    }
+
     /// Logs when this gateway lacks processor time or information from its peers. The last timer
     /// fired after `elapsed_ms`.
     fn log_strain(&self, peers: &Peers, elapsed_ms: u64, now: Now) {
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub directory_changes: IntCounterVec,
     /// Evacuations of data centres that began or ended.
     pub evacuation_changes: IntCounterVec,
+    /// Endpoints that became cold or warm, and requests refused because of cold endpoints, by event.
+    pub cold_endpoints: IntCounterVec,
     /// Messages from peers by kind, and messages that could not be read or sent.
     pub peer_reports: IntCounterVec,
     /// Client connections closed to make room, by reason.
@@ -98,6 +100,11 @@
                 "Evacuations of data centres that began or ended",
                 &["change"],
             )?,
+            cold_endpoints: counter(
+                "cold_endpoints_total",
+                "Endpoints that became cold or warm, and requests refused for lack of a permit",
+                &["event"],
+            )?,
             peer_reports: counter(
                 "peer_reports_total",
                 "Messages from peers by kind, and messages that could not be read or sent",
@@ -124,6 +131,7 @@
         registry.register(Box::new(metrics.store_failures.clone()))?;
         registry.register(Box::new(metrics.directory_changes.clone()))?;
         registry.register(Box::new(metrics.evacuation_changes.clone()))?;
+        registry.register(Box::new(metrics.cold_endpoints.clone()))?;
         registry.register(Box::new(metrics.peer_reports.clone()))?;
         registry.register(Box::new(metrics.closed_connections.clone()))?;
         registry.register(Box::new(metrics.peer_bytes.clone()))?;
--- a/crates/curranttrestle-gateway/src/peers/exchange/incoming.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/incoming.rs
@@ -38,6 +38,22 @@
         from: SocketAddr,
         bytes: &[u8],
         now: Now,
+    ) -> Result<Received, postcard::Error> {
+        let received = self.apply_message(control, from, bytes, now)?;
+        // In a large fleet, a member or relay may be heard before its first report.
+        if from != self.peering.own_address() {
+            control.cold.record_gateway(from, now);
+        }
+        self.record_gateways(control, now);
+        Ok(received)
+    }
+
+    fn apply_message(
+        &mut self,
+        control: &mut Control,
+        from: SocketAddr,
+        bytes: &[u8],
+        now: Now,
     ) -> Result<Received, postcard::Error> {
         match postcard::from_bytes::<GatewayMessage>(bytes)? {
             GatewayMessage::Report(report) if report.update.sender == self.key => {
--- a/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
@@ -28,8 +28,21 @@
 const PROOF_INTERVAL_MS: u64 = 200;
 
 impl PeerExchange {
+    /// Passes the gateways that this one heard of to the limit on cold endpoints.
+    pub(super) fn record_gateways(&mut self, control: &mut Control, now: Now) {
+        control
+            .cold
+            .set_own_address(self.peering.own_address(), now);
+        for address in self.peering.take_added() {
+            control.cold.record_gateway(address, now);
+        }
+        let live_peers = self.peering.live_count() - 1;
+        control.cold.observe_live_peers(live_peers, now);
+    }
+
     /// Returns the reports and load updates that are due.
     pub fn send_due(&mut self, control: &mut Control, now: Now) -> Outgoing {
+        self.record_gateways(control, now);
         self.evacuations.record_tick(now);
         let uses_sums = self.uses_sums();
         let (sums, load_relay, data_centre) = (&self.sums, &self.load_relay, self.data_centre);
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -15,7 +15,7 @@
 use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
-use super::warmup::WarmupOptions;
+use super::warmup::{ColdEndpoints, ENDPOINTS_COLD, WarmupOptions, prefer_warm};
 use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::state::gateway::{ClientLimits, EndpointEntry, RequestHints, Route, ServiceConfig};
@@ -180,6 +180,8 @@
     pub pauses: EndpointPauses,
     /// Data centres that must get no requests.
     pub evacuations: Evacuations,
+    /// Endpoints that are cold after a start.
+    pub cold: ColdEndpoints,
     /// Requests that crash endpoints.
     pub quarantine: RequestQuarantine,
     /// Prompt parts that crash engines.
@@ -203,6 +205,7 @@
             outliers: OutlierDetector::new(options.outliers),
             pauses: EndpointPauses::default(),
             evacuations: Evacuations::new(options.evacuation),
+            cold: ColdEndpoints::new(options.warmup),
             quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
@@ -331,9 +334,10 @@
         let Some(choice) = self.choose(request, now) else {
             let pause_ms = self.service_pause_ms(request, now);
             #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-            let (reason, retry_after_ms) = match pause_ms {
-                Some(pause_ms) => ("endpoints-paused", pause_ms as f64),
-                None => (
+            let (reason, retry_after_ms) = match (pause_ms, self.cold_wait_ms(request, now)) {
+                (Some(pause_ms), _) => ("endpoints-paused", pause_ms as f64),
+                (None, Some(wait_ms)) => (ENDPOINTS_COLD, wait_ms as f64),
+                (None, None) => (
                     self.reason_without_endpoint(request, now),
                     self.options.no_endpoint_retry_ms,
                 ),
@@ -388,6 +392,7 @@
         };
         self.load.record_start(self.last_attempt, key, sent, now);
         self.outliers.record_attempt(key, now);
+        self.record_cold_placement(request.service, &choice.entry.endpoint, now);
         if !request.hints.prompt_parts.is_empty() {
             let added_tokens = choice.prefill_tokens + request.hints.expected_output_tokens();
             let shared = request.hints.shared_parts();
@@ -402,6 +407,9 @@
 
     /// Records a failed attempt. Returns whether its endpoint is avoided from now on.
     pub fn record_failure(&mut self, endpoint: &EndpointId, kind: FailureKind, now: Now) -> bool {
+        if kind == FailureKind::ConnectionLost {
+            self.cold.record_connection_lost(endpoint, now);
+        }
         self.outliers
             .record_failure(EndpointKey::of(endpoint), kind, now)
     }
@@ -431,11 +439,21 @@
                     .outliers
                     .is_avoided(EndpointKey::of(&entry.endpoint), now)
         };
+        let (warm, cold) = self.split_cold(request.service, candidates, now);
         // If all endpoints are avoided, use any of them rather than none.
-        let uses_avoided = !candidates.iter().any(|entry| is_healthy(entry));
-        let entries = candidates
-            .into_iter()
-            .filter(|entry| uses_avoided || is_healthy(entry));
+        let uses_avoided = !warm.iter().chain(&cold).any(|entry| is_healthy(entry));
+        let is_used = |entry: &&EndpointEntry| uses_avoided || is_healthy(entry);
+        let warm = self.choose_among(warm.into_iter().filter(is_used), request, now);
+        let cold = self.choose_among(cold.into_iter().filter(is_used), request, now);
+        prefer_warm(warm, cold)
+    }
+
+    fn choose_among<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a EndpointEntry>,
+        request: PlacementRequest<'_>,
+        now: Now,
+    ) -> Option<Choice> {
         let context = PlacementContext {
             load: &self.load,
             cache: &self.cache,
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -174,15 +174,18 @@
         reason
     }
 
-    /// The endpoints of a data centre whose evacuation ended at `now`. They had no requests for a while,
-    /// so each of them may be cold.
-    #[must_use]
-    pub fn evacuation_ended(&self, data_centre: &str, _now: Now) -> Vec<EndpointId> {
+    /// Records that the evacuation of a data centre ended. Its endpoints had no requests for a while, so
+    /// each of them may be cold. Returns their number.
+    pub fn evacuation_ended(&mut self, data_centre: &str, now: Now) -> usize {
         let entries = self.directory.all_entries();
-        entries
+        let endpoints: Vec<EndpointId> = entries
             .filter(|entry| entry.data_centre == data_centre)
             .map(|entry| entry.endpoint.clone())
-            .collect()
+            .collect();
+        for endpoint in &endpoints {
+            self.record_possibly_cold(endpoint, now);
+        }
+        endpoints.len()
     }
 
     /// Whether a data centre has endpoints or a region, or is that of this gateway.
--- a/crates/curranttrestle/tests/gateway/evacuation.rs
+++ b/crates/curranttrestle/tests/gateway/evacuation.rs
@@ -8,8 +8,9 @@
     EvacuationChange, EvacuationOptions, EvacuationState, Evacuations, is_reader,
 };
 use curranttrestle::coordination::gateway::load_relay::{LivePeer, data_centre_key};
+use curranttrestle::coordination::gateway::warmup::WarmupOptions;
 use curranttrestle::protocol::gateway::EvacuationUpdate;
-use curranttrestle::state::gateway::{EndpointEntry, RequestHints, Route};
+use curranttrestle::state::gateway::{EndpointEntry, RequestHints, Route, Warmup};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -189,12 +190,16 @@
 }
 
 /// Two engines in data centre `a` and one in `b`.
-fn control() -> Control {
-    let mut control = Control::new(ControlOptions {
+fn options() -> ControlOptions {
+    ControlOptions {
         data_centre: "a".to_owned(),
         evacuation: Some(EvacuationOptions::default()),
         ..ControlOptions::default()
-    });
+    }
+}
+
+fn control() -> Control {
+    let mut control = Control::new(options());
     control.apply_config(config(5), 10, at(0).steady_ms);
     control.directory.replace(entries(), at(0));
     control
@@ -287,14 +292,27 @@
 }
 
 #[test]
-fn endpoints_of_a_data_centre_are_listed_when_its_evacuation_ends() {
-    let control = control();
-    let names = |data_centre: &str| -> Vec<String> {
-        let endpoints = control.evacuation_ended(data_centre, at(0)).into_iter();
-        endpoints.map(|endpoint| endpoint.to_string()).collect()
-    };
-    assert_eq!(names("a"), ["model-0", "model-1"]);
-    assert_eq!(names("c"), [""; 0]);
+fn endpoints_of_a_data_centre_count_as_cold_when_its_evacuation_ends() {
+    let mut control = Control::new(ControlOptions {
+        warmup: Some(WarmupOptions {
+            tolerance: 1.5,
+            burst: 5.0,
+        }),
+        ..options()
+    });
+    let mut config = config(5);
+    config.services[0].warmup = Some(Warmup {
+        duration_ms: 3_000,
+        requests_per_s: 11.0,
+    });
+    control.apply_config(config, 10, at(0).steady_ms);
+    control.directory.replace(entries(), at(0));
+    control.update_cold(at(0));
+    assert_eq!(control.cold.count(), 0);
+    assert_eq!(control.evacuation_ended("a", at(20_000)), 2);
+    control.update_cold(at(20_000));
+    assert_eq!(control.cold.count(), 2);
+    assert_eq!(control.evacuation_ended("c", at(20_000)), 0);
     assert!(control.is_data_centre("b") && !control.is_data_centre("c"));
 }
 
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -20,3 +20,5 @@
 mod route_table;
 mod shares;
 mod support;
+mod warmup;
+mod warmup_simulation;
