Keep a pause between lists of evacuations however short the bound is

With a bound of 1,400 ms or less the age at which a gateway lists was zero, so it would have listed without pause, and with 500 ms or less it would have refused all requests. The age limit now has a minimum of 500 ms. Nothing changes at the bound of 5,000 ms. The new unit test fails before the change and passes with it.

--- a/crates/curranttrestle/src/coordination/gateway/evacuation.rs
+++ b/crates/curranttrestle/src/coordination/gateway/evacuation.rs
@@ -60,6 +60,9 @@
 /// The shortest wait of a watch, however short the bound is.
 const MIN_WATCH_WAIT_MS: u64 = 200;
 
+/// The lowest upper limit of the age at which a gateway lists, however short the bound is.
+const MIN_LISTED_AGE_MS: u64 = 500;
+
 impl EvacuationOptions {
     /// The ages at which gateways read for themselves. Each waits for a random one.
     ///
@@ -73,7 +76,8 @@
     pub fn age_limits_ms(&self) -> RangeInclusive<u64> {
         let max_ms = self
             .bound_ms
-            .saturating_sub(self.margin_ms + self.failed_list_ms);
+            .saturating_sub(self.margin_ms + self.failed_list_ms)
+            .max(MIN_LISTED_AGE_MS);
         max_ms.saturating_sub(self.age_range_ms)..=max_ms
     }
 
@@ -223,7 +227,7 @@
         let Some(options) = self.options else {
             return true;
         };
-        let max_age_ms = options.bound_ms.saturating_sub(options.margin_ms);
+        let max_age_ms = options.age_limits_ms().end() + options.failed_list_ms;
         let is_unavailable = || {
             self.failed_ms
                 .is_some_and(|failed_ms| now.since_ms(failed_ms) < options.unavailable_ms)
--- a/crates/curranttrestle/tests/gateway/evacuation.rs
+++ b/crates/curranttrestle/tests/gateway/evacuation.rs
@@ -162,6 +162,22 @@
     }
 }
 
+/// A bound that is shorter than the times it consists of must not make a gateway list without pause or
+/// refuse all requests.
+#[test]
+fn short_bound_does_not_make_a_gateway_list_without_pause() {
+    for bound_ms in [0, 1_000, 2_000] {
+        let options = EvacuationOptions {
+            bound_ms,
+            ..EvacuationOptions::default()
+        };
+        assert!(*options.age_limits_ms().start() >= 200);
+        let mut evacuations = Evacuations::new(Some(options));
+        evacuations.record_read(state(7, &[]), at(0).steady_ms);
+        assert!(evacuations.may_be_used(at(1_000)));
+    }
+}
+
 fn peer(number: u8, data_centre: &str) -> LivePeer {
     LivePeer {
         address: SocketAddr::from(([10, 0, 0, number], 7_400)),
