Revert "Refuse requests from their head while the gateway lacks processor time"

A refused client comes back after 150 ms to a gateway of the same data centre that is as late, and each refusal costs the small gateways the processor time of an accepted connection.

--- a/crates/curranttrestle-gateway/src/front/body.rs
+++ b/crates/curranttrestle-gateway/src/front/body.rs
@@ -360,7 +360,7 @@
 
 /// Reads and discards a body for a limited time. Closing a connection with unread bytes resets it,
 /// and the client would not see the response.
-pub async fn discard(mut body: Incoming) {
+async fn discard(mut body: Incoming) {
     let read = async { while let Some(Ok(_)) = body.frame().await {} };
     // The response is sent whether or not the whole body was read.
     let _ = with_timeout(DISCARD_TIMEOUT_MS, read).await;
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -12,7 +12,6 @@
 pub mod request;
 pub mod response;
 pub mod response_body;
-pub mod shed;
 pub mod status;
 
 use std::cell::Cell;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -24,7 +24,6 @@
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody};
 use super::response_body::collect_response;
-use super::shed;
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
 use crate::memory::{MemoryKind, socket_buffer_bytes};
@@ -39,16 +38,11 @@
 ) -> ClientResponse {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
+    let mut record = RequestRecord::new(&gateway, arrived);
     let is_stopping = gateway.phase.get() != Phase::Running;
-    let mut response = if let Some(refusal) = shed::refusal(&gateway, &parts, arrived) {
-        shed::discard_body(&gateway, &parts, body);
-        refusal.into_response()
-    } else {
-        let mut record = RequestRecord::new(&gateway, arrived);
-        match prepare_exchange(&gateway, parts, body, &mut record, arrived).await {
-            Ok(exchange) => forward(exchange, record).await,
-            Err(local) => finish_locally(local, &mut record),
-        }
+    let mut response = match prepare_exchange(&gateway, parts, body, &mut record, arrived).await {
+        Ok(exchange) => forward(exchange, record).await,
+        Err(local) => finish_locally(local, &mut record),
     };
     if is_over_client_limit || is_stopping || gateway.phase.get() != Phase::Running {
         let close = HeaderValue::from_static("close");
@@ -152,8 +146,7 @@
         .ok_or_else(|| LocalResponse::refused("client-memory", retry_ms))
 }
 
-/// The host that a request names; `None` if it names none or is ambiguous.
-pub fn host(parts: &Parts) -> Option<String> {
+fn host(parts: &Parts) -> Option<String> {
     let authority = parts.uri.authority().map(ToString::to_string);
     authority.or_else(|| {
         let mut hosts = parts.headers.get_all(header::HOST).iter();
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -125,13 +125,6 @@
     set("oldest_share_report_ms", coverage.oldest_age_ms);
     set("loop_delay_ms", gateway.strain.borrow().delay_ms());
     set("task_delay_ms", gateway.strain.borrow().task_delay_ms());
-    let shed_percent = gateway.shedder.borrow().fraction() * 100.0;
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "between 0 and 100"
-    )]
-    set("shed_percent", shed_percent.round() as u64);
     set(
         "directory_age_ms",
         control.directory.age_ms(now).unwrap_or(u64::MAX),
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
 use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationOptions};
-use curranttrestle::coordination::gateway::load_shedding::LoadShedder;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::coordination::gateway::warmup::ColdChange;
 use curranttrestle::state::Now;
@@ -131,8 +130,6 @@
     pub successes: Cell<u64>,
     /// Detects a lack of processor time or of information from peers.
     pub strain: RefCell<StrainMonitor>,
-    /// Decides which requests are refused while this gateway lacks processor time.
-    pub shedder: RefCell<LoadShedder>,
     /// How this gateway comes by proofs of freshness.
     pub proof_role: Cell<ProofRole>,
     /// Whether this gateway reads the evacuations for its peers.
@@ -409,7 +406,6 @@
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
-        shedder: RefCell::new(LoadShedder::new(settings.shedding)),
         proof_role: Cell::default(),
         reads_evacuations: Cell::new(false),
         was_fresh: Cell::new(false),
@@ -514,7 +510,6 @@
         let now = clock::now();
         gateway.tick(now);
         gateway.log_strain(&peers, now.since_ms(last_tick_ms), now);
-        front::shed::record_delay(&gateway, now);
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
@@ -563,7 +558,6 @@
         sleep_ms(TICK_INTERVAL_MS).await;
         let now = clock::now();
         gateway.tick(now);
-        front::shed::record_delay(gateway, now);
         peers.send_due(gateway, now);
         let elapsed_ms = now.since_ms(started_ms);
         if elapsed_ms >= options.accept_ms
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -1,8 +1,7 @@
 //! Counters and histograms.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -10,18 +9,12 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 15.0,
 ];
 
-/// Reason for refusing a request because this gateway lacks processor time.
-pub const GATEWAY_BUSY: &str = "gateway-busy";
-
 /// The metrics of a gateway.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Ended requests by outcome and reason.
     pub requests: IntCounterVec,
-    /// The counter of `requests` for requests refused for lack of processor time. Looking it up
-    /// would be a large part of the cost of such a refusal.
-    pub shed_requests: IntCounter,
     /// Failed attempts at endpoints by kind of failure.
     pub attempts: IntCounterVec,
     /// Calls to the store by kind.
@@ -70,15 +63,13 @@
         )
         .buckets(TIME_BUCKETS_S.to_vec());
         let gauges = Opts::new("curranttrestle_state", "Current values by name");
-        let requests = counter(
-            "requests_total",
-            "Requests of clients that ended",
-            &["outcome", "reason"],
-        )?;
         let metrics = Self {
             registry: Registry::new(),
-            shed_requests: requests.with_label_values(&["refused", GATEWAY_BUSY]),
-            requests,
+            requests: counter(
+                "requests_total",
+                "Requests of clients that ended",
+                &["outcome", "reason"],
+            )?,
             attempts: counter(
                 "attempts_total",
                 "Failed attempts at endpoints by kind of failure",
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -5,7 +5,6 @@
 use curranttrestle::coordination::gateway::control::{ControlOptions, FleetRetryOptions};
 use curranttrestle::coordination::gateway::freshness::FreshnessOptions;
 use curranttrestle::coordination::gateway::load_relay::RelayOptions;
-use curranttrestle::coordination::gateway::load_shedding::SheddingOptions;
 use curranttrestle::coordination::gateway::peering::PeeringOptions;
 
 /// The settings of a gateway.
@@ -44,8 +43,6 @@
     pub relays: RelayOptions,
     /// Options of connections and timeouts.
     pub traffic: TrafficOptions,
-    /// Refusing requests while the gateway lacks processor time.
-    pub shedding: SheddingOptions,
     /// Timing of a graceful stop.
     pub stop: StopOptions,
     /// Logs one in this many successful requests that were not late; zero logs none.
@@ -74,7 +71,6 @@
             reports: PeeringOptions::default(),
             relays: RelayOptions::default(),
             traffic: TrafficOptions::default(),
-            shedding: SheddingOptions::default(),
             stop: StopOptions::default(),
             success_log_interval: 50,
             logged_refusals_per_s: 100,
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -312,11 +312,6 @@
         now: Now,
     ) {
         self.budget(service).record_first(now);
-        self.record_requested(customer, hints, now);
-    }
-
-    /// Records the tokens that a request asks for, also of one that is refused on arrival.
-    pub fn record_requested(&mut self, customer: &str, hints: &RequestHints, now: Now) {
         if !hints.prompt_parts.is_empty() {
             self.shares
                 .record_requested(customer, cost_tokens(hints), now);
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -10,7 +10,6 @@
 pub mod evacuation;
 pub mod freshness;
 pub mod load_relay;
-pub mod load_shedding;
 pub mod load_sums;
 pub mod outage_detection;
 pub mod outlier_detection;
--- a/crates/curranttrestle/src/coordination/gateway/route_table.rs
+++ b/crates/curranttrestle/src/coordination/gateway/route_table.rs
@@ -22,7 +22,6 @@
     /// The index of a customer by name.
     customers: IndexMap<String, usize>,
     services: IndexMap<String, usize>,
-    smallest_target_ms: Option<u64>,
 }
 
 impl RouteTable {
@@ -49,11 +48,6 @@
             keys,
             customers,
             services: services.collect(),
-            smallest_target_ms: config
-                .routes
-                .iter()
-                .map(|route| route.target_latency_ms)
-                .min(),
             config,
         }
     }
@@ -64,12 +58,6 @@
         &self.config
     }
 
-    /// The smallest target latency of all routes; `None` without routes.
-    #[must_use]
-    pub fn smallest_target_ms(&self) -> Option<u64> {
-        self.smallest_target_ms
-    }
-
     /// Returns the route with the longest path prefix that matches `path`. The port and the case of
     /// `host` are ignored.
     #[must_use]
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -7,7 +7,6 @@
 mod evacuation;
 mod freshness;
 mod load_relay;
-mod load_shedding;
 mod load_sums;
 mod naive_decisions;
 mod outage_detection;
