--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -16,7 +16,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,17 +30,6 @@
 use crate::gateway::Gateway;
 use crate::timer::sleep_ms;
 
-/// Connections that may wait to be accepted. A flood brings hundreds while the gateway is late, and
-/// the 128 of the standard library fill up.
-const ACCEPT_BACKLOG: i32 = 4_096;
-
-/// Connections that are accepted before other tasks get their turn: more than the traffic tasks that
-/// run meanwhile can end.
-const MAX_ACCEPTS_PER_TURN: usize = 128;
-
-/// Pause after this many connections. It lets the executor collect other events first.
-const FULL_BATCH_PAUSE_MS: u64 = 1;
-
 /// Pause after a failed accept, such as too many open files.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
@@ -156,41 +144,11 @@
     }
 }
 
-/// Listens on an address, with a longer queue of connections than the standard library sets.
-///
-/// # Errors
-///
-/// The error of the operating system if it cannot listen.
-pub fn listen(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
-    let listener = Async::<TcpListener>::bind(address)?;
-    // A second call changes the length of the queue of a listening socket.
-    rustix::net::listen(&listener, ACCEPT_BACKLOG)?;
-    Ok(listener)
-}
-
-/// Passes each new connection to `serve`; never returns. Accepts what is waiting, up to a number per
-/// turn.
-pub async fn accept_each(
-    listener: &Async<TcpListener>,
-    serve: impl Fn(Async<TcpStream>, SocketAddr),
-) {
+/// Passes each new connection to `serve`; never returns.
+async fn accept_each(listener: &Async<TcpListener>, serve: impl Fn(Async<TcpStream>, SocketAddr)) {
     loop {
-        // Waits for the first connection; the others are taken only if they are already there.
-        let mut accepted = listener.accept().await;
-        for _ in 0..MAX_ACCEPTS_PER_TURN {
-            let Ok((stream, address)) = accepted else {
-                break;
-            };
-            serve(stream, address);
-            let next = listener.get_ref().accept();
-            accepted = next.and_then(|(stream, address)| Ok((Async::new(stream)?, address)));
-        }
-        match accepted {
-            Ok((stream, address)) => {
-                serve(stream, address);
-                sleep_ms(FULL_BATCH_PAUSE_MS).await;
-            }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+        match listener.accept().await {
+            Ok((stream, address)) => serve(stream, address),
             Err(error) => {
                 log::warn!("kind=accept-failed error={:?}", error.to_string());
                 sleep_ms(ACCEPT_PAUSE_MS).await;
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -442,7 +442,8 @@
 impl Listeners {
     fn bind(settings: &GatewaySettings) -> Result<Self, StartError> {
         let listen = |address: SocketAddr| {
-            front::listen(address).map_err(|source| StartError::Listen { address, source })
+            Async::<std::net::TcpListener>::bind(address)
+                .map_err(|source| StartError::Listen { address, source })
         };
         let peers = settings.peers;
         let clients = listen(settings.client_listen)?;
@@ -501,9 +502,7 @@
         tasks.push(traffic.spawn(front::status::serve(Rc::clone(&gateway), metrics)));
     }
     let clients = front::ClientConnections::new(Rc::clone(&gateway));
-    // Tasks of the control path run before those of requests. A connection that is not accepted can
-    // be neither served nor refused.
-    let accepting = control.spawn(clients.clone().accept(listeners.clients));
+    let accepting = traffic.spawn(clients.clone().accept(listeners.clients));
     let mut last_tick_ms = clock::now().steady_ms;
     while !flags.stop.load(Ordering::Relaxed) {
         sleep_ms(TICK_INTERVAL_MS).await;
