Count only refused connections as a sign that an endpoint restarted

Endpoints that lose responses reset connections all the time. Each reset made its endpoint count as cold at a gateway, for up to 5.8 s where the gateway has no part of the rate, so a fleet whose endpoints lose 40 of 100 responses for some seconds stopped using most of them. A crashed endpoint refuses connections until it is back, which still counts.

--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -402,9 +402,6 @@
 
     /// Records a failed attempt. Returns whether its endpoint is avoided from now on.
     pub fn record_failure(&mut self, endpoint: &EndpointId, kind: FailureKind, now: Now) -> bool {
-        if kind == FailureKind::ConnectionLost {
-            self.cold.record_connection_lost(endpoint, now);
-        }
         self.outliers
             .record_failure(EndpointKey::of(endpoint), kind, now)
     }
--- a/crates/curranttrestle/tests/gateway/warmup.rs
+++ b/crates/curranttrestle/tests/gateway/warmup.rs
@@ -285,7 +285,7 @@
 fn lost_endpoint_is_cold_for_the_warm_up_time_after_its_first_answer() {
     let mut control = gateway(1);
     let endpoint = entry("model", 0).endpoint;
-    control.record_failure(&endpoint, FailureKind::ConnectionLost, at(20_000));
+    control.cold.record_connection_lost(&endpoint, at(20_000));
     assert!(take(&mut control, 0, at(21_000)));
     let sent_ms = at(21_000).steady_ms;
     control.cold.record_answer(&endpoint, sent_ms, at(21_100));
@@ -293,6 +293,17 @@
     assert!(is_warm(&control, 0, at(24_100)));
 }
 
+/// Endpoints that lose responses reset connections all the time. When each reset counted as a possible
+/// restart, the fleet stopped using most of its warm endpoints.
+#[test]
+fn lost_response_does_not_make_an_endpoint_cold() {
+    let mut control = without_part(gateway(1));
+    let endpoint = entry("model", 0).endpoint;
+    control.record_failure(&endpoint, FailureKind::ConnectionLost, at(20_000));
+    assert!(is_warm(&control, 0, at(20_000)));
+    assert!(take(&mut control, 0, at(20_001)));
+}
+
 /// Sixty gateways saw one connection error, and most of them may not send to find out more.
 #[test]
 fn gateway_without_a_part_uses_a_lost_endpoint_again_once_the_same_run_writes_its_entry() {
