--- a/crates/curranttrestle-gateway/src/strain.rs
+++ b/crates/curranttrestle-gateway/src/strain.rs
@@ -17,10 +17,10 @@
 const LOGGED_DELAY_MS: u64 = 100;
 
 /// Interval of the probes that measure the scheduling delay.
-const PROBE_INTERVAL_MS: u64 = 50;
+const PROBE_INTERVAL_MS: u64 = 100;
 
 /// Interval of the probes while they are late, since the delay then changes quickly.
-const LATE_PROBE_INTERVAL_MS: u64 = 10;
+const LATE_PROBE_INTERVAL_MS: u64 = 50;
 
 /// Measures how late this gateway handles events; never returns. A probe waits for the reactor and
 /// for its turn among the traffic tasks, like a response of an endpoint.
