--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -14,10 +14,16 @@
 use super::attempt::{self, Failure, ResponseHead};
 use super::events::{EventSplitter, Events};
 use super::exchange::Exchange;
+use super::held::{HeldMemory, MEMORY_WAIT_MS};
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
 use crate::clock;
-use crate::timer::{sleep_ms, with_timeout};
+use crate::memory::MemoryKind;
+use crate::timer::sleep_ms;
+
+/// A part of a stream of this size has waited for the client to read, or belongs to a stream that
+/// fills the buffers anyway. Events of ordinary streams are much smaller.
+const BACKLOG_PART_BYTES: usize = 8_192;
 
 /// A stream that is being forwarded to the client.
 pub struct EventStream {
@@ -36,6 +42,8 @@
     record: RequestRecord,
     /// What an endpoint sent while another one was asked to resume the stream.
     received: Option<ReceiveResult>,
+    /// Memory of a stream that arrives faster than the client reads it.
+    backlog: Option<HeldMemory>,
     is_done: bool,
 }
 
@@ -47,7 +55,7 @@
 enum MoveEvent {
     /// The other endpoint responded or failed.
     Responded(Box<Result<ResponseHead, Failure>>),
-    /// The silent endpoint sent something.
+    /// The silent endpoint sent events, or its response ended.
     Received(ReceiveResult),
     /// Neither within [`MAX_OVERLAP_MS`].
     Timeout,
@@ -66,6 +74,8 @@
 /// The result of waiting for the next part of a stream.
 enum ReceiveResult {
     Data(Bytes),
+    /// Complete events, already split.
+    Events(Events),
     Complete,
     Failed(FailureKind),
     DeadlineReached,
@@ -91,6 +101,7 @@
             predicted_ms,
             record,
             received: None,
+            backlog: None,
             is_done: false,
         }
     }
@@ -110,7 +121,13 @@
             return None;
         }
         loop {
-            let failed = match self.receive().await {
+            let received = self.receive().await;
+            if let ReceiveResult::Data(bytes) = &received
+                && bytes.len() >= BACKLOG_PART_BYTES
+            {
+                self.hold_backlog().await;
+            }
+            let failed = match received {
                 ReceiveResult::Data(bytes) => match self.splitter.push(bytes) {
                     Some(events) if events.bytes.is_empty() => continue,
                     Some(events) => match self.filter_events(events) {
@@ -119,6 +136,10 @@
                     },
                     None => FailureKind::Malformed,
                 },
+                ReceiveResult::Events(events) => match self.filter_events(events) {
+                    Some(bytes) => return Some(Ok(bytes)),
+                    None => continue,
+                },
                 ReceiveResult::Complete if !self.splitter.has_partial() => {
                     self.complete();
                     return None;
@@ -157,13 +178,31 @@
         let Some(head) = self.head.as_mut() else {
             return ReceiveResult::Failed(FailureKind::ConnectionLost);
         };
-        match with_timeout(wait_ms, receive_from(head)).await {
+        let timeout = async {
+            let due_ms = now.steady_ms.saturating_add(wait_ms);
+            self.exchange.wait_for_timeout(due_ms).await;
+            None
+        };
+        let received = async { Some(receive_from(head).await) }.or(timeout);
+        match received.await {
             Some(received) => received,
             None if wait_ms >= limit_ms => ReceiveResult::DeadlineReached,
             None => ReceiveResult::Failed(FailureKind::TimedOut),
         }
     }
 
+    /// Takes memory for the buffers of the stream. While there is none, the endpoint has to wait.
+    async fn hold_backlog(&mut self) {
+        let gateway = &self.exchange.gateway;
+        let bytes = gateway.settings.memory.stream_backlog_bytes;
+        while self.backlog.is_none() && self.exchange.remaining_ms(clock::now()) > 0 {
+            self.backlog = HeldMemory::try_take(gateway, MemoryKind::Responses, bytes);
+            if self.backlog.is_none() {
+                sleep_ms(MEMORY_WAIT_MS).await;
+            }
+        }
+    }
+
     /// Whether the stream may move to another endpoint now. If so, takes a retry from the
     /// budget.
     fn try_move(&self) -> bool {
@@ -270,7 +309,14 @@
         }
         self.exchange
             .log_retry(FailureKind::TimedOut.as_str(), &from);
-        let result = ask_to_resume(&self.exchange, &choice, self.last_event_id, silent).await;
+        let result = ask_to_resume(
+            &self.exchange,
+            &choice,
+            self.last_event_id,
+            silent,
+            &mut self.splitter,
+        )
+        .await;
         let now = clock::now();
         match result {
             MoveResult::Moved(head) => {
@@ -380,18 +426,34 @@
     }
 }
 
+/// Waits for a complete event from an endpoint or for the end of its response. Parts of an event do
+/// not count, since an endpoint may send them without end.
+async fn receive_events(head: &mut ResponseHead, splitter: &mut EventSplitter) -> ReceiveResult {
+    loop {
+        match receive_from(head).await {
+            ReceiveResult::Data(bytes) => match splitter.push(bytes) {
+                Some(events) if events.bytes.is_empty() => {}
+                Some(events) => return ReceiveResult::Events(events),
+                None => return ReceiveResult::Failed(FailureKind::Malformed),
+            },
+            received => return received,
+        }
+    }
+}
+
 /// Sends the request to the chosen endpoint and keeps `silent` until that one has had time to refuse.
 async fn ask_to_resume(
     exchange: &Exchange,
     choice: &Choice,
     last_event_id: Option<u64>,
     mut silent: ResponseHead,
+    splitter: &mut EventSplitter,
 ) -> MoveResult {
     let deadline_ms = exchange.deadline_steady_ms;
     let sending = attempt::send(exchange, choice, true, last_event_id, deadline_ms);
     let mut sending = std::pin::pin!(sending);
     let responded = async { MoveEvent::Responded(Box::new(sending.as_mut().await)) };
-    let received = async { MoveEvent::Received(receive_from(&mut silent).await) };
+    let received = async { MoveEvent::Received(receive_events(&mut silent, splitter).await) };
     let timeout = async {
         sleep_ms(MAX_OVERLAP_MS).await;
         MoveEvent::Timeout
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -6,9 +6,9 @@
 use curranttrestle::coordination::gateway::control::{Placement, RefusalInputs};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::request_quarantine::{RequestIdentity, RequestParts};
+use curranttrestle::coordination::gateway::warmup::ENDPOINTS_COLD;
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{RequestHints, Route};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
@@ -20,10 +20,13 @@
 use super::event_stream::EventStream;
 use super::exchange::{Exchange, PROMPT_QUARANTINED, QUARANTINED};
 use super::headers::{head_bytes, remove_hop_by_hop};
+use super::held::HeldMemory;
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
-use super::response::{ClientResponse, LocalResponse, ResponseBody, full_body};
+use super::response::{ClientResponse, LocalResponse, ResponseBody};
+use super::response_body::collect_response;
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
+use crate::memory::{MemoryKind, socket_buffer_bytes};
 use crate::timer::with_timeout;
 
 /// Handles a request. Closes the connection afterwards if too many clients are connected or the
@@ -87,7 +90,8 @@
     record.set_attempt_id(&hints.attempt_id);
     let host = host(&parts).ok_or_else(|| bad_request("no-host"))?;
     resolve(gateway, &host, parts.uri.path(), &hints, arrived)?;
-    let (body, memory) = read_body(gateway, &parts.headers, body, &hints).await?;
+    let request_memory = take_request_memory(gateway)?;
+    let (body, body_memory) = read_body(gateway, &parts.headers, body, &hints).await?;
     // The configuration may have changed while the body was read.
     let now = clock::now();
     let resolved = resolve(gateway, &host, parts.uri.path(), &hints, now)?;
@@ -128,10 +132,20 @@
         sends: Cell::new(0),
         has_retry_token: Cell::new(false),
         excluded: Vec::new(),
-        memory,
+        memory: [body_memory, request_memory],
     })
 }
 
+/// Takes the memory of a request apart from its body.
+fn take_request_memory(gateway: &Rc<Gateway>) -> Result<HeldMemory, LocalResponse> {
+    let buffer_bytes = socket_buffer_bytes(gateway.settings.resources.memory_bytes);
+    // Bytes of the body or of the response that are not read yet.
+    let bytes = gateway.settings.memory.request_bytes + buffer_bytes.unwrap_or_default();
+    let retry_ms = gateway.settings.traffic.refusal_retry_after_ms;
+    HeldMemory::try_take(gateway, MemoryKind::Connections, bytes)
+        .ok_or_else(|| LocalResponse::refused("client-memory", retry_ms))
+}
+
 fn host(parts: &Parts) -> Option<String> {
     let authority = parts.uri.authority().map(ToString::to_string);
     authority.or_else(|| {
@@ -205,6 +219,9 @@
                 retry_after_ms,
                 inputs,
             } => {
+                if reason == ENDPOINTS_COLD {
+                    exchange.gateway.count_cold_refusal();
+                }
                 if record.should_log_refusal(now) {
                     log_refusal(&exchange, reason, inputs, retry_after_ms);
                 }
@@ -258,7 +275,7 @@
 /// another endpoint may take it, or when the first of them is no longer paused.
 fn retry_after_failure_ms(exchange: &Exchange, now: Now) -> f64 {
     let control = exchange.gateway.control.borrow();
-    let pause_ms = control.service_pause_ms(&exchange.service, now);
+    let pause_ms = control.service_pause_ms(exchange.placement_request(false), now);
     #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
     pause_ms.map_or(RETRY_AFTER_FAILURE_MS, |pause_ms| {
         (pause_ms as f64).max(RETRY_AFTER_FAILURE_MS)
@@ -391,16 +408,10 @@
         guard,
     } = head;
     let remaining_ms = exchange.remaining_ms(clock::now());
-    let max_bytes = exchange
-        .gateway
-        .settings
-        .traffic
-        .max_buffered_response_bytes;
-    let collect = Limited::new(response.into_body(), max_bytes).collect();
+    let collect = collect_response(&exchange.gateway, response.into_body());
     let body = match with_timeout(remaining_ms, collect).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(error)) => {
-            log::debug!("kind=answer-broken error={error:?}");
+        Some(Some(body)) => body,
+        Some(None) => {
             exchange.record_crash(guard.run, clock::now());
             let failure = Failure::possibly_run(FailureKind::ConnectionLost);
             return Forwarded::Failed(failure, Box::new((exchange, record)));
@@ -440,7 +451,7 @@
         if info.is_signed { "signed" } else { "unsigned" },
         now,
     );
-    Forwarded::Sent(with_body(parts, full_body(body)))
+    Forwarded::Sent(with_body(parts, Box::pin(body)))
 }
 
 /// Whether another endpoint could take the request; the retry budget is checked later.
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -17,6 +17,7 @@
 use super::accept_each;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::memory::MemoryKind;
 
 /// Maximum time to wait for a complete request head.
 const HEADER_READ_TIMEOUT_MS: u64 = 10_000;
@@ -88,9 +89,18 @@
     set("open_requests", count(gateway.open_requests.get()));
     set("attempts_in_flight", count(control.load.in_flight()));
     set("idle_connections", count(gateway.pool.idle_count()));
-    set("body_bytes", count(gateway.body_bytes.get()));
+    let body_bytes = gateway.memory.borrow().held_bytes(MemoryKind::Bodies);
+    set("body_bytes", count(body_bytes));
+    gateway.set_client_gauges(|name, value| set(name, count(value)));
     set("endpoints", count(control.directory.all_entries().count()));
     set("paused_endpoints", count(control.pauses.count(now)));
+    if control.evacuations.options().is_some() {
+        set("evacuated_data_centres", count(control.evacuations.count()));
+        let age_ms = control.evacuations.age_ms(now).unwrap_or(u64::MAX);
+        set("evacuation_age_ms", age_ms);
+    }
+    set("cold_endpoints", count(control.cold.count()));
+    set("known_gateways", count(control.cold.gateways().count() + 1));
     set("gateways", count(control.fleet_size()));
     set(
         "suspect_requests",
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -6,12 +6,15 @@
 //! in [`curranttrestle::coordination`]; this crate does the I/O. Names and formats of a platform are
 //! behind the traits of [`edge`].
 
+pub mod client_limits;
 pub mod clock;
+pub mod connections;
 pub mod edge;
 pub mod executor;
 pub mod front;
 pub mod gateway;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod settings;
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection. Dropping it closes it, also with a request in flight.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -9,6 +10,7 @@
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response};
+use rustix::net::sockopt;
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
@@ -32,6 +34,20 @@
     Http(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether the connection was refused or reset, so that the peer may have crashed.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Io(error) => matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ),
+            Self::Timeout(_) | Self::Http(_) => false,
+        }
+    }
+}
+
 /// Why a request got no response.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -43,6 +59,15 @@
     ConnectionFailed(hyper::Error),
 }
 
+/// Options of the socket of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SocketOptions {
+    /// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
+    pub tcp_user_timeout_ms: u32,
+    /// Size of the receive buffer; `None` leaves it to the operating system.
+    pub receive_buffer_bytes: Option<usize>,
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -51,6 +76,8 @@
     /// Drives the connection; dropping it closes the socket.
     _driver: Task<()>,
     address: SocketAddr,
+    /// When the connection was opened, by the steady clock.
+    opened_ms: u64,
     /// When the connection was last used, by the steady clock.
     pub(super) last_used_ms: u64,
     /// Idle timeout that the peer announced.
@@ -68,19 +95,24 @@
         executor: &Rc<LocalExecutor<'static>>,
         address: SocketAddr,
         timeout_ms: u64,
-        tcp_user_timeout_ms: u32,
+        options: SocketOptions,
     ) -> Result<Self, ConnectError> {
         let connected = with_timeout(timeout_ms, TcpStream::connect(address)).await;
         let stream = connected.ok_or(ConnectError::Timeout(timeout_ms))??;
         stream.set_nodelay(true)?;
         // Without this timeout, a peer that vanished would hold the connection forever.
-        if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(&stream, tcp_user_timeout_ms)
-        {
+        let set_timeout = sockopt::set_tcp_user_timeout(&stream, options.tcp_user_timeout_ms);
+        let set_buffer = options.receive_buffer_bytes.map_or(Ok(()), |bytes| {
+            sockopt::set_socket_recv_buffer_size(&stream, bytes)
+        });
+        if let Err(error) = set_timeout.and(set_buffer) {
             log::debug!("kind=socket-option-failed address={address} error={error:?}");
         }
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
+            // Otherwise the library copies a body before it sends it.
+            .writev(true)
             .handshake(FuturesIo::new(stream))
             .await?;
         let driver = executor.spawn(async move {
@@ -93,6 +125,7 @@
             head_limit,
             _driver: driver,
             address,
+            opened_ms: clock::now().steady_ms,
             last_used_ms: clock::now().steady_ms,
             keep_alive_ms: None,
             will_close: false,
@@ -141,6 +174,12 @@
             && now_ms.saturating_sub(self.last_used_ms) < max_idle_ms.min(idle_timeout_ms)
     }
 
+    /// When the connection was opened, by the steady clock; `None` if it is closed.
+    #[must_use]
+    pub fn open_since_ms(&self) -> Option<u64> {
+        (!self.sender.is_closed()).then_some(self.opened_ms)
+    }
+
     /// Whether the peer announced that it closes the connection.
     #[must_use]
     pub fn will_close(&self) -> bool {
--- a/crates/curranttrestle-gateway/src/upstream/pool.rs
+++ b/crates/curranttrestle-gateway/src/upstream/pool.rs
@@ -7,25 +7,40 @@
 use indexmap::IndexMap;
 use smol::LocalExecutor;
 
-use super::connection::{ConnectError, Connection};
+use super::connection::{ConnectError, Connection, SocketOptions};
 use crate::clock;
 use crate::settings::TrafficOptions;
 
+/// Limits that follow from what the instance has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// The most idle connections of all addresses together; `None` if they are not limited.
+    pub max_idle: Option<usize>,
+    /// Size of the receive buffers; `None` leaves it to the operating system.
+    pub receive_buffer_bytes: Option<usize>,
+}
+
 /// Idle connections by address.
 #[derive(Debug)]
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     options: TrafficOptions,
+    limits: PoolLimits,
     idle: RefCell<IndexMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Pool {
     /// Creates an empty pool whose connections run on `executor`.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>, options: TrafficOptions) -> Self {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        options: TrafficOptions,
+        limits: PoolLimits,
+    ) -> Self {
         Self {
             executor,
             options,
+            limits,
             idle: RefCell::default(),
         }
     }
@@ -60,14 +75,21 @@
         address: SocketAddr,
         timeout_ms: u64,
     ) -> Result<Connection, ConnectError> {
-        let tcp_user_timeout_ms = self.options.tcp_user_timeout_ms;
-        Connection::open(&self.executor, address, timeout_ms, tcp_user_timeout_ms).await
+        let options = SocketOptions {
+            tcp_user_timeout_ms: self.options.tcp_user_timeout_ms,
+            receive_buffer_bytes: self.limits.receive_buffer_bytes,
+        };
+        Connection::open(&self.executor, address, timeout_ms, options).await
     }
 
     /// Keeps a connection whose response was read completely, at most `max_idle` per address. Drops
-    /// the least recently used one when there are more.
+    /// the least recently used one when there are more, and this one when the pool is full.
     pub fn put_back(&self, mut connection: Connection, max_idle: usize) {
-        if connection.will_close() || max_idle == 0 {
+        let is_full = self
+            .limits
+            .max_idle
+            .is_some_and(|max| self.idle_count() >= max);
+        if connection.will_close() || max_idle == 0 || is_full {
             return;
         }
         connection.last_used_ms = clock::now().steady_ms;
@@ -90,6 +112,15 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
+    /// When the oldest idle connection to an address that is still open was opened, by the steady
+    /// clock.
+    #[must_use]
+    pub fn oldest_open_ms(&self, address: SocketAddr) -> Option<u64> {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&address)?.iter();
+        connections.filter_map(Connection::open_since_ms).min()
+    }
+
     /// The number of idle connections.
     #[must_use]
     pub fn idle_count(&self) -> usize {
