--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -8,10 +8,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use curranttrestle::coordination::gateway::control::Control;
-use curranttrestle::coordination::gateway::directory::DirectoryChange;
-use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationOptions};
+use curranttrestle::coordination::gateway::evacuation::EvacuationOptions;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
-use curranttrestle::coordination::gateway::warmup::ColdChange;
 use curranttrestle::state::Now;
 use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -161,56 +159,6 @@
         self.phase.get() == Phase::Running && self.control.borrow().is_ready()
     }
 
-    /// Logs and counts changes of the directory and applies them.
-    pub fn apply_directory_changes(&self, changes: &[DirectoryChange], source: &str) {
-        if changes.is_empty() {
-            return;
-        }
-        for change in changes {
-            let (what, endpoint) = match change {
-                DirectoryChange::Joined(endpoint) => ("joined", endpoint),
-                DirectoryChange::Leaving(endpoint) => ("leaving", endpoint),
-                DirectoryChange::Lapsed(endpoint) => ("lapsed", endpoint),
-                DirectoryChange::Removed(endpoint) => ("gone", endpoint),
-                DirectoryChange::Restarted(endpoint) => ("restarted", endpoint),
-            };
-            log::info!("kind=endpoint-{what} endpoint={endpoint} source={source}");
-            self.metrics
-                .directory_changes
-                .with_label_values(&[what])
-                .inc();
-        }
-        self.control.borrow_mut().apply_directory_changes(changes);
-    }
-
-    /// Logs and counts evacuations that began or ended.
-    pub fn apply_evacuation_changes(&self, changes: &[EvacuationChange], source: &str, now: Now) {
-        let mut control = self.control.borrow_mut();
-        let age_ms = control.evacuations.age_ms(now).unwrap_or_default();
-        let counter = &self.metrics.evacuation_changes;
-        for change in changes {
-            match change {
-                EvacuationChange::Began(name) if !control.is_data_centre(name) => {
-                    counter.with_label_values(&["unknown"]).inc();
-                    log::warn!("kind=evacuation-unknown name={name:?} source={source}");
-                }
-                EvacuationChange::Began(name) => {
-                    counter.with_label_values(&["began"]).inc();
-                    log::warn!(
-                        "kind=evacuation-began data_centre={name:?} source={source} age_ms={age_ms}"
-                    );
-                }
-                EvacuationChange::Ended(name) => {
-                    counter.with_label_values(&["ended"]).inc();
-                    let endpoints = control.evacuation_ended(name, now);
-                    log::info!(
-                        "kind=evacuation-ended data_centre={name:?} source={source} age_ms={age_ms} endpoints={endpoints}"
-                    );
-                }
-            }
-        }
-    }
-
     fn tick(&self, now: Now) {
         self.update_client_limits(now);
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
@@ -230,54 +178,6 @@
         }
     }
 
-    /// Counts a request that got no permit for a cold endpoint.
-    pub fn count_cold_refusal(&self) {
-        let counter = &self.metrics.cold_endpoints;
-        counter.with_label_values(&["refused"]).inc();
-    }
-
-    /// Passes on which endpoints still hold connections that are older than the loss of another one.
-    fn check_lost_endpoints(&self, now: Now) {
-        let mut control = self.control.borrow_mut();
-        for endpoint in control.cold.lost_endpoints(now) {
-            let address = control.directory.address(&endpoint);
-            let opened_ms = address.and_then(|address| self.pool.oldest_open_ms(address));
-            if let Some(opened_ms) = opened_ms {
-                control
-                    .cold
-                    .record_open_connection(&endpoint, opened_ms, now);
-            }
-        }
-    }
-
-    /// Logs and counts endpoints that became cold or warm.
-    fn log_cold_changes(&self, now: Now) {
-        for change in self.control.borrow_mut().update_cold(now) {
-            let event = match change {
-                ColdChange::Cold {
-                    endpoint,
-                    cause,
-                    left_ms,
-                    has_part,
-                } => {
-                    let why = cause.as_str();
-                    log::info!(
-                        "kind=endpoint-cold endpoint={endpoint} why={why} left_ms={left_ms} has_part={has_part}"
-                    );
-                    "cold"
-                }
-                ColdChange::Warm(endpoint) => {
-                    log::info!("kind=endpoint-warm endpoint={endpoint}");
-                    "warm"
-                }
-            };
-            self.metrics
-                .cold_endpoints
-                .with_label_values(&[event])
-                .inc();
-        }
-    }
-
     /// Logs when this gateway lacks processor time or information from its peers. The last timer
     /// fired after `elapsed_ms`.
     fn log_strain(&self, peers: &Peers, elapsed_ms: u64, now: Now) {
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! in [`curranttrestle::coordination`]; this crate does the I/O. Names and formats of a platform are
 //! behind the traits of [`edge`].
 
+mod changes;
 pub mod client_limits;
 pub mod clock;
 pub mod connections;
--- a/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
@@ -104,7 +104,7 @@
         let leaving = control.directory.leaving_to_announce();
         if !leaving.is_empty() {
             let message = GatewayMessage::Leaving(leaving);
-            // Relays forward it. Many gateways learn of it at the same moment.
+            // Relays forward it, so many gateways receive it at the same moment.
             let targets = if is_connected {
                 self.load_relay.neighbours()
             } else {
--- a/crates/curranttrestle-gateway/src/store/evacuations.rs
+++ b/crates/curranttrestle-gateway/src/store/evacuations.rs
@@ -18,7 +18,7 @@
 const MIN_CALL_INTERVAL_MS: u64 = 200;
 
 /// Reads the evacuations. A reader watches them for its peers, another gateway lists them only if
-/// what it knows from announcements is old.
+/// the last announcement is old.
 pub async fn maintain_evacuations<P: Platform>(
     gateway: Rc<Gateway>,
     platform: Rc<P>,
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -12,7 +12,7 @@
     NotAccepting,
     /// Its data centre is in a region that the route or the customer does not allow.
     Region,
-    /// What this gateway knows of evacuations is too old, and it has not tried to read them since.
+    /// The last read or announcement of evacuations is too old, and no read has been tried since.
     EvacuationsUnknown,
     /// Its data centre is evacuated.
     Evacuated,
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -334,7 +334,7 @@
     #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
     fn update_slowness(&mut self, record: Attempt, elapsed_ms: u64, now: Now) {
         // The endpoint took at most `elapsed_ms`, and less by at most what this gateway added. If the
-        // prediction lies between, nothing speaks against it.
+        // prediction lies between, it may be right.
         let added_ms = self.own_delay.added_ms(record.own_delay_ms, now);
         let shortest_ms = elapsed_ms.saturating_sub(added_ms) as f64;
         let predicted_ms = record.sent.predicted_ms.max(1.0);
--- a/crates/curranttrestle/src/coordination/gateway/evacuation.rs
+++ b/crates/curranttrestle/src/coordination/gateway/evacuation.rs
@@ -92,7 +92,7 @@
         wait_ms.max(MIN_WATCH_WAIT_MS)
     }
 
-    /// The time of which the response to a watch certainly tells the state, by the steady clock. The
+    /// The time of which the response to a watch certainly shows the state, by the steady clock. The
     /// watch was sent at `sent_ms` and waited for `wait_ms`. `is_quiet` if it waited to the end.
     #[must_use]
     pub fn watch_proof_ms(&self, sent_ms: u64, wait_ms: u64, is_quiet: bool) -> u64 {
@@ -147,7 +147,7 @@
     }
 }
 
-/// What a gateway knows about evacuations.
+/// The evacuations that a gateway has read or received.
 ///
 /// ```
 /// use curranttrestle::coordination::gateway::evacuation::{Evacuations, EvacuationState};
@@ -186,7 +186,7 @@
         self.options
     }
 
-    /// Whether requests may be sent: a gateway that knows nothing yet could send them to an evacuated
+    /// Whether requests may be sent: a gateway without any read could send them to an evacuated
     /// data centre.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -244,7 +244,7 @@
         }
     }
 
-    /// Applies what this gateway read from the store, which tells all that was acknowledged until
+    /// Applies what this gateway read from the store, which includes all that was acknowledged until
     /// `proved_ms`. It is announced to the peers.
     pub fn record_read(&mut self, state: EvacuationState, proved_ms: u64) -> Vec<EvacuationChange> {
         let changes = self.apply(state, proved_ms);
--- a/crates/curranttrestle/src/coordination/gateway/warmup/known_gateways.rs
+++ b/crates/curranttrestle/src/coordination/gateway/warmup/known_gateways.rs
@@ -66,7 +66,7 @@
         true
     }
 
-    /// Forgets the gateway that was heard of first if there are too many.
+    /// Removes the gateway that was received first if there are too many.
     pub fn drop_oldest(&mut self) -> bool {
         self.others.len() > MAX_GATEWAYS && self.others.shift_remove_index(0).is_some()
     }
--- a/crates/curranttrestle/src/coordination/gateway/warmup/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/warmup/mod.rs
@@ -377,7 +377,7 @@
         cold.count()
     }
 
-    /// Returns which endpoints became cold or warm since the last call, and forgets removed ones.
+    /// Returns which endpoints became cold or warm since the last call, and drops removed ones.
     /// `limits` are the limits by service.
     pub fn update(&mut self, limits: &[(String, ColdLimit)], now: Now) -> Vec<ColdChange> {
         self.records.retain(|_, record| {
--- a/crates/curranttrestle/tests/gateway/warmup.rs
+++ b/crates/curranttrestle/tests/gateway/warmup.rs
@@ -64,7 +64,7 @@
     played.unwrap();
 }
 
-/// A limit that nobody may use would also stay within the bound.
+/// A limit that allows no request would also stay within the bound.
 #[test]
 fn cold_endpoint_receives_requests_while_the_fleet_is_calm() {
     let calm = (6_usize..62, any::<u64>()).prop_map(|(gateways, seed)| Course {
@@ -208,7 +208,7 @@
         .set_own_address(entry("gateway", 0).address, at(0));
     control.cold.record_gateway(entry("peer", 1).address, at(0));
     write(&mut control, entry("model", 0), at(30_000));
-    // It hears no peer, so it may be cut off from all of them.
+    // It receives nothing from peers, so it may be cut off from all of them.
     control.cold.observe_live_peers(0, at(30_000));
     assert!(!take(&mut control, 0, at(30_000)));
     control.cold.observe_live_peers(1, at(30_000));
