Limit waits and widen the choice of engines where long and short prompts mix

Engines prefill in order of arrival, so a long prompt delays every request behind it by its whole prefill, and a gateway let each request wait up to 0.8 of its own target, whatever stood behind it.

While the recent requests of a service mix kinds of which one's mean prefill takes an eighth of the smallest target, a request waits at an engine at most half as long as the kind with the least time to spare could, longer prompts leave a part of that free, and prompts that are cheap to prefill again may use four further engines. An engine without requests takes a request rather than that the limit refuses it. PlacementOptions::prompt_mix = None turns this off.

--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
+pub mod prompt_mix;
 pub mod request_quarantine;
 pub mod route_table;
 pub mod shares;
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -10,6 +10,7 @@
 
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker};
 use super::prompt_cache::PromptCache;
+use super::prompt_mix::{EngineState, PromptMixOptions, Steering};
 use crate::state::Now;
 use crate::state::gateway::{EndpointEntry, EngineCapacity, RequestHints};
 
@@ -27,6 +28,8 @@
     pub remote_penalty_ms: f64,
     /// Fraction of an engine's memory that running requests may use.
     pub memory_fraction: f64,
+    /// Steering of long and short prompts that share engines; `None` turns it off.
+    pub prompt_mix: Option<PromptMixOptions>,
 }
 
 impl Default for PlacementOptions {
@@ -37,6 +40,7 @@
             rank_penalty_ms: 10.0,
             remote_penalty_ms: 2.0,
             memory_fraction: 0.7,
+            prompt_mix: Some(PromptMixOptions::default()),
         }
     }
 }
@@ -56,6 +60,11 @@
     pub prefill_tokens: u64,
     /// Whether the endpoint is at capacity.
     pub is_full: bool,
+    /// How the request is steered because long and short prompts are mixed; `None` if they are
+    /// not.
+    pub steering: Option<Steering>,
+    /// Whether the endpoint is not one of the top-ranked ones.
+    pub is_further: bool,
 }
 
 /// The state that a choice is based on.
@@ -67,6 +76,9 @@
     pub cache: &'a PromptCache,
     /// The data centre of this gateway.
     pub data_centre: &'a str,
+    /// How the request is steered because long and short prompts are mixed; `None` if they are
+    /// not.
+    pub steering: Option<Steering>,
 }
 
 /// Chooses an endpoint among `entries` for a request to a model engine.
@@ -91,11 +103,23 @@
         })
         .collect();
     ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-    ranked.truncate(options.max_candidates.max(1));
-    let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+    let max_candidates = options.max_candidates.max(1);
     let needed_tokens = hints.unshared_tokens() + hints.expected_output_tokens();
+    let selected = Steering::select(context.steering, ranked, max_candidates, |entry| {
+        let view = context.load.view(EndpointKey::of(&entry.endpoint), now);
+        let is_full = is_at_capacity(view, engine, needed_tokens, options);
+        EngineState {
+            wait_ms: if is_full {
+                f64::INFINITY
+            } else {
+                engine_wait_ms(view, context.load.options())
+            },
+            is_idle: view.in_flight == 0,
+        }
+    });
+    let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
     let mut best: Option<(f64, Choice)> = None;
-    for (rank, (_, entry)) in ranked.iter().enumerate() {
+    for (rank, entry) in selected {
         let key = EndpointKey::of(&entry.endpoint);
         let view = context.load.view(key, now);
         let cached_tokens = context
@@ -109,15 +133,17 @@
         let predicted_ms = wait_ms + load_options.engine_base_ms + prefill_ms(prefill_tokens);
         let is_full = is_at_capacity(view, engine, needed_tokens, options);
         let choice = Choice {
-            entry: (*entry).clone(),
+            entry: entry.clone(),
             predicted_ms,
             wait_ms,
             load: view,
             prefill_tokens,
             is_full,
+            steering: context.steering,
+            is_further: rank >= max_candidates,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few candidates")]
-        let rank_penalty_ms = rank as f64 * options.rank_penalty_ms;
+        let rank_penalty_ms = rank.min(max_candidates) as f64 * options.rank_penalty_ms;
         let recompute_penalty_ms = prefill_ms(uncached_tokens) * (options.recompute_weight - 1.0);
         let cost_ms = predicted_ms
             + recompute_penalty_ms
@@ -156,6 +182,8 @@
             load: view,
             prefill_tokens: 0,
             is_full: false,
+            steering: None,
+            is_further: false,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred requests")]
         let busy_ms =
