--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -151,6 +151,8 @@
     pub wait_ms: f64,
     /// The load of the endpoint.
     pub load: EndpointLoad,
+    /// The longest wait allowed because long and short prompts are mixed; `None` if they are not.
+    pub mix_wait_limit_ms: Option<f64>,
     /// Admitted tokens of the customer over its fair share; zero if it is within its share.
     pub share_ratio: f64,
 }
@@ -352,6 +354,7 @@
                     predicted_ms: choice.predicted_ms,
                     wait_ms: choice.wait_ms,
                     load: choice.load,
+                    mix_wait_limit_ms: choice.steering.map(|steering| steering.max_wait_ms),
                     share_ratio: match share_status {
                         ShareStatus::Within => 0.0,
                         ShareStatus::Over { ratio, .. } => ratio,
