Look for idle engines without computing their whole load

Before a refusal by the limit on the wait, the load of every engine was summed over all reports. LoadTracker::is_idle stops at the first report that names the engine.

--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -298,6 +298,17 @@
         view
     }
 
+    /// Whether neither this gateway nor a current report has a request at an endpoint. Cheaper than
+    /// [`Self::view`].
+    #[must_use]
+    pub fn is_idle(&self, endpoint: EndpointKey, now: Now) -> bool {
+        let max_age_ms = self.options.report_max_age_ms;
+        let is_reported = |report: &PeerReport| {
+            now.since_ms(report.at_ms) < max_age_ms && report.lines.contains_key(&endpoint)
+        };
+        !self.by_endpoint.contains_key(&endpoint) && !self.peers.values().any(is_reported)
+    }
+
     fn own_load(&self, endpoint: EndpointKey, attempts: &IndexMap<u64, ()>) -> LoadLine {
         let records = attempts.keys().filter_map(|key| self.attempts.get(key));
         let mut waiting_tokens = 0;
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -10,7 +10,7 @@
 
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker};
 use super::prompt_cache::PromptCache;
-use super::prompt_mix::{EngineState, PromptMixOptions, Steering};
+use super::prompt_mix::{PromptMixOptions, Steering};
 use crate::state::Now;
 use crate::state::gateway::{EndpointEntry, EngineCapacity, RequestHints};
 
@@ -105,18 +105,19 @@
     ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
     let max_candidates = options.max_candidates.max(1);
     let needed_tokens = hints.unshared_tokens() + hints.expected_output_tokens();
-    let selected = Steering::select(context.steering, ranked, max_candidates, |entry| {
+    let wait_ms = |entry: &EndpointEntry| {
         let view = context.load.view(EndpointKey::of(&entry.endpoint), now);
-        let is_full = is_at_capacity(view, engine, needed_tokens, options);
-        EngineState {
-            wait_ms: if is_full {
-                f64::INFINITY
-            } else {
-                engine_wait_ms(view, context.load.options())
-            },
-            is_idle: view.in_flight == 0,
+        if is_at_capacity(view, engine, needed_tokens, options) {
+            f64::INFINITY
+        } else {
+            engine_wait_ms(view, context.load.options())
         }
-    });
+    };
+    let is_idle = |entry: &EndpointEntry| {
+        let key = EndpointKey::of(&entry.endpoint);
+        context.load.is_idle(key, now)
+    };
+    let selected = Steering::select(context.steering, ranked, max_candidates, wait_ms, is_idle);
     let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
     let mut best: Option<(f64, Choice)> = None;
     for (rank, entry) in selected {
--- a/crates/curranttrestle/src/coordination/gateway/prompt_mix.rs
+++ b/crates/curranttrestle/src/coordination/gateway/prompt_mix.rs
@@ -144,15 +144,6 @@
     pub seed: u64,
 }
 
-/// What the selection of engines depends on.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EngineState {
-    /// Predicted wait; infinite if the engine is at capacity.
-    pub wait_ms: f64,
-    /// Whether no requests are known to be at the engine.
-    pub is_idle: bool,
-}
-
 impl PromptMix {
     /// Records that a prompt was sent.
     pub fn record(
@@ -292,51 +283,47 @@
 impl Steering {
     /// Selects the engines to consider among `ranked`, with their ranks: the first `top`, and
     /// further ones if a prompt that is cheap to prefill again would wait there. An idle engine is
-    /// preferred to a refusal.
+    /// preferred to a refusal. `wait_ms` is infinite for engines at capacity.
     pub fn select(
         steering: Option<Self>,
         mut ranked: Vec<(u64, &EndpointEntry)>,
         top: usize,
-        state: impl Fn(&EndpointEntry) -> EngineState,
+        wait_ms: impl Fn(&EndpointEntry) -> f64,
+        is_idle: impl Fn(&EndpointEntry) -> bool,
     ) -> Vec<(usize, &EndpointEntry)> {
         let top = top.min(ranked.len());
         let Some(steering) = steering else {
             return number(&ranked[..top]);
         };
-        let states = |engines: &[(u64, &EndpointEntry)]| -> Vec<EngineState> {
-            engines.iter().map(|(_, entry)| state(entry)).collect()
-        };
         let order =
             |(score, _): &(u64, &EndpointEntry)| (score ^ steering.seed).wrapping_mul(MIXER);
-        let mut considered = states(&ranked[..top]);
-        if least_wait_ms(&considered) > steering.widen_wait_ms {
+        let least_ms = |waits: &[f64]| waits.iter().copied().fold(f64::INFINITY, f64::min);
+        let engines = ranked[..top].iter();
+        let mut waits: Vec<f64> = engines.map(|(_, entry)| wait_ms(entry)).collect();
+        if least_ms(&waits) > steering.widen_wait_ms {
             let further = steering.further_candidates.min(ranked.len() - top);
             if further < ranked.len() - top {
                 ranked[top..].select_nth_unstable_by_key(further, order);
             }
-            considered.extend(states(&ranked[top..top + further]));
+            let engines = ranked[top..top + further].iter();
+            waits.extend(engines.map(|(_, entry)| wait_ms(entry)));
         }
-        let count = considered.len();
-        if least_wait_ms(&considered) > steering.max_wait_ms {
+        let count = waits.len();
+        if least_ms(&waits) > steering.max_wait_ms {
             let rest = ranked[count..].iter().enumerate();
-            let idle = rest.filter(|(_, (_, entry))| state(entry).is_idle);
+            let idle = rest.filter(|(_, (_, entry))| is_idle(entry));
             if let Some((index, (_, entry))) = idle.min_by_key(|(_, engine)| order(engine)) {
                 return vec![(count + index, *entry)];
             }
         }
         let mut selected = number(&ranked[..count]);
-        if considered.iter().any(|state| state.is_idle) {
-            selected.retain(|(rank, _)| considered[*rank].wait_ms <= steering.max_wait_ms);
+        if selected.iter().any(|(_, entry)| is_idle(entry)) {
+            selected.retain(|(rank, _)| waits[*rank] <= steering.max_wait_ms);
         }
         selected
     }
 }
 
-fn least_wait_ms(states: &[EngineState]) -> f64 {
-    let waits = states.iter().map(|state| state.wait_ms);
-    waits.fold(f64::INFINITY, f64::min)
-}
-
 fn number<'a>(ranked: &[(u64, &'a EndpointEntry)]) -> Vec<(usize, &'a EndpointEntry)> {
     let entries = ranked.iter().map(|(_, entry)| *entry);
     entries.enumerate().collect()
--- a/crates/curranttrestle/tests/gateway/prompt_mix.rs
+++ b/crates/curranttrestle/tests/gateway/prompt_mix.rs
@@ -1,7 +1,7 @@
 //! Checks from the callers' side how many long and short requests begin within their targets when
 //! engines serve both.
 
-use curranttrestle::coordination::gateway::prompt_mix::{EngineState, Steering};
+use curranttrestle::coordination::gateway::prompt_mix::Steering;
 use curranttrestle::state::gateway::EndpointEntry;
 
 use super::mixed_load::{Fleet, HURRIED_LONG, Kind, LONG, MEDIUM, NO_FAULT, ON, SHORT, simulate};
@@ -178,16 +178,12 @@
     };
     let entries: Vec<EndpointEntry> = (0..9).map(|index| entry("model", index)).collect();
     let ranked: Vec<(u64, &EndpointEntry)> = (0..).zip(&entries).collect();
-    let state = |idle: usize| {
-        let idle = entries[idle].endpoint.clone();
-        move |entry: &EndpointEntry| EngineState {
-            wait_ms: if entry.endpoint == idle { 0.0 } else { 60.0 },
-            is_idle: entry.endpoint == idle,
-        }
-    };
     for idle in [0, 7] {
-        let selected = Steering::select(Some(steering), ranked.clone(), 4, state(idle));
+        let is_idle = |entry: &EndpointEntry| entry == &entries[idle];
+        let wait_ms = |entry: &EndpointEntry| if is_idle(entry) { 0.0 } else { 60.0 };
+        let selected = Steering::select(Some(steering), ranked.clone(), 4, wait_ms, is_idle);
         assert_eq!(selected, [(idle, &entries[idle])]);
+        let usual = Steering::select(None, ranked.clone(), 4, wait_ms, is_idle);
+        assert_eq!(usual.len(), 4);
     }
-    assert_eq!(Steering::select(None, ranked, 4, state(7)).len(), 4);
 }
