--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -28,7 +28,9 @@
     pub remote_penalty_ms: f64,
     /// Fraction of an engine's memory that running requests may use.
     pub memory_fraction: f64,
-    /// Steering of long and short prompts that share engines; `None` turns it off.
+    /// Steering of long and short prompts that share engines; `None` turns it off. Off by default:
+    /// in a model of 20 gateways and 48 engines, fewer requests of both kinds begin within their
+    /// target with it in two of three mixes.
     pub prompt_mix: Option<PromptMixOptions>,
 }
 
@@ -40,7 +42,7 @@
             rank_penalty_ms: 10.0,
             remote_penalty_ms: 2.0,
             memory_fraction: 0.7,
-            prompt_mix: Some(PromptMixOptions::default()),
+            prompt_mix: None,
         }
     }
 }
