--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -13,9 +13,11 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 
+use super::held::HeldMemory;
 use super::record::STALE_CONFIGURATION;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::timer::{sleep_ms, sleep_until};
 use crate::upstream::Connection;
 
 /// Reason for refusing a request that crashes endpoints.
@@ -24,6 +26,9 @@
 /// Reason for refusing a request with a prompt part that crashes engines.
 pub const PROMPT_QUARANTINED: &str = "prompt-quarantined";
 
+/// Interval for checking whether a timeout was caused by this gateway's own delay.
+const TIMEOUT_CHECK_INTERVAL_MS: u64 = 10;
+
 /// One client request and the state of its attempts.
 #[derive(Debug)]
 pub struct Exchange {
@@ -57,8 +62,8 @@
     pub has_retry_token: Cell<bool>,
     /// Endpoints that failed the request.
     pub excluded: Vec<EndpointId>,
-    /// Reserved memory of the body, released on drop.
-    pub memory: BodyMemory,
+    /// Memory of the body and of the request itself.
+    pub memory: [HeldMemory; 2],
 }
 
 impl Exchange {
@@ -118,11 +123,26 @@
     #[must_use]
     pub fn may_send(&self, endpoint: &EndpointId, run: EndpointRun, now: Now) -> bool {
         let control = self.gateway.control.borrow();
-        let is_accepted = control.may_send(endpoint, run, now);
+        let is_accepted = control.may_send(endpoint, run, self.placement_request(false), now);
         drop(control);
         is_accepted && self.refusal_reason(now).is_none()
     }
 
+    /// Takes a permit to send the request to the endpoint now. Returns false if the endpoint is cold
+    /// and this gateway may not send to it now.
+    #[must_use]
+    pub fn take_permit(&self, endpoint: &EndpointId, now: Now) -> bool {
+        let mut control = self.gateway.control.borrow_mut();
+        let is_granted = control.take_permit(&self.service, endpoint, now);
+        drop(control);
+        if !is_granted {
+            let id = &self.hints.attempt_id;
+            log::info!("kind=send-not-permitted id={id} endpoint={endpoint}");
+            self.gateway.count_cold_refusal();
+        }
+        is_granted
+    }
+
     /// Whether the request may be sent to another endpoint. Uses the retry that [`Self::try_move`]
     /// took, if any. Otherwise checks the route, the time left and the retry budget, and takes a
     /// retry from the budget.
@@ -181,6 +201,25 @@
         }
     }
 
+    /// Waits until a timeout that is due at `due_ms` of the steady clock may be blamed on an endpoint,
+    /// or until the deadline of the request. A response that has arrived may still wait for its turn
+    /// in this gateway.
+    pub async fn wait_for_timeout(&self, due_ms: u64) {
+        sleep_until(due_ms.min(self.deadline_steady_ms)).await;
+        loop {
+            let now = clock::now();
+            if now.steady_ms >= self.deadline_steady_ms || self.is_timeout_certain(due_ms, now) {
+                return;
+            }
+            sleep_ms(TIMEOUT_CHECK_INTERVAL_MS).await;
+        }
+    }
+
+    fn is_timeout_certain(&self, due_ms: u64, now: Now) -> bool {
+        let control = self.gateway.control.borrow();
+        control.load.own_delay.is_timeout_certain(due_ms, now)
+    }
+
     /// Records that the connection to an endpoint was lost before the first event of the response.
     pub fn record_crash(&self, run: EndpointRun, now: Now) {
         let shared_parts = self.hints.shared_parts();
@@ -199,6 +238,14 @@
     pub fn record_failure(&self, endpoint: &EndpointId, kind: FailureKind, now: Now) {
         let attempts = &self.gateway.metrics.attempts;
         attempts.with_label_values(&[kind.as_str()]).inc();
+        let deadline_ms = self.deadline_steady_ms;
+        if kind == FailureKind::TimedOut
+            && now.steady_ms >= deadline_ms
+            && !self.is_timeout_certain(deadline_ms, now)
+        {
+            // The response may have arrived in time.
+            return;
+        }
         let mut control = self.gateway.control.borrow_mut();
         if kind == FailureKind::ConnectionLost {
             let was_quarantined = control.quarantine.is_refused(&self.identity, now);
@@ -264,34 +311,3 @@
         );
     }
 }
-
-/// Memory reserved for a body, released on drop.
-#[derive(Debug)]
-pub struct BodyMemory {
-    gateway: Rc<Gateway>,
-    bytes: usize,
-}
-
-impl BodyMemory {
-    /// Reserves memory for a body; `None` if the bodies of all requests together would exceed the
-    /// limit.
-    #[must_use]
-    pub fn reserve(gateway: &Rc<Gateway>, bytes: usize) -> Option<Self> {
-        let reserved = gateway.body_bytes.get() + bytes;
-        if reserved > gateway.settings.traffic.body_memory_bytes {
-            return None;
-        }
-        gateway.body_bytes.set(reserved);
-        Some(Self {
-            gateway: Rc::clone(gateway),
-            bytes,
-        })
-    }
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        let remaining = self.gateway.body_bytes.get().saturating_sub(self.bytes);
-        self.gateway.body_bytes.set(remaining);
-    }
-}
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -9,24 +9,31 @@
 
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
+use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationOptions};
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
+use curranttrestle::coordination::gateway::warmup::ColdChange;
 use curranttrestle::state::Now;
+use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Async;
 use thiserror::Error;
 
+use crate::client_limits::ClientLimits;
 use crate::clock;
+use crate::connections::{ConnectionLimit, max_idle_by_descriptors};
 use crate::edge::{Dialect, Platform};
 use crate::executor::Executors;
 use crate::front;
+use crate::front::body::ReceivingBodies;
 use crate::log::{EventRateLimiter, LogLines};
+use crate::memory::{Budget, ClientMemory, socket_buffer_bytes};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
 use crate::settings::GatewaySettings;
 use crate::store;
-use crate::strain::StrainMonitor;
+use crate::strain::{StrainMonitor, measure_own_delay};
 use crate::timer::sleep_ms;
-use crate::upstream::{HttpClient, HttpClientOptions, Pool};
+use crate::upstream::{HttpClient, HttpClientOptions, Pool, PoolLimits};
 
 /// Interval for checking signals and timers and for sending to peers.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -109,8 +116,14 @@
     pub newer_config: Notify,
     /// Requests whose response is not complete yet.
     pub open_requests: Cell<usize>,
-    /// Memory used by the bodies of open requests.
-    pub body_bytes: Cell<usize>,
+    /// Memory held for clients.
+    pub memory: RefCell<ClientMemory>,
+    /// The bodies that are being received.
+    pub receiving: ReceivingBodies,
+    /// The client connections.
+    pub connections: RefCell<ConnectionLimit>,
+    /// State of the limits on clients.
+    pub client_limits: ClientLimits,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// Successful requests, for sampling log lines.
@@ -119,6 +132,8 @@
     pub strain: RefCell<StrainMonitor>,
     /// How this gateway comes by proofs of freshness.
     pub proof_role: Cell<ProofRole>,
+    /// Whether this gateway reads the evacuations for its peers.
+    pub reads_evacuations: Cell<bool>,
     /// Whether requests with a key were allowed at the last check.
     was_fresh: Cell<bool>,
     executors: Executors,
@@ -168,10 +183,41 @@
         self.control.borrow_mut().apply_directory_changes(changes);
     }
 
+    /// Logs and counts evacuations that began or ended.
+    pub fn apply_evacuation_changes(&self, changes: &[EvacuationChange], source: &str, now: Now) {
+        let mut control = self.control.borrow_mut();
+        let age_ms = control.evacuations.age_ms(now).unwrap_or_default();
+        let counter = &self.metrics.evacuation_changes;
+        for change in changes {
+            match change {
+                EvacuationChange::Began(name) if !control.is_data_centre(name) => {
+                    counter.with_label_values(&["unknown"]).inc();
+                    log::warn!("kind=evacuation-unknown name={name:?} source={source}");
+                }
+                EvacuationChange::Began(name) => {
+                    counter.with_label_values(&["began"]).inc();
+                    log::warn!(
+                        "kind=evacuation-began data_centre={name:?} source={source} age_ms={age_ms}"
+                    );
+                }
+                EvacuationChange::Ended(name) => {
+                    counter.with_label_values(&["ended"]).inc();
+                    let endpoints = control.evacuation_ended(name, now);
+                    log::info!(
+                        "kind=evacuation-ended data_centre={name:?} source={source} age_ms={age_ms} endpoints={endpoints}"
+                    );
+                }
+            }
+        }
+    }
+
     fn tick(&self, now: Now) {
+        self.update_client_limits(now);
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
         self.control.borrow_mut().pauses.remove_ended(now);
+        self.check_lost_endpoints(now);
+        self.log_cold_changes(now);
         self.log_freshness_change(now);
         for change in self.control.borrow_mut().prompt_parts.update(now) {
             match change {
@@ -184,6 +230,54 @@
         }
     }
 
+    /// Counts a request that got no permit for a cold endpoint.
+    pub fn count_cold_refusal(&self) {
+        let counter = &self.metrics.cold_endpoints;
+        counter.with_label_values(&["refused"]).inc();
+    }
+
+    /// Passes on which endpoints still hold connections that are older than the loss of another one.
+    fn check_lost_endpoints(&self, now: Now) {
+        let mut control = self.control.borrow_mut();
+        for endpoint in control.cold.lost_endpoints(now) {
+            let address = control.directory.address(&endpoint);
+            let opened_ms = address.and_then(|address| self.pool.oldest_open_ms(address));
+            if let Some(opened_ms) = opened_ms {
+                control
+                    .cold
+                    .record_open_connection(&endpoint, opened_ms, now);
+            }
+        }
+    }
+
+    /// Logs and counts endpoints that became cold or warm.
+    fn log_cold_changes(&self, now: Now) {
+        for change in self.control.borrow_mut().update_cold(now) {
+            let event = match change {
+                ColdChange::Cold {
+                    endpoint,
+                    cause,
+                    left_ms,
+                    has_part,
+                } => {
+                    let why = cause.as_str();
+                    log::info!(
+                        "kind=endpoint-cold endpoint={endpoint} why={why} left_ms={left_ms} has_part={has_part}"
+                    );
+                    "cold"
+                }
+                ColdChange::Warm(endpoint) => {
+                    log::info!("kind=endpoint-warm endpoint={endpoint}");
+                    "warm"
+                }
+            };
+            self.metrics
+                .cold_endpoints
+                .with_label_values(&[event])
+                .inc();
+        }
+    }
+
     /// Logs when this gateway lacks processor time or information from its peers. The last timer
     /// fired after `elapsed_ms`.
     fn log_strain(&self, peers: &Peers, elapsed_ms: u64, now: Now) {
@@ -206,16 +300,6 @@
         control.directory.age_ms(now).unwrap_or_default()
     }
 
-    /// Measures how long a traffic task that is ready to run waits for its turn.
-    fn measure_task_delay(self: &Rc<Self>, now: Now) {
-        let gateway = Rc::clone(self);
-        let measured = async move {
-            let delay_ms = clock::now().since_ms(now.steady_ms);
-            gateway.strain.borrow_mut().record_task_delay(delay_ms);
-        };
-        self.executors.traffic().spawn(measured).detach();
-    }
-
     /// Logs when the freshness proof of the configuration becomes too old for requests with a key,
     /// and when it is renewed.
     fn log_freshness_change(&self, now: Now) {
@@ -236,13 +320,18 @@
 
 /// Signals that have arrived and were not handled yet.
 #[derive(Clone, Debug, Default)]
-struct SignalFlags {
+pub struct SignalFlags {
     stop: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
 }
 
 impl SignalFlags {
-    fn register() -> Result<Self, StartError> {
+    /// Installs the handlers. Until then a signal ends the process, so call this first.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError::Signals`] if a handler cannot be installed.
+    pub fn register() -> Result<Self, StartError> {
         let flags = Self::default();
         for signal in [SIGTERM, SIGINT] {
             signal_hook::flag::register(signal, Arc::clone(&flags.stop))
@@ -264,22 +353,37 @@
 /// [`StartError`] if the gateway cannot start.
 pub fn run<P: Platform + 'static>(
     settings: GatewaySettings,
+    flags: SignalFlags,
     dialect: Rc<dyn Dialect>,
     log_lines: Option<LogLines>,
     platform: impl FnOnce(HttpClient) -> P,
     reload: impl Fn() -> Option<GatewaySettings> + 'static,
 ) -> Result<(), StartError> {
-    let flags = SignalFlags::register()?;
     let executors = Executors::default();
-    let pool = Rc::new(Pool::new(Rc::clone(executors.traffic()), settings.traffic));
+    let receive_buffer_bytes = socket_buffer_bytes(settings.resources.memory_bytes);
+    let max_idle = settings
+        .resources
+        .descriptors
+        .map(|descriptors| max_idle_by_descriptors(descriptors, &settings.connections));
+    let limits = PoolLimits {
+        max_idle,
+        receive_buffer_bytes,
+    };
+    let pool = Pool::new(Rc::clone(executors.traffic()), settings.traffic, limits);
+    let pool = Rc::new(pool);
     let client_options = HttpClientOptions {
         connect_timeout_ms: settings.store.timeout_ms,
         tcp_user_timeout_ms: settings.traffic.tcp_user_timeout_ms,
     };
     let client = HttpClient::new(Rc::clone(executors.control()), client_options);
     let platform = Rc::new(platform(client));
+    let mut control_options = settings.control.clone();
+    control_options.evacuation = settings.evacuate_ms.map(|bound_ms| EvacuationOptions {
+        bound_ms,
+        ..EvacuationOptions::default()
+    });
     let gateway = Rc::new(Gateway {
-        control: RefCell::new(Control::new(settings.control.clone())),
+        control: RefCell::new(Control::new(control_options)),
         metrics: Metrics::new()?,
         pool,
         dialect,
@@ -287,15 +391,28 @@
         refusal_log_limit: RefCell::new(EventRateLimiter::new(settings.logged_refusals_per_s)),
         newer_config: Notify::default(),
         open_requests: Cell::new(0),
-        body_bytes: Cell::new(0),
+        memory: RefCell::new(ClientMemory::new(
+            Budget::of(
+                settings.resources.memory_bytes,
+                0,
+                &settings.memory,
+                &settings.traffic,
+            ),
+            settings.memory,
+        )),
+        receiving: ReceivingBodies::default(),
+        client_limits: ClientLimits::default(),
+        connections: RefCell::new(ConnectionLimit::new(None, settings.connections)),
         phase: Cell::new(Phase::Running),
         successes: Cell::new(0),
         strain: RefCell::default(),
         proof_role: Cell::default(),
+        reads_evacuations: Cell::new(false),
         was_fresh: Cell::new(false),
         executors: executors.clone(),
         settings,
     });
+    gateway.update_connection_limit();
     // The gateways share the retry budgets. Assume twice as many as seeds; reports from peers can
     // only raise this number.
     let assumed_size = 2 * gateway.settings.seeds.len();
@@ -329,8 +446,17 @@
                 .map_err(|source| StartError::Listen { address, source })
         };
         let peers = settings.peers;
+        let clients = listen(settings.client_listen)?;
+        if let Some(bytes) = socket_buffer_bytes(settings.resources.memory_bytes) {
+            // Accepted sockets inherit the sizes.
+            let receive = sockopt::set_socket_recv_buffer_size(&clients, bytes);
+            let send = sockopt::set_socket_send_buffer_size(&clients, bytes);
+            if let Err(error) = receive.and(send) {
+                log::warn!("kind=socket-option-failed error={:?}", error.to_string());
+            }
+        }
         Ok(Self {
-            clients: listen(settings.client_listen)?,
+            clients,
             readiness: listen(settings.readiness)?,
             metrics: settings.metrics.map(listen).transpose()?,
             peers: Async::<UdpSocket>::bind(peers).map_err(|source| StartError::Listen {
@@ -360,9 +486,18 @@
             Rc::clone(&gateway),
             Rc::clone(&platform),
         )),
-        control.spawn(store::maintain_directory(Rc::clone(&gateway), platform)),
+        control.spawn(store::maintain_directory(
+            Rc::clone(&gateway),
+            Rc::clone(&platform),
+        )),
         traffic.spawn(Rc::clone(&peers).receive(Rc::clone(&gateway))),
+        traffic.spawn(measure_own_delay(Rc::clone(&gateway))),
     ];
+    let evacuation = gateway.control.borrow().evacuations.options();
+    if let Some(options) = evacuation {
+        let reading = store::maintain_evacuations(Rc::clone(&gateway), platform, options);
+        tasks.push(control.spawn(reading));
+    }
     if let Some(metrics) = listeners.metrics {
         tasks.push(traffic.spawn(front::status::serve(Rc::clone(&gateway), metrics)));
     }
@@ -374,7 +509,6 @@
         let now = clock::now();
         gateway.tick(now);
         gateway.log_strain(&peers, now.since_ms(last_tick_ms), now);
-        gateway.measure_task_delay(now);
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
--- a/crates/curranttrestle-gateway/src/lib.rs
+++ b/crates/curranttrestle-gateway/src/lib.rs
@@ -6,12 +6,15 @@
 //! in [`curranttrestle::coordination`]; this crate does the I/O. Names and formats of a platform are
 //! behind the traits of [`edge`].
 
+pub mod client_limits;
 pub mod clock;
+pub mod connections;
 pub mod edge;
 pub mod executor;
 pub mod front;
 pub mod gateway;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod settings;
@@ -20,5 +23,5 @@
 pub mod timer;
 pub mod upstream;
 
-pub use gateway::{Gateway, StartError, run};
+pub use gateway::{Gateway, SignalFlags, StartError, run};
 pub use settings::GatewaySettings;
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -26,8 +26,14 @@
     pub store_failures: IntCounterVec,
     /// Changes of the directory by kind.
     pub directory_changes: IntCounterVec,
+    /// Evacuations of data centres that began or ended.
+    pub evacuation_changes: IntCounterVec,
+    /// Endpoints that became cold or warm, and requests refused because of cold endpoints, by event.
+    pub cold_endpoints: IntCounterVec,
     /// Messages from peers by kind, and messages that could not be read or sent.
     pub peer_reports: IntCounterVec,
+    /// Client connections closed to make room, by reason.
+    pub closed_connections: IntCounterVec,
     /// Bytes of messages to and from peers by direction and kind.
     pub peer_bytes: IntCounterVec,
     /// Current values by name.
@@ -88,11 +94,26 @@
                 "Changes of the directory",
                 &["change"],
             )?,
+            evacuation_changes: counter(
+                "evacuation_changes_total",
+                "Evacuations of data centres that began or ended",
+                &["change"],
+            )?,
+            cold_endpoints: counter(
+                "cold_endpoints_total",
+                "Endpoints that became cold or warm, and requests refused for lack of a permit",
+                &["event"],
+            )?,
             peer_reports: counter(
                 "peer_reports_total",
                 "Messages from peers by kind, and messages that could not be read or sent",
                 &["outcome"],
             )?,
+            closed_connections: counter(
+                "client_connections_closed_total",
+                "Client connections closed to make room, by reason",
+                &["reason"],
+            )?,
             peer_bytes: counter(
                 "peer_bytes_total",
                 "Bytes of messages to and from peers by direction and kind",
@@ -109,7 +130,10 @@
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.store_failures.clone()))?;
         registry.register(Box::new(metrics.directory_changes.clone()))?;
+        registry.register(Box::new(metrics.evacuation_changes.clone()))?;
+        registry.register(Box::new(metrics.cold_endpoints.clone()))?;
         registry.register(Box::new(metrics.peer_reports.clone()))?;
+        registry.register(Box::new(metrics.closed_connections.clone()))?;
         registry.register(Box::new(metrics.peer_bytes.clone()))?;
         registry.register(Box::new(metrics.gauges.clone()))?;
         registry.register(Box::new(metrics.times.clone()))?;
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -26,6 +26,10 @@
     pub seeds: Vec<SocketAddr>,
     /// What the instance has.
     pub resources: InstanceResources,
+    /// How the memory of the instance is divided.
+    pub memory: MemoryOptions,
+    /// How the descriptors of the instance are divided.
+    pub connections: ConnectionOptions,
     /// Maximum time until an evacuation of a data centre takes effect; `None` if evacuations are not
     /// read.
     pub evacuate_ms: Option<u64>,
@@ -59,6 +63,8 @@
             peers: loopback,
             seeds: Vec::new(),
             resources: InstanceResources::default(),
+            memory: MemoryOptions::default(),
+            connections: ConnectionOptions::default(),
             evacuate_ms: None,
             control: ControlOptions::default(),
             store: StoreOptions::default(),
@@ -90,6 +96,74 @@
     pub descriptors: Option<u64>,
 }
 
+/// How the memory of an instance is divided. Only used where the memory is known, except for the rate
+/// of bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryOptions {
+    /// Assumed memory of the process without clients, unless more is measured.
+    pub min_process_bytes: usize,
+    /// Kept for reading the next configuration while the present one is in use; an eighth of the
+    /// memory if that is more.
+    pub min_config_bytes: usize,
+    /// The smallest budget for clients, however small the memory of the instance is.
+    pub min_budget_bytes: usize,
+    /// Memory of a client connection without a request. An unfinished head is what needs most.
+    pub connection_bytes: usize,
+    /// Additional memory of a request in progress, with its connection to an endpoint and apart from
+    /// a socket buffer.
+    pub request_bytes: usize,
+    /// Additional memory of a stream that arrives faster than its client reads it.
+    pub stream_backlog_bytes: usize,
+    /// A body up to this size may use the part of the budget that is kept for small bodies.
+    pub small_body_bytes: usize,
+    /// When memory is needed, bodies that arrive more slowly are refused first.
+    pub min_body_bytes_per_s: u64,
+    /// How far a body may be behind the minimum rate.
+    pub rate_grace_ms: u64,
+    /// A body of which nothing arrives for this long is refused.
+    pub body_stall_ms: u64,
+}
+
+impl Default for MemoryOptions {
+    fn default() -> Self {
+        Self {
+            min_process_bytes: 12_582_912,
+            min_config_bytes: 6_291_456,
+            min_budget_bytes: 2_097_152,
+            connection_bytes: 32_768,
+            request_bytes: 16_384,
+            stream_backlog_bytes: 131_072,
+            small_body_bytes: 16_384,
+            min_body_bytes_per_s: 65_536,
+            rate_grace_ms: 1_000,
+            body_stall_ms: 5_000,
+        }
+    }
+}
+
+/// How the descriptors of an instance are divided. Only used where they are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionOptions {
+    /// Descriptors for files, which sockets do not use.
+    pub reserved_descriptors: u64,
+    /// Sockets and pipes other than those of clients and endpoints: listeners, peers, calls to the
+    /// store, readiness and metrics.
+    pub own_sockets: u64,
+    /// A new connection on which no complete request head has arrived is closed after this time at
+    /// the earliest, unless a quarter of all connections are new.
+    pub head_grace_ms: u64,
+}
+
+impl Default for ConnectionOptions {
+    fn default() -> Self {
+        Self {
+            reserved_descriptors: 200,
+            own_sockets: 32,
+            head_grace_ms: 1_000,
+        }
+    }
+}
+
 /// Intervals and timeouts of the calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! Keeps the configuration and the directory up to date.
 
+mod evacuations;
+
 use std::rc::Rc;
 
 use curranttrestle::coordination::gateway::directory::DirectoryChange;
@@ -14,6 +16,8 @@
 use crate::peers::ProofRole;
 use crate::timer::sleep_ms;
 
+pub use evacuations::maintain_evacuations;
+
 /// The failures of one task's calls: logs the first of consecutive ones and the recovery, and records
 /// outages.
 #[derive(Debug)]
@@ -69,6 +73,10 @@
             let mut control = gateway.control.borrow_mut();
             control.directory.retract_store_failure();
         }
+        self.log_recovery();
+    }
+
+    fn log_recovery(&mut self) {
         if self.failures > 0 {
             let outage_ms = clock::now().since_ms(self.failed_since_ms);
             let failures = self.failures;
@@ -280,11 +288,10 @@
         log::warn!("kind=entry-skipped name={name:?} reason={reason:?}");
     }
     let now = clock::now();
-    let changes = gateway
-        .control
-        .borrow_mut()
-        .directory
-        .replace(list.entries, now);
+    let mut control = gateway.control.borrow_mut();
+    let changes = control.directory.replace(list.entries, now);
+    control.apply_sightings(now);
+    drop(control);
     gateway.apply_directory_changes(&changes, "list");
 }
 
@@ -333,12 +340,14 @@
 fn apply_event(gateway: &Gateway, event: EndpointEvent) -> Option<DirectoryChange> {
     let mut control = gateway.control.borrow_mut();
     let now = clock::now();
-    match event {
+    let change = match event {
         EndpointEvent::Written(entry) => control.directory.set(entry),
         EndpointEvent::Removed(endpoint) => control.directory.remove(&endpoint, now),
         EndpointEvent::Unreadable(endpoint, reason) => {
             log::warn!("kind=entry-skipped name={endpoint} reason={reason:?}");
             control.directory.remove(&endpoint, now)
         }
-    }
+    };
+    control.apply_sightings(now);
+    change
 }
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -3,9 +3,10 @@
 use indexmap::IndexMap;
 
 use super::admission::{AdmissionDecision, AdmissionOptions, RefusalReason, admit};
-use super::directory::{Directory, DirectoryChange, DirectoryOptions, EndpointRun, endpoint_run};
+use super::directory::{Directory, DirectoryChange, DirectoryOptions};
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
 use super::endpoint_pauses::EndpointPauses;
+use super::evacuation::{EvacuationOptions, Evacuations};
 use super::freshness::{Freshness, FreshnessOptions};
 use super::outlier_detection::{FailureKind, OutlierDetector, OutlierOptions};
 use super::part_quarantine::{PartQuarantine, PartQuarantineOptions};
@@ -15,7 +16,7 @@
 use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
-use super::warmup::WarmupOptions;
+use super::warmup::{ColdEndpoints, ENDPOINTS_COLD, WarmupOptions, prefer_warm};
 use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::state::gateway::{ClientLimits, EndpointEntry, RequestHints, Route, ServiceConfig};
@@ -30,6 +31,8 @@
     pub regions: IndexMap<String, String>,
     /// The limit on requests to cold endpoints; `None` if there is none.
     pub warmup: Option<WarmupOptions>,
+    /// The bound on evacuations of data centres; `None` if they are not read.
+    pub evacuation: Option<EvacuationOptions>,
     /// The bound on key revocation.
     pub freshness: FreshnessOptions,
     /// Handling of lapsed directory entries.
@@ -87,6 +90,7 @@
             data_centre: String::new(),
             regions: IndexMap::new(),
             warmup: None,
+            evacuation: None,
             freshness: FreshnessOptions::default(),
             directory: DirectoryOptions::default(),
             load: LoadOptions::default(),
@@ -160,7 +164,7 @@
 /// The state of a gateway.
 #[derive(Clone, Debug)]
 pub struct Control {
-    options: ControlOptions,
+    pub(super) options: ControlOptions,
     /// The configuration in force; `None` before the first one.
     routes: Option<RouteTable>,
     /// Proofs that the configuration in force is the newest one.
@@ -179,6 +183,10 @@
     pub outliers: OutlierDetector,
     /// Endpoints that asked this gateway to send nothing for a time.
     pub pauses: EndpointPauses,
+    /// Data centres that must get no requests.
+    pub evacuations: Evacuations,
+    /// Endpoints that are cold after a start.
+    pub cold: ColdEndpoints,
     /// Requests that crash endpoints.
     pub quarantine: RequestQuarantine,
     /// Prompt parts that crash engines.
@@ -202,6 +210,8 @@
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
             pauses: EndpointPauses::default(),
+            evacuations: Evacuations::new(options.evacuation),
+            cold: ColdEndpoints::new(options.warmup),
             quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             budgets: IndexMap::new(),
@@ -232,10 +242,10 @@
         table.map_or_else(ClientLimits::default, |table| table.config().limits)
     }
 
-    /// Whether requests can be served: both a configuration and the directory are loaded.
+    /// Whether requests can be served: a configuration, the directory and the evacuations are loaded.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.routes.is_some() && self.directory.is_loaded()
+        self.routes.is_some() && self.directory.is_loaded() && self.evacuations.is_ready()
     }
 
     /// Applies a configuration that was read at `revision` of the store; the read was sent at
@@ -323,11 +333,15 @@
     #[must_use]
     pub fn place(&self, request: PlacementRequest<'_>, now: Now) -> Placement {
         let Some(choice) = self.choose(request, now) else {
-            let pause_ms = self.service_pause_ms(request.service, now);
+            let pause_ms = self.service_pause_ms(request, now);
             #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-            let (reason, retry_after_ms) = match pause_ms {
-                Some(pause_ms) => ("endpoints-paused", pause_ms as f64),
-                None => ("no-endpoint", self.options.no_endpoint_retry_ms),
+            let (reason, retry_after_ms) = match (pause_ms, self.cold_wait_ms(request, now)) {
+                (Some(pause_ms), _) => ("endpoints-paused", pause_ms as f64),
+                (None, Some(wait_ms)) => (ENDPOINTS_COLD, wait_ms as f64),
+                (None, None) => (
+                    self.reason_without_endpoint(request, now),
+                    self.options.no_endpoint_retry_ms,
+                ),
             };
             return Placement::Refuse {
                 reason,
@@ -364,22 +378,6 @@
         }
     }
 
-    /// Whether an endpoint may be sent a request now: it accepts requests and is not paused.
-    #[must_use]
-    pub fn may_send(&self, endpoint: &EndpointId, run: EndpointRun, now: Now) -> bool {
-        self.directory.accepts_requests(endpoint) && self.pauses.left_ms(run, now).is_none()
-    }
-
-    /// The time until the first endpoint of a service may be sent requests, if all that accept
-    /// requests are paused.
-    #[must_use]
-    pub fn service_pause_ms(&self, service: &str, now: Now) -> Option<u64> {
-        let accepting = self.directory.accepting(service);
-        let pauses = accepting.map(|entry| self.pauses.left_ms(run_of(entry), now));
-        // `None` orders before any pause.
-        pauses.min().flatten()
-    }
-
     /// Records that a request is sent to the chosen endpoint. Returns the attempt number.
     pub fn record_start(
         &mut self,
@@ -396,6 +394,7 @@
         };
         self.load.record_start(self.last_attempt, key, sent, now);
         self.outliers.record_attempt(key, now);
+        self.record_cold_placement(request.service, &choice.entry.endpoint, now);
         if !request.hints.prompt_parts.is_empty() {
             let added_tokens = choice.prefill_tokens + request.hints.expected_output_tokens();
             let shared = request.hints.shared_parts();
@@ -420,6 +419,9 @@
 
     /// Records a failed attempt. Returns whether its endpoint is avoided from now on.
     pub fn record_failure(&mut self, endpoint: &EndpointId, kind: FailureKind, now: Now) -> bool {
+        if kind == FailureKind::ConnectionLost {
+            self.cold.record_connection_lost(endpoint, now);
+        }
         self.outliers
             .record_failure(EndpointKey::of(endpoint), kind, now)
     }
@@ -439,23 +441,31 @@
     }
 
     fn choose(&self, request: PlacementRequest<'_>, now: Now) -> Option<Choice> {
-        let candidates = self.directory.accepting(request.service);
-        let candidates: Vec<&EndpointEntry> = candidates
+        let candidates: Vec<&EndpointEntry> = self
+            .eligible(request, now)
             .filter(|entry| !request.excluded.contains(&entry.endpoint))
-            .filter(|entry| self.pauses.left_ms(run_of(entry), now).is_none())
             .collect();
-        let is_healthy = |entry: &&EndpointEntry| {
-            !self
-                .outliers
-                .is_avoided(EndpointKey::of(&entry.endpoint), now)
+        let is_healthy = |entry: &EndpointEntry| {
+            self.outliers.is_empty()
+                || !self
+                    .outliers
+                    .is_avoided(EndpointKey::of(&entry.endpoint), now)
         };
-        let healthy: Vec<&EndpointEntry> = candidates.iter().copied().filter(is_healthy).collect();
+        let (warm, cold) = self.split_cold(request.service, candidates, now);
         // If all endpoints are avoided, use any of them rather than none.
-        let entries = if healthy.is_empty() {
-            candidates
-        } else {
-            healthy
-        };
+        let uses_avoided = !warm.iter().chain(&cold).any(|entry| is_healthy(entry));
+        let is_used = |entry: &&EndpointEntry| uses_avoided || is_healthy(entry);
+        let warm = self.choose_among(warm.into_iter().filter(is_used), request, now);
+        let cold = self.choose_among(cold.into_iter().filter(is_used), request, now);
+        prefer_warm(warm, cold)
+    }
+
+    fn choose_among<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a EndpointEntry>,
+        request: PlacementRequest<'_>,
+        now: Now,
+    ) -> Option<Choice> {
         let context = PlacementContext {
             load: &self.load,
             cache: &self.cache,
@@ -465,15 +475,8 @@
         let service = self.routes.as_ref()?.service(request.service);
         let placement = &self.options.placement;
         match service.and_then(|service| service.engine) {
-            Some(engine) => choose_engine(
-                entries.into_iter(),
-                engine,
-                request.hints,
-                context,
-                placement,
-                now,
-            ),
-            None => choose_plain(entries.into_iter(), context, placement, now),
+            Some(engine) => choose_engine(entries, engine, request.hints, context, placement, now),
+            None => choose_plain(entries, context, placement, now),
         }
     }
 
@@ -522,10 +525,6 @@
     }
 }
 
-fn run_of(entry: &EndpointEntry) -> EndpointRun {
-    endpoint_run(&entry.endpoint, entry.started_unix_ms)
-}
-
 /// The cost of a request for its customer's share: one per unshared prompt token, two per expected
 /// response token.
 fn cost_tokens(hints: &RequestHints) -> u64 {
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::own_delay::OwnDelay;
+use super::reported_load::ReportedLoad;
 use crate::state::{EndpointId, Now};
 
 /// Compact hash of an endpoint id, used in reports between gateways.
@@ -117,6 +119,8 @@
     endpoint: EndpointKey,
     sent: SentRequest,
     sent_ms: u64,
+    /// The gateway's own delay at `sent_ms`.
+    own_delay_ms: u64,
     is_waiting: bool,
 }
 
@@ -126,20 +130,17 @@
     at_ms: u64,
 }
 
-#[derive(Clone, Debug)]
-struct PeerReport {
-    lines: IndexMap<EndpointKey, LoadLine>,
-    at_ms: u64,
-}
-
 /// The load of all endpoints.
 #[derive(Clone, Debug)]
 pub struct LoadTracker {
     options: LoadOptions,
+    /// How late this gateway is. What it may have added to a response time does not count as
+    /// slowness of the endpoint.
+    pub own_delay: OwnDelay,
     attempts: IndexMap<u64, Attempt>,
     by_endpoint: IndexMap<EndpointKey, IndexMap<u64, ()>>,
     slowness: IndexMap<EndpointKey, Slowness>,
-    peers: IndexMap<PeerKey, PeerReport>,
+    reported: ReportedLoad,
 }
 
 impl LoadTracker {
@@ -148,10 +149,11 @@
     pub fn new(options: LoadOptions) -> Self {
         Self {
             options,
+            own_delay: OwnDelay::default(),
             attempts: IndexMap::new(),
             by_endpoint: IndexMap::new(),
             slowness: IndexMap::new(),
-            peers: IndexMap::new(),
+            reported: ReportedLoad::default(),
         }
     }
 
@@ -173,6 +175,7 @@
             endpoint,
             sent,
             sent_ms: now.steady_ms,
+            own_delay_ms: self.own_delay.delay_ms(now),
             is_waiting: true,
         };
         self.attempts.insert(attempt, record);
@@ -216,19 +219,13 @@
 
     /// Applies a peer's report, which replaces its previous one.
     pub fn apply_report(&mut self, peer: PeerKey, lines: &[LoadLine], now: Now) {
-        let report = PeerReport {
-            lines: lines.iter().map(|line| (line.endpoint, *line)).collect(),
-            at_ms: now.steady_ms,
-        };
-        self.peers.insert(peer, report);
         let max_age_ms = self.options.report_max_age_ms;
-        self.peers
-            .retain(|_, report| now.since_ms(report.at_ms) < max_age_ms);
+        self.reported.apply(peer, lines, max_age_ms, now);
     }
 
     /// Removes the reports of peers that another report includes.
     pub fn remove_reports(&mut self, is_included: impl Fn(PeerKey) -> bool) {
-        self.peers.retain(|peer, _| !is_included(*peer));
+        self.reported.remove(is_included);
     }
 
     /// The load of this gateway and of the peers in `members` together.
@@ -237,10 +234,9 @@
         let own = self.report().into_iter();
         let mut sums: IndexMap<EndpointKey, LoadLine> =
             own.map(|line| (line.endpoint, line)).collect();
-        let reports = members.filter_map(|peer| self.peers.get(&peer));
-        let current =
-            reports.filter(|report| now.since_ms(report.at_ms) < self.options.report_max_age_ms);
-        for line in current.flat_map(|report| report.lines.values()) {
+        let max_age_ms = self.options.report_max_age_ms;
+        let reports = members.filter_map(|peer| self.reported.lines(peer, max_age_ms, now));
+        for line in reports.flatten() {
             sums.entry(line.endpoint)
                 .and_modify(|sum| sum.add(*line))
                 .or_insert(*line);
@@ -273,20 +269,13 @@
             view.add(line, f64::from(line.waiting_tokens));
             view.slowness = view.slowness.max(self.overdue_ratio(attempts, now));
         }
-        let mut waiting_tokens = 0.0;
-        let mut token_ages = 0.0;
-        for report in self.peers.values() {
-            let age_ms = now.since_ms(report.at_ms);
-            if age_ms >= self.options.report_max_age_ms {
-                continue;
-            }
-            if let Some(line) = report.lines.get(&endpoint) {
-                view.add(*line, 0.0);
-                waiting_tokens += f64::from(line.waiting_tokens);
-                token_ages += f64::from(line.waiting_tokens) * age_ms as f64;
-            }
-        }
-        if waiting_tokens > 0.0 {
+        let max_age_ms = self.options.report_max_age_ms;
+        let reported = self.reported.sum(endpoint, max_age_ms, now);
+        view.in_flight += reported.in_flight;
+        view.memory_tokens += reported.memory_tokens;
+        if reported.waiting_tokens > 0 {
+            let waiting_tokens = reported.waiting_tokens as f64;
+            let token_ages = reported.token_age_ms as f64;
             // The endpoint has prefilled some of these tokens since the reports, one request
             // after the other.
             let mean_age_ms = token_ages / waiting_tokens;
@@ -303,10 +292,8 @@
     #[must_use]
     pub fn is_idle(&self, endpoint: EndpointKey, now: Now) -> bool {
         let max_age_ms = self.options.report_max_age_ms;
-        let is_reported = |report: &PeerReport| {
-            now.since_ms(report.at_ms) < max_age_ms && report.lines.contains_key(&endpoint)
-        };
-        !self.by_endpoint.contains_key(&endpoint) && !self.peers.values().any(is_reported)
+        !self.by_endpoint.contains_key(&endpoint)
+            && self.reported.sum(endpoint, max_age_ms, now).in_flight == 0
     }
 
     fn own_load(&self, endpoint: EndpointKey, attempts: &IndexMap<u64, ()>) -> LoadLine {
@@ -335,7 +322,11 @@
         let waiting = attempts.keys().filter_map(|key| self.attempts.get(key));
         waiting
             .filter(|record| record.is_waiting)
-            .map(|record| now.since_ms(record.sent_ms) as f64 / record.sent.predicted_ms.max(1.0))
+            .map(|record| {
+                let elapsed_ms = now.since_ms(record.sent_ms);
+                let added_ms = self.own_delay.added_ms(record.own_delay_ms, now);
+                elapsed_ms.saturating_sub(added_ms) as f64 / record.sent.predicted_ms.max(1.0)
+            })
             .fold(0.0, f64::max)
             .min(self.options.max_slowness)
     }
@@ -351,7 +342,12 @@
 
     #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
     fn update_slowness(&mut self, record: Attempt, elapsed_ms: u64, now: Now) {
-        let observed = elapsed_ms as f64 / record.sent.predicted_ms.max(1.0);
+        // The endpoint took at most `elapsed_ms`, and less by at most what this gateway added. If the
+        // prediction lies between, nothing speaks against it.
+        let added_ms = self.own_delay.added_ms(record.own_delay_ms, now);
+        let shortest_ms = elapsed_ms.saturating_sub(added_ms) as f64;
+        let predicted_ms = record.sent.predicted_ms.max(1.0);
+        let observed = predicted_ms.clamp(shortest_ms, elapsed_ms as f64) / predicted_ms;
         let observed = observed.clamp(0.25, self.options.max_slowness);
         let before = self.slowness_now(record.endpoint, now);
         // The prediction already included the slowness at that time.
