--- a/crates/curranttrestle-gateway/src/front/record.rs
+++ b/crates/curranttrestle-gateway/src/front/record.rs
@@ -41,15 +41,6 @@
     wait_ms: f64,
     predicted_ms: f64,
     load: EndpointLoad,
-    mix: String,
-}
-
-/// Log field of the limit on the wait while long and short prompts are mixed.
-#[must_use]
-pub fn mix_field(limit_ms: Option<f64>) -> String {
-    limit_ms.map_or_else(String::new, |limit_ms| {
-        format!(" mix_wait_limit_ms={limit_ms:.0}")
-    })
 }
 
 /// Log fields of the load that a prediction is based on.
@@ -106,20 +97,11 @@
 
     /// Records that the request is sent to an endpoint.
     pub fn record_placement(&mut self, choice: &Choice) {
-        let mut mix = mix_field(choice.steering.map(|steering| steering.max_wait_ms));
-        if choice.steering.is_some() {
-            let engine = if choice.is_further { "further" } else { "top" };
-            mix.push_str(" mix_engine=");
-            mix.push_str(engine);
-            let counter = &self.gateway.metrics.prompt_mix;
-            counter.with_label_values(&[engine]).inc();
-        }
         self.last_placement = Some(LastPlacement {
             endpoint: choice.entry.endpoint.clone(),
             wait_ms: choice.wait_ms,
             predicted_ms: choice.predicted_ms,
             load: choice.load,
-            mix,
         });
     }
 
@@ -181,12 +163,11 @@
             .as_ref()
             .map_or_else(String::new, |placed| {
                 format!(
-                    " endpoint={} wait_ms={:.0} predicted_ms={:.0} {}{}",
+                    " endpoint={} wait_ms={:.0} predicted_ms={:.0} {}",
                     placed.endpoint,
                     placed.wait_ms,
                     placed.predicted_ms,
-                    load_fields(&placed.load),
-                    placed.mix
+                    load_fields(&placed.load)
                 )
             });
         let first_event = self.first_event_ms.map_or_else(String::new, |ms| {
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -21,7 +21,7 @@
 use super::exchange::{Exchange, PROMPT_QUARANTINED, QUARANTINED};
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::held::HeldMemory;
-use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields, mix_field};
+use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody};
 use super::response_body::collect_response;
 use crate::clock;
@@ -303,14 +303,12 @@
         predicted_ms,
         wait_ms,
         load,
-        mix_wait_limit_ms,
         share_ratio,
     } = inputs;
     log::info!(
-        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} wait_ms={wait_ms:.0} {}{} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={requested:.0} admitted_tokens={admitted:.0} share_ratio={share_ratio:.2} share_reports={} oldest_share_ms={} gateways={}",
+        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} wait_ms={wait_ms:.0} {} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={requested:.0} admitted_tokens={admitted:.0} share_ratio={share_ratio:.2} share_reports={} oldest_share_ms={} gateways={}",
         exchange.hints.attempt_id,
         load_fields(&load),
-        mix_field(mix_wait_limit_ms),
         exchange.route.target_latency_ms,
         coverage.reports,
         coverage.oldest_age_ms,
--- a/crates/curranttrestle-gateway/src/metrics.rs
+++ b/crates/curranttrestle-gateway/src/metrics.rs
@@ -17,9 +17,6 @@
     pub requests: IntCounterVec,
     /// Failed attempts at endpoints by kind of failure.
     pub attempts: IntCounterVec,
-    /// Requests sent while long and short prompts are mixed, by the engine: a top-ranked or a
-    /// further one.
-    pub prompt_mix: IntCounterVec,
     /// Calls to the store by kind.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store by kind.
@@ -78,11 +75,6 @@
                 "Failed attempts at endpoints by kind of failure",
                 &["outcome"],
             )?,
-            prompt_mix: counter(
-                "prompt_mix_total",
-                "Requests sent while long and short prompts are mixed",
-                &["engine"],
-            )?,
             store_calls: counter("store_calls_total", "Calls to the store", &["call"])?,
             store_failures: counter(
                 "store_failures_total",
@@ -126,7 +118,6 @@
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
-        registry.register(Box::new(metrics.prompt_mix.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.store_failures.clone()))?;
         registry.register(Box::new(metrics.directory_changes.clone()))?;
--- a/crates/curranttrestle/src/coordination/gateway/admission.rs
+++ b/crates/curranttrestle/src/coordination/gateway/admission.rs
@@ -61,9 +61,6 @@
     Queue,
     /// Every endpoint considered for the request is at capacity.
     Full,
-    /// The request would delay requests with less time to spare: it would wait longer than
-    /// [`Steering::max_wait_ms`](super::prompt_mix::Steering::max_wait_ms).
-    PromptMix,
     /// The customer is over its fair share, and the predicted time exceeds its lower limit.
     OverShare,
 }
@@ -75,7 +72,6 @@
         match self {
             Self::Queue => "queue",
             Self::Full => "full",
-            Self::PromptMix => "prompt-mix",
             Self::OverShare => "beyond-share",
         }
     }
@@ -112,23 +108,16 @@
             retry_after_ms,
         };
     }
-    let steering = choice.steering.as_ref();
-    let mix_limit_ms = steering.map_or(f64::INFINITY, |steering| steering.max_wait_ms);
-    let is_over_mix_limit = choice.wait_ms > mix_limit_ms && choice.wait_ms >= 1.0;
-    if (choice.predicted_ms <= limit_ms && !is_over_mix_limit) || may_use_idle {
+    if choice.predicted_ms <= limit_ms || may_use_idle {
         return AdmissionDecision::Admit;
     }
     let reason = match share_status {
-        _ if choice.predicted_ms <= limit_ms => RefusalReason::PromptMix,
         ShareStatus::Within => RefusalReason::Queue,
         ShareStatus::Over { .. } => RefusalReason::OverShare,
     };
     AdmissionDecision::Refuse {
         reason,
-        retry_after_ms: clamp_retry_after(
-            choice.wait_ms - max_wait_ms.clamp(0.0, mix_limit_ms),
-            options,
-        ),
+        retry_after_ms: clamp_retry_after(choice.wait_ms - max_wait_ms.max(0.0), options),
     }
 }
 
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -12,7 +12,6 @@
 use super::part_quarantine::{PartQuarantine, PartQuarantineOptions};
 use super::placement::{Choice, PlacementContext, PlacementOptions, choose_engine, choose_plain};
 use super::prompt_cache::{PromptCache, PromptCacheOptions};
-use super::prompt_mix::{MixInputs, PromptMix, SentPrompt, Steering};
 use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
@@ -155,8 +154,6 @@
     pub wait_ms: f64,
     /// The load of the endpoint.
     pub load: EndpointLoad,
-    /// The longest wait allowed because long and short prompts are mixed; `None` if they are not.
-    pub mix_wait_limit_ms: Option<f64>,
     /// Admitted tokens of the customer over its fair share; zero if it is within its share.
     pub share_ratio: f64,
 }
@@ -175,8 +172,6 @@
     pub load: LoadTracker,
     /// The prompt prefixes that endpoints probably have cached.
     pub cache: PromptCache,
-    /// The lengths and targets of recent prompts.
-    pub prompt_mix: PromptMix,
     /// The fair shares of customers.
     pub shares: ShareTracker,
     /// Endpoints that are avoided because of failures.
@@ -206,7 +201,6 @@
             directory: Directory::new(options.directory),
             load: LoadTracker::new(options.load),
             cache: PromptCache::new(options.cache),
-            prompt_mix: PromptMix::default(),
             shares: ShareTracker::new(options.shares),
             outliers: OutlierDetector::new(options.outliers),
             pauses: EndpointPauses::default(),
@@ -368,7 +362,6 @@
                     predicted_ms: choice.predicted_ms,
                     wait_ms: choice.wait_ms,
                     load: choice.load,
-                    mix_wait_limit_ms: choice.steering.map(|steering| steering.max_wait_ms),
                     share_ratio: match share_status {
                         ShareStatus::Within => 0.0,
                         ShareStatus::Over { ratio, .. } => ratio,
@@ -399,16 +392,6 @@
             let added_tokens = choice.prefill_tokens + request.hints.expected_output_tokens();
             let shared = request.hints.shared_parts();
             self.cache.record_use(key, shared, added_tokens, now);
-            if let Some(options) = &self.options.placement.prompt_mix {
-                let prompt = SentPrompt {
-                    target_ms: request.route.target_latency_ms,
-                    hints: request.hints,
-                    prefill_tokens: choice.prefill_tokens,
-                    wait_ms: choice.wait_ms,
-                };
-                self.prompt_mix
-                    .record(request.service, prompt, options, now);
-            }
             if !request.is_retry {
                 self.shares
                     .record_admitted(request.customer, cost_tokens(request.hints), now);
@@ -467,7 +450,6 @@
             load: &self.load,
             cache: &self.cache,
             data_centre: &self.options.data_centre,
-            steering: self.steering(request, now),
         };
         let service = self.routes.as_ref()?.service(request.service);
         let placement = &self.options.placement;
@@ -477,18 +459,6 @@
         }
     }
 
-    /// How a request is steered among long and short prompts; `None` if they are not mixed.
-    fn steering(&self, request: PlacementRequest<'_>, now: Now) -> Option<Steering> {
-        let options = MixInputs {
-            mix: self.options.placement.prompt_mix.as_ref()?,
-            load: &self.options.load,
-            admission: &self.options.admission,
-        };
-        let target_ms = request.route.target_latency_ms;
-        self.prompt_mix
-            .steering(request.service, target_ms, request.hints, options, now)
-    }
-
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         if !self.budgets.contains_key(service) {
             let budget = RetryBudget::new(self.budget_options());
--- a/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
+++ b/crates/curranttrestle/src/coordination/gateway/endpoint_load.rs
@@ -287,15 +287,6 @@
         view
     }
 
-    /// Whether neither this gateway nor a current report has a request at an endpoint. Cheaper than
-    /// [`Self::view`].
-    #[must_use]
-    pub fn is_idle(&self, endpoint: EndpointKey, now: Now) -> bool {
-        let max_age_ms = self.options.report_max_age_ms;
-        !self.by_endpoint.contains_key(&endpoint)
-            && self.reported.sum(endpoint, max_age_ms, now).in_flight == 0
-    }
-
     fn own_load(&self, endpoint: EndpointKey, attempts: &IndexMap<u64, ()>) -> LoadLine {
         let records = attempts.keys().filter_map(|key| self.attempts.get(key));
         let mut waiting_tokens = 0;
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -19,7 +19,6 @@
 pub mod peering;
 pub mod placement;
 pub mod prompt_cache;
-pub mod prompt_mix;
 mod reported_load;
 pub mod request_quarantine;
 pub mod route_table;
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -10,7 +10,6 @@
 
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker};
 use super::prompt_cache::PromptCache;
-use super::prompt_mix::{PromptMixOptions, Steering};
 use crate::state::Now;
 use crate::state::gateway::{EndpointEntry, EngineCapacity, RequestHints};
 
@@ -28,10 +27,6 @@
     pub remote_penalty_ms: f64,
     /// Fraction of an engine's memory that running requests may use.
     pub memory_fraction: f64,
-    /// Steering of long and short prompts that share engines; `None` turns it off. Off by default:
-    /// in a model of 20 gateways and 48 engines, fewer requests of both kinds begin within their
-    /// target with it in two of three mixes.
-    pub prompt_mix: Option<PromptMixOptions>,
 }
 
 impl Default for PlacementOptions {
@@ -42,7 +37,6 @@
             rank_penalty_ms: 10.0,
             remote_penalty_ms: 2.0,
             memory_fraction: 0.7,
-            prompt_mix: None,
         }
     }
 }
@@ -62,11 +56,6 @@
     pub prefill_tokens: u64,
     /// Whether the endpoint is at capacity.
     pub is_full: bool,
-    /// How the request is steered because long and short prompts are mixed; `None` if they are
-    /// not.
-    pub steering: Option<Steering>,
-    /// Whether the endpoint is not one of the top-ranked ones.
-    pub is_further: bool,
 }
 
 /// The state that a choice is based on.
@@ -78,9 +67,6 @@
     pub cache: &'a PromptCache,
     /// The data centre of this gateway.
     pub data_centre: &'a str,
-    /// How the request is steered because long and short prompts are mixed; `None` if they are
-    /// not.
-    pub steering: Option<Steering>,
 }
 
 /// A [`Choice`] whose entry is not copied yet, as only one of the candidates is chosen.
@@ -92,8 +78,6 @@
     load: EndpointLoad,
     prefill_tokens: u64,
     is_full: bool,
-    steering: Option<Steering>,
-    is_further: bool,
 }
 
 impl Candidate<'_> {
@@ -105,8 +89,6 @@
             load: self.load,
             prefill_tokens: self.prefill_tokens,
             is_full: self.is_full,
-            steering: self.steering,
-            is_further: self.is_further,
         }
     }
 }
@@ -147,30 +129,11 @@
     let shared = hints.shared_parts();
     let seed = shared.last().map(|part| part.id);
     let seed = seed.unwrap_or_else(|| hints.prompt_parts.last().map_or(0, |part| part.id));
-    let max_candidates = options.max_candidates.max(1);
-    let considered = if context.steering.is_some() {
-        usize::MAX
-    } else {
-        max_candidates
-    };
-    let ranked = top_ranked(entries, seed, considered);
-    let needed_tokens = hints.unshared_tokens() + hints.expected_output_tokens();
-    let wait_ms = |entry: &EndpointEntry| {
-        let view = context.load.view(EndpointKey::of(&entry.endpoint), now);
-        if is_at_capacity(view, engine, needed_tokens, options) {
-            f64::INFINITY
-        } else {
-            engine_wait_ms(view, context.load.options())
-        }
-    };
-    let is_idle = |entry: &EndpointEntry| {
-        let key = EndpointKey::of(&entry.endpoint);
-        context.load.is_idle(key, now)
-    };
-    let selected = Steering::select(context.steering, ranked, max_candidates, wait_ms, is_idle);
+    let ranked = top_ranked(entries, seed, options.max_candidates.max(1));
     let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+    let needed_tokens = hints.unshared_tokens() + hints.expected_output_tokens();
     let mut best: Option<(f64, Candidate<'_>)> = None;
-    for (rank, entry) in selected {
+    for (rank, (_, entry)) in ranked.iter().enumerate() {
         let key = EndpointKey::of(&entry.endpoint);
         let view = context.load.view(key, now);
         let cached_tokens = context
@@ -190,11 +153,9 @@
             load: view,
             prefill_tokens,
             is_full,
-            steering: context.steering,
-            is_further: rank >= max_candidates,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few candidates")]
-        let rank_penalty_ms = rank.min(max_candidates) as f64 * options.rank_penalty_ms;
+        let rank_penalty_ms = rank as f64 * options.rank_penalty_ms;
         let recompute_penalty_ms = prefill_ms(uncached_tokens) * (options.recompute_weight - 1.0);
         let cost_ms = predicted_ms
             + recompute_penalty_ms
@@ -233,8 +194,6 @@
             load: view,
             prefill_tokens: 0,
             is_full: false,
-            steering: None,
-            is_further: false,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred requests")]
         let busy_ms =
--- a/crates/curranttrestle/tests/gateway/admission.rs
+++ b/crates/curranttrestle/tests/gateway/admission.rs
@@ -23,8 +23,6 @@
         load: EndpointLoad::default(),
         prefill_tokens: 0,
         is_full: false,
-        steering: None,
-        is_further: false,
     }
 }
 
--- a/crates/curranttrestle/tests/gateway/placement.rs
+++ b/crates/curranttrestle/tests/gateway/placement.rs
@@ -32,7 +32,6 @@
             load: &self.load,
             cache: &self.cache,
             data_centre: "a",
-            steering: None,
         };
         let options = PlacementOptions::default();
         choose_engine(self.entries.iter(), ENGINE, hints, context, &options, now).unwrap()
@@ -217,7 +216,6 @@
             load: &fleet.load,
             cache: &fleet.cache,
             data_centre: "a",
-            steering: None,
         };
         let options = PlacementOptions::default();
         let choice = choose_plain(fleet.entries.iter(), context, &options, at(0)).unwrap();
