Review: a machine that was cut off goes on using a replica that is gone

A read of the configuration that fails just after the end of a cut from the store counts as an outage until the next answer to the watch of the directory, and the grace for missing entries starts again from there. Requests reach a replica up to 4.9 s after its entry was removed, though the machine is in touch.

--- a/review/common-2/standins.rs
+++ b/review/common-2/standins.rs
@@ -482,10 +482,19 @@
 // ---------------------------------------------------------------------------------------------
 // Links
 
-/// A link that can be cut: what is sent over it waits, and new connections get no answer.
+/// A call whose connection was opened while a link was cut. It never gets an answer: the packet that
+/// opens the connection is lost, and is sent again after a second, when the caller has given up.
+#[derive(Clone, Debug)]
+pub struct LostCall {
+    pub at_ms: u64,
+    pub path: String,
+}
+
+/// A link that can be cut. Bytes of open connections wait meanwhile.
 #[derive(Clone)]
 pub struct Link {
     pub address: SocketAddr,
+    pub lost_calls: Arc<Mutex<Vec<LostCall>>>,
     is_cut: Arc<(Mutex<bool>, Condvar)>,
 }
 
@@ -494,6 +503,7 @@
         let listener = listen();
         let link = Self {
             address: listener.local_addr().expect("bound"),
+            lost_calls: Arc::default(),
             is_cut: Arc::default(),
         };
         let serving = link.clone();
@@ -501,7 +511,10 @@
             for near in listener.incoming().flatten() {
                 let link = serving.clone();
                 thread::spawn(move || {
-                    link.wait_until_healed();
+                    if *link.is_cut.0.lock().expect("not poisoned") {
+                        link.lose(near);
+                        return;
+                    }
                     let Ok(far) = TcpStream::connect(to) else {
                         return;
                     };
@@ -526,6 +539,25 @@
         self.is_cut.1.notify_all();
     }
 
+    /// How long ago the last lost call of this path began; `None` if there was none.
+    pub fn lost_call_age_ms(&self, path: &str) -> Option<u64> {
+        let calls = self.lost_calls.lock().expect("not poisoned");
+        let mut calls = calls.iter().rev();
+        let last = calls.find(|call| call.path.starts_with(path))?;
+        Some(now_ms() - last.at_ms)
+    }
+
+    /// Waits until the caller gives up.
+    fn lose(&self, near: TcpStream) {
+        let at_ms = now_ms();
+        let mut reader = BufReader::new(near);
+        while let Ok(Some(head)) = read_head(&mut reader) {
+            let path = head.second_word().to_owned();
+            let mut calls = self.lost_calls.lock().expect("not poisoned");
+            calls.push(LostCall { at_ms, path });
+        }
+    }
+
     fn wait_until_healed(&self) {
         let mut is_cut = self.is_cut.0.lock().expect("not poisoned");
         while *is_cut {
