Review: the stand-ins send signals through the shell and try a busy port again

A machine may have no kill program, and another process may take a port between its choice and its use.

--- a/review/common-2/case-settings-change.rs
+++ b/review/common-2/case-settings-change.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, reason = "each case uses a part of them")]
 mod standins;
 
-use std::process::{Command, ExitCode};
+use std::process::ExitCode;
 
 use standins::*;
 
@@ -60,10 +60,7 @@
     gateway.replace_settings(&gateway.settings.text.replace("revokeMs = 5000", &new));
     record.line(&format!("the settings file says {new}"));
     if is_without_trouble() {
-        let signal = Command::new("kill")
-            .args(["-HUP", &gateway.pid().to_string()])
-            .status();
-        if !signal.is_ok_and(|status| status.success()) {
+        if !send_signal("HUP", gateway.pid()) {
             return ExitCode::from(2);
         }
         record.line("the gateway gets SIGHUP");
--- a/review/common-2/standins.rs
+++ b/review/common-2/standins.rs
@@ -779,6 +779,13 @@
     }
 }
 
+/// Sends a signal to a process that the case started. Returns whether it was sent.
+pub fn send_signal(signal: &str, process: u32) -> bool {
+    let command = format!("kill -{signal} {process}");
+    let status = Command::new("sh").args(["-c", &command]).status();
+    status.is_ok_and(|status| status.success())
+}
+
 /// The processes that were started.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -787,9 +794,7 @@
     thread::spawn(move || {
         sleep_ms(limit_ms);
         for process in PROCESSES.lock().expect("not poisoned").iter() {
-            let _ = Command::new("kill")
-                .args(["-KILL", &process.to_string()])
-                .status();
+            send_signal("KILL", *process);
         }
         std::process::exit(2);
     });
@@ -930,12 +935,16 @@
     record
 }
 
-/// A gateway that is ready, with the store at `store`.
+/// A gateway that is ready, with the store at `store`. Another process may take a port first, so it is
+/// tried again.
 pub fn ready_gateway(store: SocketAddr, record: &Record) -> Option<Gateway> {
-    let gateway = Gateway::start(GatewaySettings::new(store)).ok()?;
-    if gateway.wait_until_ready(10_000) {
-        return Some(gateway);
+    for _ in 0..3 {
+        let gateway = Gateway::start(GatewaySettings::new(store)).ok()?;
+        if gateway.wait_until_ready(8_000) {
+            return Some(gateway);
+        }
+        gateway.record_warnings(record);
+        record.line("the gateway is not ready");
     }
-    record.line("the gateway is not ready");
     None
 }
