Review: case 10 with a replica of this deployment

The entry of another writer now replaces that of a replica of another service until its next heartbeat, so that no server from outside is needed and ROUTE is plainly broken.

--- a/review/common-2/standins.rs
+++ b/review/common-2/standins.rs
@@ -278,7 +278,7 @@
 /// A configuration with one route, one plain service and these tenants (JSON, or nothing).
 pub fn config(version: u32, route: &str, tenants: &str) -> String {
     format!(
-        r#"{{"version":{version},"routes":[{route}],"services":[{{"name":"guichet","maxConnections":110}}],{tenants}"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":20000}}}}"#
+        r#"{{"version":{version},"routes":[{route}],"services":[{{"name":"guichet","maxConnections":110}},{{"name":"atelier-modele","maxConnections":370}}],{tenants}"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":20000}}}}"#
     )
 }
 
