Log the memory that an endpoint's requests take, and what a strained gateway takes in

A refusal as full did not show whether slots or memory ran out, and nothing showed how many connections and requests a gateway without processor time still takes in each second, so two hypotheses on unfair shares could not be told apart. No decision changes.

--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -76,6 +76,7 @@
     /// Accepts connections until the task is cancelled.
     pub async fn accept(self, listener: Async<TcpListener>) {
         accept_each(&listener, |stream, address| {
+            self.gateway.strain.borrow_mut().record_connection();
             // Without room for it, the new connection is closed.
             if let Some(admitted) = self.admit() {
                 let serving = self.clone().serve(stream, address, admitted);
--- a/crates/curranttrestle-gateway/src/front/record.rs
+++ b/crates/curranttrestle-gateway/src/front/record.rs
@@ -47,12 +47,13 @@
 #[must_use]
 pub fn load_fields(load: &EndpointLoad) -> String {
     format!(
-        "slowness={:.2} waiting_tokens={:.0} reported_tokens={:.0} report_age_ms={:.0} in_flight={}",
+        "slowness={:.2} waiting_tokens={:.0} reported_tokens={:.0} report_age_ms={:.0} in_flight={} memory_tokens={}",
         load.slowness,
         load.waiting_tokens,
         load.reported_tokens,
         load.report_age_ms,
-        load.in_flight
+        load.in_flight,
+        load.memory_tokens
     )
 }
 
@@ -61,6 +62,7 @@
     #[must_use]
     pub fn new(gateway: &Rc<Gateway>, arrived: Now) -> Self {
         gateway.open_requests.set(gateway.open_requests.get() + 1);
+        gateway.strain.borrow_mut().record_request();
         Self {
             gateway: Rc::clone(gateway),
             id: String::new(),
--- a/crates/curranttrestle-gateway/src/strain.rs
+++ b/crates/curranttrestle-gateway/src/strain.rs
@@ -59,10 +59,6 @@
 /// assert!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, now).is_some());
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
-#[expect(
-    clippy::struct_field_names,
-    reason = "fields carry their unit as a suffix"
-)]
 pub struct StrainMonitor {
     last_delay_ms: u64,
     /// Maximum delay since the last log line.
@@ -71,6 +67,10 @@
     /// Maximum delay of a task since the last log line.
     max_task_delay_ms: u64,
     logged_ms: u64,
+    /// Client connections that were accepted since the last log line.
+    accepted_connections: u64,
+    /// Requests whose head was read since the last log line.
+    received_requests: u64,
 }
 
 impl StrainMonitor {
@@ -86,6 +86,16 @@
         self.max_task_delay_ms = self.max_task_delay_ms.max(delay_ms);
     }
 
+    /// Counts an accepted client connection.
+    pub fn record_connection(&mut self) {
+        self.accepted_connections += 1;
+    }
+
+    /// Counts a request whose head was read.
+    pub fn record_request(&mut self) {
+        self.received_requests += 1;
+    }
+
     /// How long the last measured task waited for its turn.
     #[must_use]
     pub fn task_delay_ms(&self) -> u64 {
@@ -109,7 +119,8 @@
         directory_age_ms: u64,
         now: Now,
     ) -> Option<String> {
-        if now.since_ms(self.logged_ms) < LOG_INTERVAL_MS {
+        let interval_ms = now.since_ms(self.logged_ms);
+        if interval_ms < LOG_INTERVAL_MS {
             return None;
         }
         let delay_ms = self.max_delay_ms;
@@ -123,8 +134,10 @@
         self.logged_ms = now.steady_ms;
         self.max_delay_ms = 0;
         self.max_task_delay_ms = 0;
+        let accepted_connections = std::mem::take(&mut self.accepted_connections);
+        let received_requests = std::mem::take(&mut self.received_requests);
         Some(format!(
-            "kind=gateway-strained loop_delay_ms={delay_ms} task_delay_ms={task_delay_ms} directory_age_ms={directory_age_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests}",
+            "kind=gateway-strained loop_delay_ms={delay_ms} task_delay_ms={task_delay_ms} directory_age_ms={directory_age_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests} interval_ms={interval_ms} accepted_connections={accepted_connections} received_requests={received_requests}",
             reports.interval_ms,
             reports.round_bytes,
             reports.live_peers,
