Reserve slots and memory of engines for customers within their fair share

Callers saw: while one customer floods, customers within their share are refused because all engines are full.

Cause: admission limits a customer over its share by the predicted wait only. Slots and memory were given out in order of arrival. Responses are long on this deployment, so slots run out first, and who sends most often takes each one as it becomes free.

Evidence: 145 of the 202 logged refusals of the first customer are `full`, with 18 requests in 16 slots and a share ratio of 0; six customers at one or two gateways were refused as `full` for 14 to 41% of their logged requests, the flood for 28%. Share reports were complete and 0.6 s old, which rules out their absence.

Now a customer over its share may fill 0.9 of an engine's slots and memory, divided by its share ratio. What is beyond that stays free for the others, and a flood that holds more leaves more.

The simulated engines got the length of a response as an option for it.

--- a/crates/curranttrestle-gateway/tests/fair_shares.rs
+++ b/crates/curranttrestle-gateway/tests/fair_shares.rs
@@ -14,13 +14,18 @@
 const CREST_S: u64 = 10;
 
 fn fleet(seed: u64) -> Fleet {
-    Fleet::new(FleetOptions {
+    Fleet::new(fleet_options(seed))
+}
+
+fn fleet_options(seed: u64) -> FleetOptions {
+    FleetOptions {
         gateways: GATEWAYS,
         engines: ENGINES,
         prefill_tokens_per_ms: 20.0,
+        response_ms: 400,
         nominal_tokens_per_s: ENGINES as u64 * 50_700,
         seed,
-    })
+    }
 }
 
 /// One customer whose requests all arrive at one gateway, and others with requests everywhere.
@@ -62,3 +67,22 @@
         assert_eq!(incomplete, 0, "second {second} of the crest");
     }
 }
+
+#[test]
+fn flood_takes_the_slots_of_a_customer_within_its_share() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::new(FleetOptions {
+            prefill_tokens_per_ms: 40.0,
+            response_ms: 2_500,
+            ..fleet_options(seed)
+        });
+        fleet.run(WARM_UP_S * 1_000, &demands(30.0, 100.0, 20.0));
+        fleet.run(CREST_S * 1_000, &demands(60.0, 6_000.0, 20.0));
+        let crest = WARM_UP_S..WARM_UP_S + CREST_S;
+        for customer in ["one", "all", "small"] {
+            if let Some(violation) = fleet.record.violations(customer, crest.clone()).first() {
+                panic!("seed {seed}, {customer}: {violation}");
+            }
+        }
+    }
+}
--- a/crates/curranttrestle-gateway/tests/large_fleet.rs
+++ b/crates/curranttrestle-gateway/tests/large_fleet.rs
@@ -26,6 +26,7 @@
         gateways,
         engines: ENGINES,
         prefill_tokens_per_ms: 20.0,
+        response_ms: 400,
         nominal_tokens_per_s: 0,
         seed: 1,
     });
--- a/crates/curranttrestle-gateway/tests/proof_readers.rs
+++ b/crates/curranttrestle-gateway/tests/proof_readers.rs
@@ -21,6 +21,7 @@
         gateways: 9,
         engines: 12,
         prefill_tokens_per_ms: 50.0,
+        response_ms: 400,
         nominal_tokens_per_s: 0,
         seed: 1,
     });
--- a/crates/curranttrestle-gateway/tests/simulation/engine.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/engine.rs
@@ -8,9 +8,6 @@
 /// Time to the first event without prefill.
 const BASE_MS: f64 = 10.0;
 
-/// Time from the first event to the end of a response.
-const RESPONSE_MS: u64 = 400;
-
 /// A request at an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
@@ -35,6 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     prefill_tokens_per_ms: f64,
+    response_ms: u64,
     cached: BTreeSet<u64>,
     waiting: VecDeque<Job>,
     /// The request in prefill and when this ends.
@@ -44,9 +42,11 @@
 }
 
 impl Engine {
-    pub fn new(prefill_tokens_per_ms: f64) -> Self {
+    /// Creates an idle engine. A response ends `response_ms` after its first event.
+    pub fn new(prefill_tokens_per_ms: f64, response_ms: u64) -> Self {
         Self {
             prefill_tokens_per_ms,
+            response_ms,
             cached: BTreeSet::new(),
             waiting: VecDeque::new(),
             prefilling: None,
@@ -73,7 +73,7 @@
             && end_ms <= now_ms as f64
         {
             events.push(EngineEvent::Started(request));
-            self.responding.push((request, now_ms + RESPONSE_MS));
+            self.responding.push((request, now_ms + self.response_ms));
             self.prefilling = None;
         }
         if self.prefilling.is_none()
--- a/crates/curranttrestle-gateway/tests/simulation/mod.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/mod.rs
@@ -67,6 +67,8 @@
     pub engines: usize,
     /// Prompt tokens that an engine processes per millisecond while it also sends responses.
     pub prefill_tokens_per_ms: f64,
+    /// Time from the first event to the end of a response, during which a request keeps its slot.
+    pub response_ms: u64,
     /// The rate of all engines together that the configuration states.
     pub nominal_tokens_per_s: u64,
     pub seed: u64,
@@ -137,7 +139,10 @@
         let engine_indices = entries.iter().enumerate();
         Self {
             gateways: (0..options.gateways).map(gateway).collect(),
-            engines: vec![Engine::new(options.prefill_tokens_per_ms); options.engines],
+            engines: vec![
+                Engine::new(options.prefill_tokens_per_ms, options.response_ms);
+                options.engines
+            ],
             engine_indices: engine_indices
                 .map(|(index, entry)| (entry.endpoint.clone(), index))
                 .collect(),
--- a/crates/curranttrestle/src/coordination/gateway/admission.rs
+++ b/crates/curranttrestle/src/coordination/gateway/admission.rs
@@ -5,7 +5,7 @@
 //! too long. A customer over its fair share is held to a lower limit, which leaves the queue to
 //! the other customers.
 
-use super::placement::Choice;
+use super::placement::{Choice, Room};
 use super::shares::ShareStatus;
 
 /// Options of admission control. The fractions limit the predicted time to the first event, or to
@@ -17,6 +17,10 @@
     /// The same fraction for a customer over its fair share. It is divided by the customer's
     /// share ratio (admitted tokens over the fair share).
     pub over_share_fraction: f64,
+    /// Fraction of an engine's slots and memory that a customer over its fair share may use. It is
+    /// divided by the customer's share ratio. The rest is reserved for customers within their share:
+    /// a customer that floods would otherwise take each slot as it becomes free.
+    pub over_share_capacity: f64,
     /// Share ratio from which the limit applies to a customer even while an engine is idle. Such a
     /// customer sends most often, so it would otherwise take nearly all idle slots.
     pub idle_limit_ratio: f64,
@@ -31,6 +35,7 @@
         Self {
             target_fraction: 0.8,
             over_share_fraction: 0.3,
+            over_share_capacity: 0.9,
             idle_limit_ratio: 1.5,
             min_retry_after_ms: 100.0,
             max_retry_after_ms: 2_000.0,
@@ -48,7 +53,7 @@
         /// Why the request is refused.
         reason: RefusalReason,
         /// Time until the request is expected to be admitted at the current load. The target
-        /// latency is used if the reason is [`RefusalReason::Full`].
+        /// latency is used if the endpoint has no room.
         retry_after_ms: f64,
     },
 }
@@ -61,7 +66,8 @@
     Queue,
     /// Every endpoint considered for the request is at capacity.
     Full,
-    /// The customer is over its fair share, and the predicted time exceeds its lower limit.
+    /// The customer is over its fair share, and the predicted time exceeds its lower limit or the
+    /// capacity that is left is reserved for other customers.
     OverShare,
 }
 
@@ -77,6 +83,24 @@
     }
 }
 
+/// The fraction of an engine's slots and memory that a customer may use.
+///
+/// ```
+/// use curranttrestle::coordination::gateway::admission::{AdmissionOptions, usable_fraction};
+/// use curranttrestle::coordination::gateway::shares::ShareStatus;
+/// let options = AdmissionOptions { over_share_capacity: 0.9, ..AdmissionOptions::default() };
+/// let fraction = |status| usable_fraction(status, &options);
+/// assert_eq!(fraction(ShareStatus::Within), 1.0);
+/// assert_eq!(fraction(ShareStatus::Over { ratio: 1.5, leads: false }), 0.6);
+/// ```
+#[must_use]
+pub fn usable_fraction(share_status: ShareStatus, options: &AdmissionOptions) -> f64 {
+    match share_status {
+        ShareStatus::Within => 1.0,
+        ShareStatus::Over { ratio, .. } => options.over_share_capacity / ratio,
+    }
+}
+
 /// Decides whether to admit a request whose best endpoint is `choice`.
 ///
 /// An idle endpoint admits a request however long its prefill takes, unless the customer's share
@@ -101,10 +125,15 @@
     // Negative if the predicted time would exceed the limit even without waiting.
     let max_wait_ms = limit_ms - (choice.predicted_ms - choice.wait_ms);
     let may_use_idle = choice.wait_ms < 1.0 && !is_limited_while_idle;
-    if choice.is_full {
+    let without_room = match choice.room {
+        Room::Free => None,
+        Room::Reserved => Some(RefusalReason::OverShare),
+        Room::Full => Some(RefusalReason::Full),
+    };
+    if let Some(reason) = without_room {
         let retry_after_ms = clamp_retry_after(target_latency_ms, options);
         return AdmissionDecision::Refuse {
-            reason: RefusalReason::Full,
+            reason,
             retry_after_ms,
         };
     }
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -2,7 +2,9 @@
 
 use indexmap::IndexMap;
 
-use super::admission::{AdmissionDecision, AdmissionOptions, RefusalReason, admit};
+use super::admission::{
+    AdmissionDecision, AdmissionOptions, RefusalReason, admit, usable_fraction,
+};
 use super::directory::{Directory, DirectoryChange, DirectoryOptions};
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
 use super::endpoint_pauses::EndpointPauses;
@@ -326,7 +328,13 @@
     /// Chooses an endpoint for a request, or refuses it.
     #[must_use]
     pub fn place(&self, request: PlacementRequest<'_>, now: Now) -> Placement {
-        let Some(choice) = self.choose(request, now) else {
+        // The response to the client has already begun, so it can no longer be refused.
+        let share_status = if request.is_resumed {
+            ShareStatus::Within
+        } else {
+            self.share_status(request, now)
+        };
+        let Some(choice) = self.choose(request, share_status, now) else {
             let pause_ms = self.service_pause_ms(request, now);
             #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
             let (reason, retry_after_ms) = match (pause_ms, self.cold_wait_ms(request, now)) {
@@ -343,13 +351,11 @@
                 inputs: RefusalInputs::default(),
             };
         };
-        // The response to the client has already begun, so it can no longer be refused.
         if request.is_resumed {
             return Placement::Send(choice);
         }
         #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
         let target_ms = request.route.target_latency_ms as f64;
-        let share_status = self.share_status(request, now);
         match admit(&choice, target_ms, share_status, &self.options.admission) {
             AdmissionDecision::Admit => Placement::Send(choice),
             AdmissionDecision::Refuse {
@@ -420,7 +426,12 @@
         self.shares.status(request.customer, tokens_per_s, now)
     }
 
-    fn choose(&self, request: PlacementRequest<'_>, now: Now) -> Option<Choice> {
+    fn choose(
+        &self,
+        request: PlacementRequest<'_>,
+        share_status: ShareStatus,
+        now: Now,
+    ) -> Option<Choice> {
         let candidates: Vec<&EndpointEntry> = self
             .eligible(request, now)
             .filter(|entry| !request.excluded.contains(&entry.endpoint))
@@ -435,8 +446,14 @@
         // If all endpoints are avoided, use any of them rather than none.
         let uses_avoided = !warm.iter().chain(&cold).any(|entry| is_healthy(entry));
         let is_used = |entry: &&EndpointEntry| uses_avoided || is_healthy(entry);
-        let warm = self.choose_among(warm.into_iter().filter(is_used), request, now);
-        let cold = self.choose_among(cold.into_iter().filter(is_used), request, now);
+        let context = PlacementContext {
+            load: &self.load,
+            cache: &self.cache,
+            data_centre: &self.options.data_centre,
+            usable_fraction: usable_fraction(share_status, &self.options.admission),
+        };
+        let warm = self.choose_among(warm.into_iter().filter(is_used), request, context, now);
+        let cold = self.choose_among(cold.into_iter().filter(is_used), request, context, now);
         prefer_warm(warm, cold)
     }
 
@@ -444,13 +461,9 @@
         &self,
         entries: impl Iterator<Item = &'a EndpointEntry>,
         request: PlacementRequest<'_>,
+        context: PlacementContext<'_>,
         now: Now,
     ) -> Option<Choice> {
-        let context = PlacementContext {
-            load: &self.load,
-            cache: &self.cache,
-            data_centre: &self.options.data_centre,
-        };
         let service = self.routes.as_ref()?.service(request.service);
         let placement = &self.options.placement;
         match service.and_then(|service| service.engine) {
--- a/crates/curranttrestle/src/coordination/gateway/placement.rs
+++ b/crates/curranttrestle/src/coordination/gateway/placement.rs
@@ -41,6 +41,18 @@
     }
 }
 
+/// The capacity that an endpoint has left for a customer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Room {
+    /// It has room for the request.
+    #[default]
+    Free,
+    /// What it has left is reserved for customers within their fair share.
+    Reserved,
+    /// It is at capacity.
+    Full,
+}
+
 /// The endpoint chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -54,8 +66,8 @@
     pub load: EndpointLoad,
     /// Prompt tokens that the endpoint has to prefill.
     pub prefill_tokens: u64,
-    /// Whether the endpoint is at capacity.
-    pub is_full: bool,
+    /// The capacity that the endpoint has left.
+    pub room: Room,
 }
 
 /// The state that a choice is based on.
@@ -67,6 +79,8 @@
     pub cache: &'a PromptCache,
     /// The data centre of this gateway.
     pub data_centre: &'a str,
+    /// Fraction of an engine's slots and memory that the customer may use.
+    pub usable_fraction: f64,
 }
 
 /// A [`Choice`] whose entry is not copied yet, as only one of the candidates is chosen.
@@ -77,7 +91,7 @@
     wait_ms: f64,
     load: EndpointLoad,
     prefill_tokens: u64,
-    is_full: bool,
+    room: Room,
 }
 
 impl Candidate<'_> {
@@ -88,7 +102,7 @@
             wait_ms: self.wait_ms,
             load: self.load,
             prefill_tokens: self.prefill_tokens,
-            is_full: self.is_full,
+            room: self.room,
         }
     }
 }
@@ -145,14 +159,20 @@
         let wait_ms = engine_wait_ms(view, load_options);
         let prefill_ms = |tokens| engine_prefill_ms(tokens, view, load_options);
         let predicted_ms = wait_ms + load_options.engine_base_ms + prefill_ms(prefill_tokens);
-        let is_full = is_at_capacity(view, engine, needed_tokens, options);
+        let room = room_for(
+            view,
+            engine,
+            needed_tokens,
+            context.usable_fraction,
+            options,
+        );
         let candidate = Candidate {
             entry,
             predicted_ms,
             wait_ms,
             load: view,
             prefill_tokens,
-            is_full,
+            room,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few candidates")]
         let rank_penalty_ms = rank as f64 * options.rank_penalty_ms;
@@ -161,7 +181,10 @@
             + recompute_penalty_ms
             + remote_penalty_ms(entry, context.data_centre, options)
             + rank_penalty_ms
-            + if is_full { FULL_PENALTY_MS } else { 0.0 };
+            + match room {
+                Room::Free => 0.0,
+                Room::Reserved | Room::Full => FULL_PENALTY_MS,
+            };
         if best.as_ref().is_none_or(|(cost, _)| cost_ms < *cost) {
             best = Some((cost_ms, candidate));
         }
@@ -169,7 +192,7 @@
     best.map(|(_, candidate)| candidate.into_choice())
 }
 
-/// Ranks endpoints at capacity behind all others.
+/// Ranks endpoints without room behind all others.
 const FULL_PENALTY_MS: f64 = 1_000_000.0;
 
 /// Chooses the least loaded endpoint among `entries` for a request to a plain service.
@@ -193,7 +216,7 @@
             wait_ms,
             load: view,
             prefill_tokens: 0,
-            is_full: false,
+            room: Room::Free,
         };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred requests")]
         let busy_ms =
@@ -226,27 +249,45 @@
     waiting as f64 * options.plain_base_ms * view.slowness / slots as f64
 }
 
+fn room_for(
+    view: EndpointLoad,
+    engine: EngineCapacity,
+    needed_tokens: u64,
+    usable_fraction: f64,
+    options: &PlacementOptions,
+) -> Room {
+    if is_at_capacity(view, engine, needed_tokens, 1.0, options) {
+        Room::Full
+    } else if is_at_capacity(view, engine, needed_tokens, usable_fraction, options) {
+        Room::Reserved
+    } else {
+        Room::Free
+    }
+}
+
+/// Whether an engine has no room for a request that may use a fraction of its slots and memory.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
 fn is_at_capacity(
     view: EndpointLoad,
     engine: EngineCapacity,
     needed_tokens: u64,
+    fraction: f64,
     options: &PlacementOptions,
 ) -> bool {
-    if engine.slots > 0 && view.in_flight >= u64::from(engine.slots) {
+    // A request larger than the limits runs only on an engine without other requests.
+    if view.in_flight == 0 {
+        return false;
+    }
+    let slots = f64::from(engine.slots) * fraction;
+    if engine.slots > 0 && (view.in_flight + 1) as f64 > slots {
         return true;
     }
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "token counts are far below 2^52"
-    )]
-    let limit_tokens = engine.memory_tokens as f64 * options.memory_fraction;
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "token counts are far below 2^52"
-    )]
+    let limit_tokens = engine.memory_tokens as f64 * options.memory_fraction * fraction;
     let used_tokens = (view.memory_tokens + needed_tokens) as f64;
-    // A request larger than the limit runs only on an engine without other requests.
-    engine.memory_tokens > 0 && view.in_flight > 0 && used_tokens > limit_tokens
+    engine.memory_tokens > 0 && used_tokens > limit_tokens
 }
 
 fn remote_penalty_ms(entry: &EndpointEntry, data_centre: &str, options: &PlacementOptions) -> f64 {
--- a/crates/curranttrestle/src/coordination/gateway/warmup/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/warmup/eligibility.rs
@@ -25,7 +25,7 @@
         ..cold
     };
     let is_preferred =
-        |warm: &Choice| warm.predicted_ms <= cold.predicted_ms && (!warm.is_full || cold.is_full);
+        |warm: &Choice| warm.predicted_ms <= cold.predicted_ms && warm.room <= cold.room;
     warm.filter(is_preferred).or(Some(cold))
 }
 
--- a/crates/curranttrestle/tests/gateway/admission.rs
+++ b/crates/curranttrestle/tests/gateway/admission.rs
@@ -5,7 +5,7 @@
     AdmissionDecision, AdmissionOptions, RefusalReason, admit,
 };
 use curranttrestle::coordination::gateway::endpoint_load::EndpointLoad;
-use curranttrestle::coordination::gateway::placement::Choice;
+use curranttrestle::coordination::gateway::placement::{Choice, Room};
 use curranttrestle::coordination::gateway::shares::ShareStatus;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,7 +22,7 @@
         wait_ms,
         load: EndpointLoad::default(),
         prefill_tokens: 0,
-        is_full: false,
+        room: Room::Free,
     }
 }
 
--- a/crates/curranttrestle/tests/gateway/placement.rs
+++ b/crates/curranttrestle/tests/gateway/placement.rs
@@ -2,7 +2,7 @@
     EndpointKey, LoadOptions, LoadTracker, SentRequest,
 };
 use curranttrestle::coordination::gateway::placement::{
-    Choice, PlacementContext, PlacementOptions, choose_engine, choose_plain,
+    Choice, PlacementContext, PlacementOptions, Room, choose_engine, choose_plain,
 };
 use curranttrestle::coordination::gateway::prompt_cache::{PromptCache, PromptCacheOptions};
 use curranttrestle::state::Now;
@@ -32,6 +32,7 @@
             load: &self.load,
             cache: &self.cache,
             data_centre: "a",
+            usable_fraction: 1.0,
         };
         let options = PlacementOptions::default();
         choose_engine(self.entries.iter(), ENGINE, hints, context, &options, now).unwrap()
@@ -185,7 +186,7 @@
     }
     let second = fleet.choose(&hints, at(1));
     assert_ne!(second.entry, first.entry);
-    assert!(!second.is_full);
+    assert_eq!(second.room, Room::Free);
 }
 
 #[test]
@@ -216,6 +217,7 @@
             load: &fleet.load,
             cache: &fleet.cache,
             data_centre: "a",
+            usable_fraction: 1.0,
         };
         let options = PlacementOptions::default();
         let choice = choose_plain(fleet.entries.iter(), context, &options, at(0)).unwrap();
