Move a broken stream only to an endpoint of the same software version

Callers saw: while two versions of a service's software serve side by side, a stream whose endpoint broke off continued with events of the other version, in one response. The versions do not fit together, and endpoints do not check this.

Cause: the version in an endpoint's entry was not decoded, so neither placement nor the check before a send could ask for it.

Now the first event that is forwarded fixes the version of the rest. An endpoint of another version is not eligible from then on, at placement and right before a send. Before the first event any version may serve. If none of the version is left, the response is cut, so that the client can resume the stream.

--- a/crates/curranttrestle-gateway/examples/costs.rs
+++ b/crates/curranttrestle-gateway/examples/costs.rs
@@ -34,6 +34,7 @@
         excluded: &[],
         is_retry: false,
         is_resumed: false,
+        required_version: None,
     };
     // Requests of this gateway itself.
     for _ in 0..100 {
@@ -87,6 +88,7 @@
         service: SERVICE.to_owned(),
         address: ([127, 0, 0, 1], 9_000).into(),
         data_centre: "a".to_owned(),
+        software_version: "1".to_owned(),
         state: EntryState::Ready,
         slots: 16,
         started_unix_ms: u64::from(index),
--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -8,6 +8,7 @@
 use curranttrestle::coordination::gateway::directory::{EndpointRun, endpoint_run};
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::placement::Choice;
+use curranttrestle::coordination::gateway::software_version::VersionKey;
 use curranttrestle::state::gateway::RetryPolicy;
 use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
@@ -77,6 +78,8 @@
     pub endpoint: EndpointId,
     /// The run of the endpoint.
     pub run: EndpointRun,
+    /// The version of its software.
+    pub version: VersionKey,
     /// When the request got its connection, by the steady clock.
     connected_ms: Cell<u64>,
     /// When the request was last allowed to be sent, by the steady clock.
@@ -153,6 +156,7 @@
         number,
         endpoint: choice.entry.endpoint.clone(),
         run: endpoint_run(&choice.entry.endpoint, choice.entry.started_unix_ms),
+        version: VersionKey::of(&choice.entry),
         connected_ms: Cell::new(u64::MAX),
         allowed_ms: Cell::new(u64::MAX),
     };
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -248,6 +248,9 @@
         } else {
             self.has_events = true;
             self.exchange.record_begun(now);
+            if let Some(head) = &self.head {
+                self.exchange.record_version(head.guard.version);
+            }
             self.record.record_first_event(now);
         }
         self.last_event_ms = now.steady_ms;
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -8,6 +8,7 @@
 use curranttrestle::coordination::gateway::directory::EndpointRun;
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::request_quarantine::RequestIdentity;
+use curranttrestle::coordination::gateway::software_version::VersionKey;
 use curranttrestle::state::gateway::{RequestHints, RetryPolicy, Route};
 use curranttrestle::state::{EndpointId, Now};
 use hyper::header::HeaderMap;
@@ -60,6 +61,8 @@
     pub sends: Cell<u32>,
     /// A retry was taken from the budget and has not been used yet.
     pub has_retry_token: Cell<bool>,
+    /// The software version that sent the first event of the stream; `None` before that.
+    pub required_version: Cell<Option<VersionKey>>,
     /// Endpoints that failed the request.
     pub excluded: Vec<EndpointId>,
     /// Memory of the body and of the request itself.
@@ -84,6 +87,7 @@
             excluded: &self.excluded,
             is_retry: self.sends.get() > 0,
             is_resumed,
+            required_version: self.required_version.get(),
         }
     }
 
@@ -227,6 +231,12 @@
         control.prompt_parts.record_crash(run, shared_parts, now);
     }
 
+    /// Records that the first event of this attempt came from an endpoint of a software version, at
+    /// which the stream has to go on from now on.
+    pub fn record_version(&self, version: VersionKey) {
+        self.required_version.set(Some(version));
+    }
+
     /// Records that the response to the request has begun.
     pub fn record_begun(&self, now: Now) {
         let shared_parts = self.hints.shared_parts();
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -131,6 +131,7 @@
         deadline_steady_ms: arrived.steady_ms.saturating_add(limit_ms),
         sends: Cell::new(0),
         has_retry_token: Cell::new(false),
+        required_version: Cell::new(None),
         excluded: Vec::new(),
         memory: [body_memory, request_memory],
     })
--- a/crates/curranttrestle-gateway/tests/simulation/mod.rs
+++ b/crates/curranttrestle-gateway/tests/simulation/mod.rs
@@ -296,6 +296,7 @@
             excluded: &[],
             is_retry: false,
             is_resumed: false,
+            required_version: None,
         };
         let Placement::Send(choice) = control.place(placement, now) else {
             self.record.record_refused(customer, self.now_ms);
@@ -354,6 +355,7 @@
         service: "model".to_owned(),
         address: SocketAddr::from(([10, 0, 1, 0], number)),
         data_centre: data_centre(index),
+        software_version: "1".to_owned(),
         state: EntryState::Ready,
         slots: u32::try_from(SLOTS).expect("a few slots"),
         warmup_left_ms: 0,
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -17,6 +17,7 @@
 use super::request_quarantine::RequestQuarantine;
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
+use super::software_version::VersionKey;
 use super::warmup::{ColdEndpoints, ENDPOINTS_COLD, WarmupOptions, prefer_warm};
 use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
@@ -129,6 +130,8 @@
     pub is_retry: bool,
     /// Whether this resumes a stream whose response to the client has already begun.
     pub is_resumed: bool,
+    /// The software version that sent the first event of the stream; `None` before that.
+    pub required_version: Option<VersionKey>,
 }
 
 /// The placement decision for a request.
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -2,6 +2,7 @@
 
 use super::control::{Control, PlacementRequest};
 use super::directory::{EndpointRun, endpoint_run};
+use super::software_version::VersionKey;
 use crate::state::gateway::EndpointEntry;
 use crate::state::{EndpointId, Now};
 
@@ -16,6 +17,8 @@
     EvacuationsUnknown,
     /// Its data centre is evacuated.
     Evacuated,
+    /// Its software has another version than the one that began the stream.
+    SoftwareVersion,
     /// It asked for a pause, which ends after this time.
     Paused {
         /// The time left.
@@ -42,15 +45,20 @@
         if !self.directory.accepts_requests(&entry.endpoint) {
             return Some(Ineligible::NotAccepting);
         }
-        self.ineligibility_of_accepting(entry, self.allowed_regions(request), now)
+        self.ineligibility_of_accepting(entry, request, self.allowed_regions(request), now)
     }
 
     fn ineligibility_of_accepting(
         &self,
         entry: &EndpointEntry,
+        request: PlacementRequest<'_>,
         allowed: AllowedRegions<'_>,
         now: Now,
     ) -> Option<Ineligible> {
+        let required = request.required_version;
+        if required.is_some_and(|version| version != VersionKey::of(entry)) {
+            return Some(Ineligible::SoftwareVersion);
+        }
         if !self.is_in_allowed_region(entry, allowed) {
             return Some(Ineligible::Region);
         }
@@ -103,7 +111,7 @@
         let allowed = self.allowed_regions(request);
         let accepting = self.directory.accepting(request.service);
         accepting.map(move |entry| {
-            let ineligible = self.ineligibility_of_accepting(entry, allowed, now);
+            let ineligible = self.ineligibility_of_accepting(entry, request, allowed, now);
             (entry, ineligible)
         })
     }
@@ -145,7 +153,8 @@
                 Ineligible::NotAccepting
                 | Ineligible::Region
                 | Ineligible::EvacuationsUnknown
-                | Ineligible::Evacuated,
+                | Ineligible::Evacuated
+                | Ineligible::SoftwareVersion,
             ) => None,
         });
         // `None` orders before any pause.
@@ -166,9 +175,13 @@
                 Some(Ineligible::EvacuationsUnknown) => "evacuations-unknown",
                 Some(Ineligible::Evacuated) => "evacuated",
                 Some(Ineligible::Region) if reason == "no-endpoint" => "region",
-                Some(Ineligible::Region | Ineligible::Paused { .. } | Ineligible::NotAccepting) => {
-                    reason
-                }
+                Some(Ineligible::SoftwareVersion) if reason == "no-endpoint" => "software-version",
+                Some(
+                    Ineligible::Region
+                    | Ineligible::SoftwareVersion
+                    | Ineligible::Paused { .. }
+                    | Ineligible::NotAccepting,
+                ) => reason,
             };
         }
         reason
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -23,4 +23,5 @@
 pub mod request_quarantine;
 pub mod route_table;
 pub mod shares;
+pub mod software_version;
 pub mod warmup;
--- a/crates/curranttrestle/src/state/gateway/entry.rs
+++ b/crates/curranttrestle/src/state/gateway/entry.rs
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: String,
+    /// The version of its software. Responses of different versions do not fit together.
+    pub software_version: String,
     /// Whether it accepts new requests.
     pub state: EntryState,
     /// Number of requests that it processes concurrently.
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -46,6 +46,7 @@
         excluded: &[],
         is_retry: false,
         is_resumed: false,
+        required_version: None,
     }
 }
 
@@ -179,6 +180,7 @@
         excluded: std::slice::from_ref(&second),
         is_retry: true,
         is_resumed: true,
+        required_version: None,
     };
     let placement = control.place(request, at(0));
     assert!(matches!(placement, Placement::Refuse { .. }));
--- a/crates/curranttrestle/tests/gateway/eligibility.rs
+++ b/crates/curranttrestle/tests/gateway/eligibility.rs
@@ -66,6 +66,7 @@
         excluded: &[],
         is_retry: false,
         is_resumed: false,
+        required_version: None,
     };
     let entries = control.directory.all_entries();
     let sent = entries.filter(|entry| {
--- a/crates/curranttrestle/tests/gateway/evacuation.rs
+++ b/crates/curranttrestle/tests/gateway/evacuation.rs
@@ -236,6 +236,7 @@
         excluded: &[],
         is_retry: false,
         is_resumed: false,
+        required_version: None,
     }
 }
 
--- a/crates/curranttrestle/tests/gateway/naive_decisions.rs
+++ b/crates/curranttrestle/tests/gateway/naive_decisions.rs
@@ -327,6 +327,7 @@
             is_retry: false,
             // A resumed stream is never refused, so the choice is seen.
             is_resumed: true,
+            required_version: None,
         };
         let usable: Vec<&EndpointEntry> = entries
             .iter()
--- a/crates/curranttrestle/tests/gateway/support.rs
+++ b/crates/curranttrestle/tests/gateway/support.rs
@@ -25,6 +25,7 @@
         service: service.to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 1_000 + index)),
         data_centre: "a".to_owned(),
+        software_version: "1".to_owned(),
         state: EntryState::Ready,
         slots: 64,
         warmup_left_ms: 0,
--- a/crates/curranttrestle/tests/gateway/warmup.rs
+++ b/crates/curranttrestle/tests/gateway/warmup.rs
@@ -171,6 +171,7 @@
         excluded,
         is_retry: false,
         is_resumed: false,
+        required_version: None,
     }
 }
 
