Resume a client's stream only at the software version that began it

Cause: nothing knew at which version a stream began once its response had ended. The attempt that a client names was not read. A stream that was taken up also competed with new requests for a place.

The version of the first event is an immutable fact, so it needs no agreement. While a service has endpoints of several versions, the gateway that forwards a first event tells two peers of its data centre and two of all, by rendezvous hashing, within 50 ms; when a second version appears, also for the streams before. A gateway that does not know a stream asks three of each group. If nobody knows it, the request is refused unless this gateway and every peer that replies saw a single version, and a gateway that no peer replies to refuses it too: it may not see a version that was added. A stream whose version is known is no longer refused for the queue.

--- a/crates/curranttrestle-gateway/src/changes.rs
+++ b/crates/curranttrestle-gateway/src/changes.rs
@@ -5,6 +5,7 @@
 use curranttrestle::coordination::gateway::warmup::ColdChange;
 use curranttrestle::state::Now;
 
+use crate::clock;
 use crate::gateway::Gateway;
 
 impl Gateway {
@@ -27,7 +28,9 @@
                 .with_label_values(&[what])
                 .inc();
         }
-        self.control.borrow_mut().apply_directory_changes(changes);
+        let mut control = self.control.borrow_mut();
+        control.apply_directory_changes(changes);
+        control.observe_versions(clock::now());
     }
 
     /// Logs and counts evacuations that began or ended.
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -249,7 +249,7 @@
             self.has_events = true;
             self.exchange.record_begun(now);
             if let Some(head) = &self.head {
-                self.exchange.record_version(head.guard.version);
+                self.exchange.record_version(head.guard.version, now);
             }
             self.record.record_first_event(now);
         }
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -9,6 +9,7 @@
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::request_quarantine::RequestIdentity;
 use curranttrestle::coordination::gateway::software_version::VersionKey;
+use curranttrestle::coordination::gateway::stream_versions::{ServiceKey, StreamKey};
 use curranttrestle::state::gateway::{RequestHints, RetryPolicy, Route};
 use curranttrestle::state::{EndpointId, Now};
 use hyper::header::HeaderMap;
@@ -63,6 +64,8 @@
     pub has_retry_token: Cell<bool>,
     /// The software version that sent the first event of the stream; `None` before that.
     pub required_version: Cell<Option<VersionKey>>,
+    /// Whether the client resumes a stream of which it is known where it began.
+    pub continues_known_stream: bool,
     /// Endpoints that failed the request.
     pub excluded: Vec<EndpointId>,
     /// Memory of the body and of the request itself.
@@ -233,8 +236,20 @@
 
     /// Records that the first event of this attempt came from an endpoint of a software version, at
     /// which the stream has to go on from now on.
-    pub fn record_version(&self, version: VersionKey) {
+    pub fn record_version(&self, version: VersionKey, now: Now) {
+        if !self.route.retry_policy.allows_rerun() {
+            return;
+        }
         self.required_version.set(Some(version));
+        let began_with = match self.hints.last_event_id {
+            Some(_) => self.hints.resumed_attempt_id.as_deref(),
+            None => Some(self.hints.attempt_id.as_str()),
+        };
+        if let Some(attempt_id) = began_with {
+            let mut control = self.gateway.control.borrow_mut();
+            let (stream, service) = (StreamKey::of(attempt_id), ServiceKey::of(&self.service));
+            control.streams.record_begun(stream, service, version, now);
+        }
     }
 
     /// Records that the response to the request has begun.
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -12,6 +12,7 @@
 pub mod request;
 pub mod response;
 pub mod response_body;
+pub mod resumption;
 pub mod status;
 
 use std::cell::Cell;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -24,6 +24,7 @@
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
 use super::response::{ClientResponse, LocalResponse, ResponseBody};
 use super::response_body::collect_response;
+use super::resumption::require_version;
 use crate::clock;
 use crate::gateway::{Gateway, Phase};
 use crate::memory::{MemoryKind, socket_buffer_bytes};
@@ -132,6 +133,7 @@
         sends: Cell::new(0),
         has_retry_token: Cell::new(false),
         required_version: Cell::new(None),
+        continues_known_stream: false,
         excluded: Vec::new(),
         memory: [body_memory, request_memory],
     })
@@ -207,13 +209,18 @@
 /// Sends a request to endpoints until one responds or no other may be tried.
 async fn forward(mut exchange: Exchange, mut record: RequestRecord) -> ClientResponse {
     let mut last: Option<Failure> = None;
+    if let Err(reason) = require_version(&mut exchange).await {
+        let retry_after_ms = exchange.gateway.settings.traffic.refusal_retry_after_ms;
+        return finish_locally(LocalResponse::refused(reason, retry_after_ms), &mut record);
+    }
     loop {
         let now = clock::now();
         if let Some(refusal_reason) = exchange.refusal_reason(now) {
             let local = refusal_response(&exchange, refusal_reason, last);
             return finish_locally(local, &mut record);
         }
-        let choice = match exchange.place(false, now) {
+        // A stream that has used an engine already is not refused like a new request.
+        let choice = match exchange.place(exchange.continues_known_stream, now) {
             Placement::Send(choice) => choice,
             Placement::Refuse {
                 reason,
--- /dev/null
+++ b/crates/curranttrestle-gateway/src/front/resumption.rs
@@ -0,0 +1,89 @@
+//! Finds the software version at which a stream that a client resumes has to go on.
+
+use curranttrestle::coordination::gateway::stream_versions::{
+    ResumedFrom, ServiceKey, StreamKey, StreamQuery,
+};
+
+use super::exchange::Exchange;
+use crate::clock;
+use crate::timer::sleep_ms;
+
+/// Reason for refusing to resume a stream that may have begun at any of several software versions.
+pub const UNKNOWN_VERSION: &str = "stream-version-unknown";
+
+/// How long peers may take to reply. They reply at once, and a lost datagram is not sent again.
+const MAX_WAIT_MS: u64 = 150;
+
+/// Interval for checking whether they replied.
+const CHECK_INTERVAL_MS: u64 = 5;
+
+/// Determines the software version at which the stream of a client has to go on, if the client resumes
+/// one, and the service that has it.
+///
+/// # Errors
+///
+/// [`UNKNOWN_VERSION`] if no gateway that responds knows where the stream began, and the service has
+/// several versions.
+pub async fn require_version(exchange: &mut Exchange) -> Result<(), &'static str> {
+    let hints = &exchange.hints;
+    if hints.last_event_id.is_none() || !exchange.route.retry_policy.is_stream() {
+        return Ok(());
+    }
+    let stream = hints.resumed_attempt_id.as_deref().map(StreamKey::of);
+    let service = ServiceKey::of(&exchange.service);
+    if let Some(stream) = stream {
+        ask_peers(exchange, StreamQuery { stream, service }).await;
+    }
+    let now = clock::now();
+    let mut control = exchange.gateway.control.borrow_mut();
+    control.observe_versions(now);
+    let directory_age_ms = control.directory.age_ms(now);
+    let resumed_from = control
+        .streams
+        .resolve(stream, service, directory_age_ms, now);
+    let (id, resumed) = (&hints.attempt_id, hints.resumed_attempt_id.as_deref());
+    let resumed = resumed.unwrap_or("none");
+    log::info!("kind=stream-resumed id={id} resumed={resumed} version={resumed_from:?}");
+    match resumed_from {
+        ResumedFrom::Known(version) => {
+            let service = control.service_of_version(&exchange.route, version);
+            let service = service.map(ToOwned::to_owned);
+            drop(control);
+            exchange.service = service.unwrap_or_else(|| exchange.service.clone());
+            exchange.required_version.set(Some(version));
+            exchange.continues_known_stream = true;
+            Ok(())
+        }
+        ResumedFrom::OnlyVersion(version) => {
+            exchange.required_version.set(Some(version));
+            Ok(())
+        }
+        ResumedFrom::Unknown => Err(UNKNOWN_VERSION),
+    }
+}
+
+/// Asks peers about a stream that this gateway does not know, and waits for their replies.
+async fn ask_peers(exchange: &Exchange, query: StreamQuery) {
+    let gateway = &exchange.gateway;
+    let asked = clock::now();
+    let is_known = |now| {
+        let control = gateway.control.borrow();
+        control.streams.version_of(query.stream, now).is_some()
+    };
+    let Some(peers) = gateway.peers.get().filter(|_| !is_known(asked)) else {
+        return;
+    };
+    peers.ask_about_stream(gateway, query);
+    loop {
+        let now = clock::now();
+        let is_answered = gateway
+            .control
+            .borrow()
+            .streams
+            .is_answered(query.stream, now);
+        if is_answered || now.since_ms(asked.steady_ms) >= MAX_WAIT_MS {
+            return;
+        }
+        sleep_ms(CHECK_INTERVAL_MS).await;
+    }
+}
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! Starts, runs and stops a gateway.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -36,6 +36,9 @@
 /// Interval for checking signals and timers and for sending to peers.
 const TICK_INTERVAL_MS: u64 = 50;
 
+/// Interval for recording the software versions in the directory.
+const VERSION_INTERVAL_MS: u64 = 1_000;
+
 /// Why a gateway did not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -134,6 +137,10 @@
     pub reads_evacuations: Cell<bool>,
     /// Whether requests with a key were allowed at the last check.
     was_fresh: Cell<bool>,
+    /// When the software versions in the directory were last recorded, by the steady clock.
+    versions_observed_ms: Cell<u64>,
+    /// The other gateways; set once the gateway serves.
+    pub peers: OnceCell<Rc<Peers>>,
     executors: Executors,
 }
 
@@ -163,6 +170,10 @@
         self.update_client_limits(now);
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
+        if now.since_ms(self.versions_observed_ms.get()) >= VERSION_INTERVAL_MS {
+            self.versions_observed_ms.set(now.steady_ms);
+            self.control.borrow_mut().observe_versions(now);
+        }
         self.control.borrow_mut().pauses.remove_ended(now);
         self.check_lost_endpoints(now);
         self.log_cold_changes(now);
@@ -309,6 +320,8 @@
         proof_role: Cell::default(),
         reads_evacuations: Cell::new(false),
         was_fresh: Cell::new(false),
+        versions_observed_ms: Cell::new(0),
+        peers: OnceCell::new(),
         executors: executors.clone(),
         settings,
     });
@@ -377,6 +390,7 @@
     let executors = gateway.executors().clone();
     let (control, traffic) = (executors.control(), executors.traffic());
     let peers = Rc::new(Peers::new(&gateway.settings, listeners.peers));
+    let peers = Rc::clone(gateway.peers.get_or_init(|| peers));
     let mut tasks = vec![
         traffic.spawn(front::status::serve(
             Rc::clone(&gateway),
--- a/crates/curranttrestle-gateway/src/peers/exchange/incoming.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/incoming.rs
@@ -6,14 +6,16 @@
 use curranttrestle::coordination::gateway::load_relay::DataCentreKey;
 use curranttrestle::coordination::gateway::load_sums::SumChange;
 use curranttrestle::coordination::gateway::prompt_cache::PromptUse;
+use curranttrestle::coordination::gateway::stream_versions::StreamQuery;
 use curranttrestle::protocol::gateway::{
-    DataCentreUpdate, GatewayMessage, GatewayReport, GatewaySummary, LoadUpdate, MessageEcho,
-    ProofEcho, RelayedProof, ShareUpdate,
+    DataCentreUpdate, EvacuationUpdate, GatewayGreeting, GatewayMessage, GatewayReport,
+    GatewaySummary, LoadUpdate, MessageEcho, ProofEcho, RelayedProof, ShareUpdate,
 };
 use curranttrestle::protocol::peer::Suspicions;
 use curranttrestle::state::Now;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::outgoing::encode;
 use super::{PeerExchange, Received};
 
 /// The common part of a report and a summary.
@@ -128,29 +130,56 @@
                 Ok(Received::Proof { has_newer_config })
             }
             GatewayMessage::Greeting(greeting) => {
-                self.sums
-                    .record_gateway(greeting.sender, greeting.data_centre);
-                let summary = ReceivedSummary {
-                    sent_ms: greeting.sent_ms,
-                    data_centre: greeting.data_centre,
-                    proof: greeting.proof,
-                    peers: &greeting.peers,
-                    suspicions: &Suspicions::default(),
-                };
-                Ok(self.apply_summary(control, from, &summary, now))
+                Ok(self.receive_greeting(control, from, &greeting, now))
             }
             GatewayMessage::Suspicions(suspicions) => {
                 control.quarantine.suspects.receive(&suspicions, now);
                 Ok(Received::Suspicions)
             }
             GatewayMessage::Evacuations(update) => {
-                let received_ms = self.evacuations.received_ms(now);
-                let changes = control.evacuations.receive(update, received_ms);
-                Ok(Received::Evacuations(changes))
+                Ok(self.receive_evacuations(control, update, now))
+            }
+            GatewayMessage::StreamOrigins(origins) => {
+                control.streams.receive(&origins, now);
+                Ok(Received::StreamOrigins)
+            }
+            GatewayMessage::StreamQuery(query) => Ok(reply_to(control, from, query, now)),
+            GatewayMessage::StreamReply(reply) => {
+                control.streams.receive_reply(from, reply, now);
+                Ok(Received::StreamReply)
             }
         }
     }
 
+    fn receive_greeting(
+        &mut self,
+        control: &mut Control,
+        from: SocketAddr,
+        greeting: &GatewayGreeting,
+        now: Now,
+    ) -> Received {
+        self.sums
+            .record_gateway(greeting.sender, greeting.data_centre);
+        let summary = ReceivedSummary {
+            sent_ms: greeting.sent_ms,
+            data_centre: greeting.data_centre,
+            proof: greeting.proof,
+            peers: &greeting.peers,
+            suspicions: &Suspicions::default(),
+        };
+        self.apply_summary(control, from, &summary, now)
+    }
+
+    fn receive_evacuations(
+        &mut self,
+        control: &mut Control,
+        update: EvacuationUpdate,
+        now: Now,
+    ) -> Received {
+        let received_ms = self.evacuations.received_ms(now);
+        Received::Evacuations(control.evacuations.receive(update, received_ms))
+    }
+
     fn receive_report(
         &mut self,
         control: &mut Control,
@@ -274,6 +303,12 @@
     }
 }
 
+/// Replies to a peer's question about a stream.
+fn reply_to(control: &Control, from: SocketAddr, query: StreamQuery, now: Now) -> Received {
+    let reply = GatewayMessage::StreamReply(control.streams.reply(query, now));
+    Received::StreamQuery(encode(vec![from], &reply))
+}
+
 /// Applies the load update of another gateway, which relays held for `held_ms`. Returns its new
 /// prompt uses.
 fn apply_update<'a>(
--- a/crates/curranttrestle-gateway/src/peers/exchange/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/mod.rs
@@ -80,6 +80,12 @@
     Suspicions,
     /// Evacuated data centres, with the changes.
     Evacuations(Vec<EvacuationChange>),
+    /// The software versions at which streams of a peer began.
+    StreamOrigins,
+    /// A question about a stream, with the reply to send.
+    StreamQuery(Option<Datagram>),
+    /// The reply to a question about a stream.
+    StreamReply,
     /// This gateway's own report, delivered back to it.
     OwnReport,
 }
@@ -100,6 +106,9 @@
             Self::Proof { .. } => "proof",
             Self::Suspicions => "suspicions",
             Self::Evacuations(_) => "evacuations",
+            Self::StreamOrigins => "stream-origins",
+            Self::StreamQuery(_) => "stream-query",
+            Self::StreamReply => "stream-reply",
             Self::OwnReport => "own",
         }
     }
--- a/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use curranttrestle::coordination::gateway::control::Control;
-use curranttrestle::coordination::gateway::load_relay::RelayRound;
+use curranttrestle::coordination::gateway::load_relay::{LivePeer, RelayRound};
 use curranttrestle::coordination::gateway::peering::RoundKind;
 use curranttrestle::coordination::gateway::prompt_cache::PromptUseBatch;
+use curranttrestle::coordination::gateway::stream_versions::{StreamOrigin, StreamQuery};
 use curranttrestle::protocol::gateway::{
     DataCentreUpdate, GatewayGreeting, GatewayMessage, GatewayReport, GatewaySummary, LoadUpdate,
     ProofEcho, RelayedProof, RelayedUpdate, ShareUpdate,
@@ -13,6 +14,8 @@
 use curranttrestle::protocol::peer::Suspicions;
 use curranttrestle::state::Now;
 
+use indexmap::IndexMap;
+
 use super::{Datagram, Outgoing, PeerExchange};
 
 /// A message with several items is split if it is longer; half of the largest datagram.
@@ -54,8 +57,9 @@
                     sums.is_current(other, now)
                 }
         };
+        let peer_changes = self.peering.expire_peers(is_relayed, now);
         let mut outgoing = Outgoing {
-            peer_changes: self.peering.expire_peers(is_relayed, now),
+            peer_changes,
             ..Outgoing::default()
         };
         let round = self.peering.round(is_relayed, now);
@@ -101,6 +105,9 @@
             let message = GatewayMessage::Evacuations(update);
             outgoing.datagrams.extend(encode(targets(), &message));
         }
+        outgoing
+            .datagrams
+            .extend(self.stream_origins(control, &live_peers, now));
         let leaving = control.directory.leaving_to_announce();
         if !leaving.is_empty() {
             let message = GatewayMessage::Leaving(leaving);
@@ -113,18 +120,9 @@
             outgoing.datagrams.extend(encode(targets, &message));
         }
         if uses_sums {
-            if let Some(changes) = control.quarantine.suspects.take_changes() {
-                let message = GatewayMessage::Suspicions(changes);
-                outgoing.datagrams.extend(encode(targets(), &message));
-            }
-            if let Some(gossip) = control.quarantine.suspects.next_gossip(now)
-                && !live_peers.is_empty()
-            {
-                self.gossip_round = self.gossip_round.wrapping_add(1);
-                let receiver = live_peers[self.gossip_round % live_peers.len()].address;
-                let message = GatewayMessage::Suspicions(gossip);
-                outgoing.datagrams.extend(encode(vec![receiver], &message));
-            }
+            outgoing
+                .datagrams
+                .extend(self.suspicion_gossip(control, &live_peers, now));
         }
         let interval_ms = if uses_sums {
             u64::MAX
@@ -145,6 +143,57 @@
         outgoing
     }
 
+    /// Encodes the suspicions for a fleet in which not all peers receive reports.
+    fn suspicion_gossip(
+        &mut self,
+        control: &mut Control,
+        live_peers: &[LivePeer],
+        now: Now,
+    ) -> Vec<Datagram> {
+        let mut datagrams = Vec::new();
+        if let Some(changes) = control.quarantine.suspects.take_changes() {
+            let message = GatewayMessage::Suspicions(changes);
+            let targets = live_peers.iter().map(|peer| peer.address).collect();
+            datagrams.extend(encode(targets, &message));
+        }
+        if let Some(gossip) = control.quarantine.suspects.next_gossip(now)
+            && !live_peers.is_empty()
+        {
+            self.gossip_round = self.gossip_round.wrapping_add(1);
+            let receiver = live_peers[self.gossip_round % live_peers.len()].address;
+            let message = GatewayMessage::Suspicions(gossip);
+            datagrams.extend(encode(vec![receiver], &message));
+        }
+        datagrams
+    }
+
+    /// Encodes what peers are told about streams that began here.
+    fn stream_origins(&self, control: &mut Control, peers: &[LivePeer], now: Now) -> Vec<Datagram> {
+        let streams = &mut control.streams;
+        let mut by_peer: IndexMap<SocketAddr, Vec<StreamOrigin>> = IndexMap::new();
+        for origin in streams.take_announcements(now) {
+            for keeper in streams.keepers(origin.stream, self.data_centre, peers) {
+                by_peer.entry(keeper).or_default().push(origin);
+            }
+        }
+        let datagrams = by_peer.into_iter().flat_map(|(peer, origins)| {
+            split_datagrams(&[peer], origins, GatewayMessage::StreamOrigins)
+        });
+        datagrams.collect()
+    }
+
+    /// Asks peers at which version a stream began.
+    pub fn ask_about_stream(&self, control: &mut Control, query: StreamQuery) -> Option<Datagram> {
+        let peers = self.peering.live_peers();
+        let streams = &mut control.streams;
+        let asked = streams.asked_peers(query.stream, self.data_centre, &peers);
+        streams.record_query(query.stream, &asked);
+        if asked.is_empty() {
+            return None;
+        }
+        encode(asked, &GatewayMessage::StreamQuery(query))
+    }
+
     /// Encodes the greetings to these peers.
     fn greetings(
         &mut self,
@@ -364,7 +413,7 @@
     datagrams
 }
 
-fn encode(targets: Vec<SocketAddr>, message: &GatewayMessage) -> Option<Datagram> {
+pub(super) fn encode(targets: Vec<SocketAddr>, message: &GatewayMessage) -> Option<Datagram> {
     match postcard::to_stdvec(message) {
         Ok(bytes) => Some(Datagram {
             kind: message.kind(),
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -12,6 +12,7 @@
 
 use curranttrestle::coordination::gateway::load_relay::RelayChange;
 use curranttrestle::coordination::gateway::peering::PeerChange;
+use curranttrestle::coordination::gateway::stream_versions::StreamQuery;
 use curranttrestle::state::Now;
 use rand::Rng;
 use smol::Async;
@@ -20,7 +21,7 @@
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
 
-pub use exchange::{PeerExchange, ProofRole, Received, ReportState};
+pub use exchange::{Datagram, PeerExchange, ProofRole, Received, ReportState};
 
 /// Receive buffer; the maximum size of a UDP datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
@@ -59,15 +60,29 @@
         if let Some(change) = outgoing.relay_change {
             log_relay_change(change);
         }
-        for datagram in outgoing.datagrams {
-            let bytes = datagram.bytes.len() * datagram.targets.len();
-            count_bytes(gateway, "sent", datagram.kind, bytes);
-            for target in &datagram.targets {
-                // A full socket buffer drops this message; the next one supersedes it.
-                if let Err(error) = self.socket.get_ref().send_to(&datagram.bytes, target) {
-                    count_message(gateway, "unsent");
-                    log::debug!("kind=peer-send-failed peer={target} error={error:?}");
-                }
+        for datagram in &outgoing.datagrams {
+            self.send(gateway, datagram);
+        }
+    }
+
+    /// Asks peers at which software version a stream began.
+    pub fn ask_about_stream(&self, gateway: &Gateway, query: StreamQuery) {
+        let mut control = gateway.control.borrow_mut();
+        let datagram = self.exchange.borrow().ask_about_stream(&mut control, query);
+        drop(control);
+        if let Some(datagram) = datagram {
+            self.send(gateway, &datagram);
+        }
+    }
+
+    fn send(&self, gateway: &Gateway, datagram: &Datagram) {
+        let bytes = datagram.bytes.len() * datagram.targets.len();
+        count_bytes(gateway, "sent", datagram.kind, bytes);
+        for target in &datagram.targets {
+            // A full socket buffer drops this message; the next one supersedes it.
+            if let Err(error) = self.socket.get_ref().send_to(&datagram.bytes, target) {
+                count_message(gateway, "unsent");
+                log::debug!("kind=peer-send-failed peer={target} error={error:?}");
             }
         }
     }
@@ -125,6 +140,11 @@
             Ok(Received::Evacuations(changes)) => {
                 gateway.apply_evacuation_changes(&changes, "peer", now);
             }
+            Ok(Received::StreamQuery(reply)) => {
+                if let Some(reply) = reply {
+                    self.send(gateway, &reply);
+                }
+            }
             Ok(Received::Leaving(changes)) => gateway.apply_directory_changes(&changes, "peer"),
             Ok(
                 Received::MemberUpdate
@@ -134,6 +154,8 @@
                 | Received::Shares
                 | Received::Suspicions
                 | Received::PromptParts
+                | Received::StreamOrigins
+                | Received::StreamReply
                 | Received::OwnReport,
             ) => (),
             Err(error) => log::debug!("kind=peer-report-unreadable from={from} error={error:?}"),
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -18,6 +18,7 @@
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
 use super::software_version::VersionKey;
+use super::stream_versions::{StreamVersionOptions, StreamVersions};
 use super::warmup::{ColdEndpoints, ENDPOINTS_COLD, WarmupOptions, prefer_warm};
 use crate::coordination::quarantine::QuarantineOptions;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
@@ -55,6 +56,8 @@
     pub quarantine: QuarantineOptions,
     /// Quarantine of prompt parts that crash engines.
     pub prompt_parts: PartQuarantineOptions,
+    /// Memory of the software versions of streams.
+    pub streams: StreamVersionOptions,
     /// The retry budget of the whole fleet. Each gateway uses its fraction of it.
     pub retries: FleetRetryOptions,
     /// Retry-after time of a request that is refused because no endpoint is known.
@@ -107,6 +110,7 @@
                 ..QuarantineOptions::default()
             },
             prompt_parts: PartQuarantineOptions::default(),
+            streams: StreamVersionOptions::default(),
             retries: FleetRetryOptions::default(),
             no_endpoint_retry_ms: 500.0,
         }
@@ -191,6 +195,8 @@
     pub quarantine: RequestQuarantine,
     /// Prompt parts that crash engines.
     pub prompt_parts: PartQuarantine,
+    /// The software version at which each stream began.
+    pub streams: StreamVersions,
     budgets: IndexMap<String, RetryBudget>,
     fleet_size: usize,
     last_attempt: u64,
@@ -213,6 +219,7 @@
             cold: ColdEndpoints::new(options.warmup),
             quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
+            streams: StreamVersions::new(options.streams),
             budgets: IndexMap::new(),
             fleet_size: 1,
             last_attempt: 0,
@@ -276,6 +283,25 @@
         }
     }
 
+    /// Records the software versions in the directory.
+    pub fn observe_versions(&mut self, now: Now) {
+        self.streams.observe(self.directory.all_entries(), now);
+    }
+
+    /// The service among the targets of a route that has endpoints of a software version.
+    #[must_use]
+    pub fn service_of_version(&self, route: &Route, version: VersionKey) -> Option<&str> {
+        let mut entries = self.directory.all_entries();
+        let entry = entries.find(|entry| {
+            VersionKey::of(entry) == version
+                && route
+                    .targets
+                    .iter()
+                    .any(|target| target.service == entry.service)
+        });
+        entry.map(|entry| entry.service.as_str())
+    }
+
     /// Records the number of gateways, this one included, that share the retry budgets. A smaller
     /// number is ignored: gateways that are no longer reachable may be partitioned and still
     /// retry.
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -24,4 +24,5 @@
 pub mod route_table;
 pub mod shares;
 pub mod software_version;
+pub mod stream_versions;
 pub mod warmup;
--- /dev/null
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -0,0 +1,414 @@
+//! Which software version of a service began each stream.
+//!
+//! Responses of two versions do not fit together, and endpoints do not check this. So a stream goes on
+//! only at the version that sent its first event. A client may resume a stream at another gateway, after
+//! the one that began it is gone. While several versions serve, gateways therefore tell a few peers,
+//! chosen by rendezvous hashing, at which version each stream began, and ask the same peers about a
+//! stream that they do not know.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::load_relay::{DataCentreKey, LivePeer};
+use super::software_version::VersionKey;
+use crate::state::Now;
+use crate::state::gateway::EndpointEntry;
+
+/// Options of the memory of streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamVersionOptions {
+    /// How long a stream and a version that no longer serves are remembered. Clients resume a stream
+    /// within the deadline of their request.
+    pub retention_ms: u64,
+    /// Maximum number of remembered streams.
+    pub max_streams: usize,
+    /// Peers of the own data centre, and of the whole fleet, that are told about a stream.
+    pub keepers: usize,
+    /// Further peers of each group that are asked, as some of those that were told may be gone.
+    pub spare_keepers: usize,
+    /// Maximum age of the directory on which a gateway without peers relies.
+    pub max_directory_age_ms: u64,
+}
+
+impl Default for StreamVersionOptions {
+    fn default() -> Self {
+        Self {
+            retention_ms: 30_000,
+            max_streams: 65_536,
+            keepers: 2,
+            spare_keepers: 1,
+            max_directory_age_ms: 4_000,
+        }
+    }
+}
+
+/// Compact hash of the name of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServiceKey(u32);
+
+impl ServiceKey {
+    /// Returns the key of a service.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the key is a truncated hash"
+    )]
+    pub fn of(service: &str) -> Self {
+        Self(xxh3_64(service.as_bytes()) as u32)
+    }
+}
+
+/// Compact hash of the id of the client attempt that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamKey(u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt began.
+    #[must_use]
+    pub fn of(attempt_id: &str) -> Self {
+        Self(xxh3_64(attempt_id.as_bytes()))
+    }
+}
+
+/// The version at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The version.
+    pub version: VersionKey,
+}
+
+/// A question to a peer: at which version did a stream begin?
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamQuery {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The service that would resume it.
+    pub service: ServiceKey,
+}
+
+/// The reply to a [`StreamQuery`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReply {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The version at which it began; `None` if the peer does not know.
+    pub version: Option<VersionKey>,
+    /// The only version of the service that the peer saw recently; `None` if there were several.
+    pub only_version: Option<VersionKey>,
+}
+
+/// What is known about a stream that a client resumes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumedFrom {
+    /// It began at this version.
+    Known(VersionKey),
+    /// No gateway remembers it, but the service recently had this version only.
+    OnlyVersion(VersionKey),
+    /// It may have begun at any of several versions.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Remembered {
+    version: VersionKey,
+    expires_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Unannounced {
+    origin: StreamOrigin,
+    service: ServiceKey,
+    expires_ms: u64,
+}
+
+/// A stream that peers were asked about.
+#[derive(Clone, Debug, Default)]
+struct Query {
+    asked: IndexSet<SocketAddr>,
+    replies: Vec<StreamReply>,
+}
+
+/// The versions of services and streams that this gateway knows.
+///
+/// ```
+/// use curranttrestle::coordination::gateway::stream_versions::{
+///     ServiceKey, StreamKey, StreamVersionOptions, StreamVersions,
+/// };
+/// use curranttrestle::state::Now;
+/// let versions = StreamVersions::new(StreamVersionOptions::default());
+/// assert_eq!(versions.version_of(StreamKey::of("a"), Now::default()), None);
+/// assert_eq!(versions.only_version(ServiceKey::of("model"), Now::default()), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct StreamVersions {
+    options: StreamVersionOptions,
+    streams: IndexMap<StreamKey, Remembered>,
+    /// Streams by the time at which they may expire. One that was renewed is in it twice.
+    expiries: VecDeque<(u64, StreamKey)>,
+    /// Streams that began here and that no peer was told about.
+    unannounced: VecDeque<Unannounced>,
+    /// When each version was last seen in the directory, by the steady clock.
+    seen: IndexMap<ServiceKey, IndexMap<VersionKey, u64>>,
+    queries: IndexMap<StreamKey, Query>,
+}
+
+impl StreamVersions {
+    /// Creates the state of a gateway that knows no stream.
+    #[must_use]
+    pub fn new(options: StreamVersionOptions) -> Self {
+        Self {
+            options,
+            streams: IndexMap::new(),
+            expiries: VecDeque::new(),
+            unannounced: VecDeque::new(),
+            seen: IndexMap::new(),
+            queries: IndexMap::new(),
+        }
+    }
+
+    /// Records the entries of the directory.
+    pub fn observe<'a>(&mut self, entries: impl Iterator<Item = &'a EndpointEntry>, now: Now) {
+        for entry in entries {
+            let versions = self.seen.entry(ServiceKey::of(&entry.service)).or_default();
+            versions.insert(VersionKey::of(entry), now.steady_ms);
+        }
+        let retention_ms = self.options.retention_ms;
+        self.seen.retain(|_, versions| {
+            versions.retain(|_, seen_ms| now.since_ms(*seen_ms) < retention_ms);
+            !versions.is_empty()
+        });
+    }
+
+    /// The only version of a service that was seen recently; `None` if there were several or none.
+    #[must_use]
+    pub fn only_version(&self, service: ServiceKey, now: Now) -> Option<VersionKey> {
+        let versions = self.seen.get(&service)?;
+        let mut recent = versions
+            .iter()
+            .filter(|(_, seen_ms)| now.since_ms(**seen_ms) < self.options.retention_ms);
+        let (version, _) = recent.next()?;
+        recent.next().is_none().then_some(*version)
+    }
+
+    /// Records that the first event of a stream came from an endpoint of this version.
+    pub fn record_begun(
+        &mut self,
+        stream: StreamKey,
+        service: ServiceKey,
+        version: VersionKey,
+        now: Now,
+    ) {
+        let origin = StreamOrigin { stream, version };
+        self.remember(origin, now);
+        self.unannounced.push_back(Unannounced {
+            origin,
+            service,
+            expires_ms: now.steady_ms + self.options.retention_ms,
+        });
+        if self.unannounced.len() > self.options.max_streams {
+            self.unannounced.pop_front();
+        }
+    }
+
+    /// Returns the streams to tell peers about: those of services with several versions.
+    pub fn take_announcements(&mut self, now: Now) -> Vec<StreamOrigin> {
+        self.remove_expired(now);
+        let retention_ms = self.options.retention_ms;
+        let is_mixed = |versions: &IndexMap<VersionKey, u64>| {
+            let recent = versions.values();
+            recent
+                .filter(|seen_ms| now.since_ms(**seen_ms) < retention_ms)
+                .count()
+                > 1
+        };
+        let mixed: IndexSet<ServiceKey> = self
+            .seen
+            .iter()
+            .filter(|(_, versions)| is_mixed(versions))
+            .map(|(service, _)| *service)
+            .collect();
+        if mixed.is_empty() {
+            return Vec::new();
+        }
+        let mut announced = Vec::new();
+        self.unannounced.retain(|stream| {
+            let is_announced = mixed.contains(&stream.service);
+            if is_announced {
+                announced.push(stream.origin);
+            }
+            !is_announced
+        });
+        announced
+    }
+
+    /// Applies what a peer announced.
+    pub fn receive(&mut self, origins: &[StreamOrigin], now: Now) {
+        for origin in origins {
+            self.remember(*origin, now);
+        }
+    }
+
+    /// The version at which a stream began; `None` if it is not known here.
+    #[must_use]
+    pub fn version_of(&self, stream: StreamKey, now: Now) -> Option<VersionKey> {
+        let remembered = self.streams.get(&stream)?;
+        (remembered.expires_ms > now.steady_ms).then_some(remembered.version)
+    }
+
+    /// Replies to a peer's question.
+    #[must_use]
+    pub fn reply(&self, query: StreamQuery, now: Now) -> StreamReply {
+        StreamReply {
+            stream: query.stream,
+            version: self.version_of(query.stream, now),
+            only_version: self.only_version(query.service, now),
+        }
+    }
+
+    /// Records that peers are asked about a stream.
+    pub fn record_query(&mut self, stream: StreamKey, asked: &[SocketAddr]) {
+        let query = Query {
+            asked: asked.iter().copied().collect(),
+            replies: Vec::new(),
+        };
+        self.queries.insert(stream, query);
+    }
+
+    /// Applies a peer's reply. Replies of peers that were not asked are ignored.
+    pub fn receive_reply(&mut self, from: SocketAddr, reply: StreamReply, now: Now) {
+        let Some(query) = self.queries.get_mut(&reply.stream) else {
+            return;
+        };
+        if query.asked.swap_remove(&from) {
+            query.replies.push(reply);
+            if let Some(version) = reply.version {
+                let stream = reply.stream;
+                self.remember(StreamOrigin { stream, version }, now);
+            }
+        }
+    }
+
+    /// Whether no further reply about a stream is needed.
+    #[must_use]
+    pub fn is_answered(&self, stream: StreamKey, now: Now) -> bool {
+        self.version_of(stream, now).is_some()
+            || self
+                .queries
+                .get(&stream)
+                .is_some_and(|query| query.asked.is_empty())
+    }
+
+    /// Ends the question about a stream, and decides where the stream may go on. `directory_age_ms` is
+    /// the time since the directory was last confirmed; `None` before the first read.
+    pub fn resolve(
+        &mut self,
+        stream: Option<StreamKey>,
+        service: ServiceKey,
+        directory_age_ms: Option<u64>,
+        now: Now,
+    ) -> ResumedFrom {
+        let query = stream.and_then(|stream| self.queries.swap_remove(&stream));
+        if let Some(version) = stream.and_then(|stream| self.version_of(stream, now)) {
+            return ResumedFrom::Known(version);
+        }
+        let Some(version) = self.only_version(service, now) else {
+            return ResumedFrom::Unknown;
+        };
+        let query = query.unwrap_or_default();
+        let has_peers = !query.asked.is_empty() || !query.replies.is_empty();
+        let is_recent =
+            directory_age_ms.is_some_and(|age_ms| age_ms < self.options.max_directory_age_ms);
+        let is_confirmed = if has_peers {
+            // A gateway that is cut off does not see a version that was added since.
+            !query.replies.is_empty()
+        } else {
+            is_recent
+        };
+        let only = Some(version);
+        if is_confirmed && query.replies.iter().all(|reply| reply.only_version == only) {
+            ResumedFrom::OnlyVersion(version)
+        } else {
+            ResumedFrom::Unknown
+        }
+    }
+
+    /// The peers to tell about a stream.
+    #[must_use]
+    pub fn keepers(
+        &self,
+        stream: StreamKey,
+        data_centre: DataCentreKey,
+        peers: &[LivePeer],
+    ) -> Vec<SocketAddr> {
+        ranked_peers(stream, data_centre, peers, self.options.keepers)
+    }
+
+    /// The peers to ask about a stream.
+    #[must_use]
+    pub fn asked_peers(
+        &self,
+        stream: StreamKey,
+        data_centre: DataCentreKey,
+        peers: &[LivePeer],
+    ) -> Vec<SocketAddr> {
+        let count = self.options.keepers + self.options.spare_keepers;
+        ranked_peers(stream, data_centre, peers, count)
+    }
+
+    fn remember(&mut self, origin: StreamOrigin, now: Now) {
+        let expires_ms = now.steady_ms + self.options.retention_ms;
+        let remembered = Remembered {
+            version: origin.version,
+            expires_ms,
+        };
+        self.streams.insert(origin.stream, remembered);
+        self.expiries.push_back((expires_ms, origin.stream));
+        while self.streams.len() > self.options.max_streams {
+            let Some((_, stream)) = self.expiries.pop_front() else {
+                return;
+            };
+            self.streams.swap_remove(&stream);
+        }
+    }
+
+    fn remove_expired(&mut self, now: Now) {
+        while let Some((expires_ms, stream)) = self.expiries.front().copied()
+            && expires_ms <= now.steady_ms
+        {
+            self.expiries.pop_front();
+            let remembered = self.streams.get(&stream);
+            if remembered.is_some_and(|stream| stream.expires_ms <= now.steady_ms) {
+                self.streams.swap_remove(&stream);
+            }
+        }
+        while let Some(stream) = self.unannounced.front()
+            && stream.expires_ms <= now.steady_ms
+        {
+            self.unannounced.pop_front();
+        }
+    }
+}
+
+/// The first `count` peers of a data centre and the first `count` of all in the ranking for a stream.
+fn ranked_peers(
+    stream: StreamKey,
+    data_centre: DataCentreKey,
+    peers: &[LivePeer],
+    count: usize,
+) -> Vec<SocketAddr> {
+    let score = |peer: &LivePeer| xxh3_64_with_seed(peer.address.to_string().as_bytes(), stream.0);
+    let mut ranked: Vec<(u64, &LivePeer)> = peers.iter().map(|peer| (score(peer), peer)).collect();
+    ranked.sort_unstable_by_key(|(score, _)| *score);
+    let near = ranked
+        .iter()
+        .filter(|(_, peer)| peer.data_centre == data_centre);
+    let chosen = near.take(count).chain(ranked.iter().take(count));
+    let chosen: IndexSet<SocketAddr> = chosen.map(|(_, peer)| peer.address).collect();
+    chosen.into_iter().collect()
+}
--- a/crates/curranttrestle/src/protocol/gateway.rs
+++ b/crates/curranttrestle/src/protocol/gateway.rs
@@ -13,6 +13,7 @@
 use crate::coordination::gateway::load_relay::DataCentreKey;
 use crate::coordination::gateway::prompt_cache::PromptUseBatch;
 use crate::coordination::gateway::shares::ShareLine;
+use crate::coordination::gateway::stream_versions::{StreamOrigin, StreamQuery, StreamReply};
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +42,12 @@
     Suspicions(Suspicions),
     /// Evacuated data centres, from a gateway that read them from the store.
     Evacuations(EvacuationUpdate),
+    /// The software versions at which streams of the sender began.
+    StreamOrigins(Vec<StreamOrigin>),
+    /// A question about a stream that a client resumes.
+    StreamQuery(StreamQuery),
+    /// The reply to such a question.
+    StreamReply(StreamReply),
 }
 
 impl GatewayMessage {
@@ -65,6 +72,9 @@
             Self::Greeting(_) => "greeting",
             Self::Suspicions(_) => "suspicions",
             Self::Evacuations(_) => "evacuations",
+            Self::StreamOrigins(_) => "stream-origins",
+            Self::StreamQuery(_) => "stream-query",
+            Self::StreamReply(_) => "stream-reply",
         }
     }
 }
--- /dev/null
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -0,0 +1,127 @@
+use std::net::SocketAddr;
+
+use curranttrestle::coordination::gateway::load_relay::{DataCentreKey, LivePeer, data_centre_key};
+use curranttrestle::coordination::gateway::software_version::VersionKey;
+use curranttrestle::coordination::gateway::stream_versions::{
+    ResumedFrom, ServiceKey, StreamKey, StreamOrigin, StreamReply, StreamVersionOptions,
+    StreamVersions,
+};
+use curranttrestle::state::gateway::EndpointEntry;
+
+use super::support::{at, entry};
+
+fn service() -> ServiceKey {
+    ServiceKey::of("model")
+}
+
+fn of_version(version: &str) -> EndpointEntry {
+    EndpointEntry {
+        software_version: version.to_owned(),
+        ..entry("model", 0)
+    }
+}
+
+fn key(version: &str) -> VersionKey {
+    VersionKey::of(&of_version(version))
+}
+
+fn versions(seen: &[&str]) -> StreamVersions {
+    let mut versions = StreamVersions::new(StreamVersionOptions::default());
+    let entries: Vec<EndpointEntry> = seen.iter().map(|version| of_version(version)).collect();
+    versions.observe(entries.iter(), at(0));
+    versions
+}
+
+fn peer(index: u16, data_centre: &str) -> LivePeer {
+    LivePeer {
+        address: SocketAddr::from(([10, 0, 0, 1], index)),
+        data_centre: data_centre_key(data_centre),
+    }
+}
+
+#[test]
+fn streams_are_announced_only_once_a_second_version_serves() {
+    let stream = StreamKey::of("a");
+    let mut versions = versions(&["1"]);
+    versions.record_begun(stream, service(), key("1"), at(0));
+    assert!(versions.take_announcements(at(50)).is_empty());
+    versions.observe([of_version("1"), of_version("2")].iter(), at(100));
+    let origin = StreamOrigin {
+        stream,
+        version: key("1"),
+    };
+    assert_eq!(versions.take_announcements(at(150)), [origin]);
+    assert!(versions.take_announcements(at(200)).is_empty());
+}
+
+#[test]
+fn a_version_that_no_longer_serves_still_counts_for_streams_that_began_there() {
+    let mut versions = versions(&["1", "2"]);
+    versions.observe([of_version("2")].iter(), at(20_000));
+    let resumed = versions.resolve(None, service(), Some(0), at(20_000));
+    assert_eq!(resumed, ResumedFrom::Unknown);
+    versions.observe([of_version("2")].iter(), at(40_000));
+    let resumed = versions.resolve(None, service(), Some(0), at(40_000));
+    assert_eq!(resumed, ResumedFrom::OnlyVersion(key("2")));
+}
+
+#[test]
+fn a_gateway_that_hears_no_peer_does_not_rely_on_its_directory() {
+    let stream = StreamKey::of("a");
+    let peers = [peer(1, "a").address, peer(2, "a").address];
+    let mut versions = versions(&["1"]);
+    versions.record_query(stream, &peers);
+    assert!(!versions.is_answered(stream, at(0)));
+    let resumed = versions.resolve(Some(stream), service(), Some(0), at(0));
+    assert_eq!(resumed, ResumedFrom::Unknown);
+}
+
+#[test]
+fn a_peer_that_sees_another_version_is_believed() {
+    let stream = StreamKey::of("a");
+    let peers = [peer(1, "a").address, peer(2, "a").address];
+    for (only_version, expected) in [
+        (Some(key("1")), ResumedFrom::OnlyVersion(key("1"))),
+        (Some(key("2")), ResumedFrom::Unknown),
+        (None, ResumedFrom::Unknown),
+    ] {
+        let mut versions = versions(&["1"]);
+        versions.record_query(stream, &peers);
+        let reply = StreamReply {
+            stream,
+            version: None,
+            only_version,
+        };
+        versions.receive_reply(peers[0], reply, at(0));
+        let resumed = versions.resolve(Some(stream), service(), Some(0), at(0));
+        assert_eq!(resumed, expected);
+    }
+}
+
+#[test]
+fn every_data_centre_has_a_peer_that_knows_a_stream_that_began_there() {
+    let own: DataCentreKey = data_centre_key("a");
+    let peers: Vec<LivePeer> = (0..30)
+        .map(|index| peer(index, if index < 10 { "a" } else { "b" }))
+        .collect();
+    let versions = versions(&["1"]);
+    for number in 0..100 {
+        let stream = StreamKey::of(&format!("stream-{number}"));
+        let keepers = versions.keepers(stream, own, &peers);
+        let near = peers[..10].iter();
+        let near = near.filter(|peer| keepers.contains(&peer.address)).count();
+        assert!(near >= 2);
+        // A third of the gateways is gone, other ones than all that were told.
+        let left: Vec<LivePeer> = peers
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| index % 3 != number % 3)
+            .map(|(_, peer)| *peer)
+            .collect();
+        let asked = versions.asked_peers(stream, own, &left);
+        let survivors = keepers
+            .iter()
+            .filter(|keeper| left.iter().any(|peer| peer.address == **keeper));
+        assert!(survivors.clone().all(|keeper| asked.contains(keeper)));
+    }
+}
