A call that outlived an outage does not start another one

Callers saw: after a gateway was cut off from the store, it went on using an endpoint whose entry had been removed, up to 4.9 s after that instead of 2 s.

Cause: entries that are missing stay in use until 2 s after an outage of the store. A read of the configuration that was under way when the cut ended failed up to 0.7 s later, after the directory had been listed again. It counted as the beginning of another outage, which lasted until the next answer to the watch.

A failed call now counts only if the directory has not responded since the call was sent.

--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -38,8 +38,20 @@
         }
     }
 
-    /// Records a failed call. `lost` is the failure if its connection was lost.
-    fn record_failure(&mut self, gateway: &Gateway, error: &PlatformError, lost: CallFailure) {
+    /// Records the failure of a call that was sent at `sent`. `lost` is the failure if its connection
+    /// was lost.
+    fn record_failure(
+        &mut self,
+        gateway: &Gateway,
+        error: &PlatformError,
+        lost: CallFailure,
+        sent: Now,
+    ) {
+        // A call that was under way when an outage ended fails after the directory was listed again.
+        if gateway.control.borrow().directory.has_responded_since(sent) {
+            self.log_failure(error);
+            return;
+        }
         let failure = match error {
             PlatformError::NoResponse(_) => lost,
             PlatformError::Unreachable(_)
@@ -142,7 +154,7 @@
                     health.log_failure(&error);
                     wait_for_first_config(&gateway, &health).await;
                 } else {
-                    health.record_failure(&gateway, &error, CallFailure::NoResponse);
+                    health.record_failure(&gateway, &error, CallFailure::NoResponse, sent);
                     health.back_off(&gateway).await;
                 }
             }
@@ -262,7 +274,7 @@
             .store_failures
             .with_label_values(&["directory"])
             .inc();
-        health.record_failure(&gateway, &error, lost);
+        health.record_failure(&gateway, &error, lost, clock::now());
         health.back_off(&gateway).await;
     }
 }
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -170,6 +170,14 @@
             .map(|responded_ms| now.since_ms(responded_ms))
     }
 
+    /// Whether the store has responded since a call was sent, so that the failure of this call does not
+    /// show that the store is unavailable now.
+    #[must_use]
+    pub fn has_responded_since(&self, sent: Now) -> bool {
+        self.responded_ms
+            .is_some_and(|responded_ms| responded_ms > sent.steady_ms)
+    }
+
     /// Records that a call to the store failed or was rejected.
     pub fn record_store_failure(&mut self) {
         self.failed_calls = self.failed_calls.saturating_add(1);
