Reset connections to endpoints that are closed with a request in flight

Cause: an abandoned attempt closes its socket, and the operating system goes on delivering what was written to it until the TCP user timeout of 5 s. Nothing in the gateway can check the endpoint again at that time.

Connections to endpoints now linger for 0 s, so that closing one resets it and discards what has not arrived. Idle ones are closed after their whole response, when there is nothing to lose.

--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -105,7 +106,10 @@
         let set_buffer = options.receive_buffer_bytes.map_or(Ok(()), |bytes| {
             sockopt::set_socket_recv_buffer_size(&stream, bytes)
         });
-        if let Err(error) = set_timeout.and(set_buffer) {
+        // A connection that is closed with a request in flight is reset: the operating system would go
+        // on delivering an abandoned request after a cut.
+        let set_linger = sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+        if let Err(error) = set_timeout.and(set_buffer).and(set_linger) {
             log::debug!("kind=socket-option-failed address={address} error={error:?}");
         }
         let head_limit = HeadLimit::default();
