Read the settings file also when it changes without a signal

Callers saw: requests with a revoked key run later than a new revokeMs, since a change of the settings file without SIGHUP was never read (20 to 31 requests).

The file is read twice a second. SIGHUP applies at once, as before.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -27,7 +27,7 @@
 use crate::memory::{Budget, ClientMemory, socket_buffer_bytes};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewaySettings, ReloadCause};
 use crate::store;
 use crate::strain::{StrainMonitor, measure_own_delay};
 use crate::timer::sleep_ms;
@@ -36,6 +36,9 @@
 /// Interval for checking signals and timers and for sending to peers.
 const TICK_INTERVAL_MS: u64 = 50;
 
+/// Interval for checking whether the settings have changed.
+const SETTINGS_INTERVAL_MS: u64 = 500;
+
 /// Interval for recording the software versions in the directory.
 const VERSION_INTERVAL_MS: u64 = 1_000;
 
@@ -257,7 +260,7 @@
 /// Runs a gateway until a signal stops it and its requests have ended.
 ///
 /// `platform` creates the adapter's store client on the given HTTP client. `reload` reads the settings
-/// again after SIGHUP and returns `None` if they are invalid.
+/// again after SIGHUP and at regular checks, and returns `None` if they are invalid or have not changed.
 ///
 /// # Errors
 ///
@@ -268,7 +271,7 @@
     dialect: Rc<dyn Dialect>,
     log_lines: Option<LogLines>,
     platform: impl FnOnce(HttpClient) -> P,
-    reload: impl Fn() -> Option<GatewaySettings> + 'static,
+    reload: impl FnMut(ReloadCause) -> Option<GatewaySettings> + 'static,
 ) -> Result<(), StartError> {
     let executors = Executors::default();
     let receive_buffer_bytes = socket_buffer_bytes(settings.resources.memory_bytes);
@@ -385,7 +388,7 @@
     listeners: Listeners,
     platform: Rc<P>,
     flags: SignalFlags,
-    reload: impl Fn() -> Option<GatewaySettings> + 'static,
+    mut reload: impl FnMut(ReloadCause) -> Option<GatewaySettings> + 'static,
 ) {
     let executors = gateway.executors().clone();
     let (control, traffic) = (executors.control(), executors.traffic());
@@ -418,6 +421,7 @@
     let clients = front::ClientConnections::new(Rc::clone(&gateway));
     let accepting = traffic.spawn(clients.clone().accept(listeners.clients));
     let mut last_tick_ms = clock::now().steady_ms;
+    let mut last_check_ms = last_tick_ms;
     while !flags.stop.load(Ordering::Relaxed) {
         sleep_ms(TICK_INTERVAL_MS).await;
         let now = clock::now();
@@ -426,8 +430,15 @@
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
-        if flags.reload.swap(false, Ordering::Relaxed) {
-            apply_settings(&gateway, reload());
+        let is_signalled = flags.reload.swap(false, Ordering::Relaxed);
+        if is_signalled || now.since_ms(last_check_ms) >= SETTINGS_INTERVAL_MS {
+            last_check_ms = now.steady_ms;
+            let cause = if is_signalled {
+                ReloadCause::Signal
+            } else {
+                ReloadCause::Check
+            };
+            apply_settings(&gateway, reload(cause));
         }
     }
     shut_down(&gateway, &clients, &peers, accepting).await;
@@ -438,7 +449,7 @@
 
 fn apply_settings(gateway: &Gateway, settings: Option<GatewaySettings>) {
     let Some(settings) = settings else {
-        // The reader of the settings has logged the error.
+        // Unchanged, or the reader of the settings has logged the error.
         return;
     };
     let (freshness, retries) = settings.bounds();
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -78,6 +78,15 @@
     }
 }
 
+/// Why the settings are read again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReloadCause {
+    /// A signal says that they have changed.
+    Signal,
+    /// They may have changed without a signal.
+    Check,
+}
+
 impl GatewaySettings {
     /// The bounds that may be reloaded while the gateway runs.
     #[must_use]
