--- a/crates/curranttrestle-gateway/src/upstream/client.rs
+++ b/crates/curranttrestle-gateway/src/upstream/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
+use hyper::{Request, Response};
 use smol::LocalExecutor;
 use thiserror::Error;
 
@@ -56,7 +56,7 @@
         Self { executor, options }
     }
 
-    /// Sends a request and reads the whole response. Returns its status and body.
+    /// Sends a request and reads the whole response.
     ///
     /// # Errors
     ///
@@ -66,7 +66,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         timeout_ms: u64,
-    ) -> Result<(u16, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let HttpClientOptions {
             connect_timeout_ms,
             tcp_user_timeout_ms,
@@ -79,11 +79,11 @@
             let opening = Connection::open(&self.executor, address, connect_timeout_ms, options);
             let mut connection = opening.await?;
             let response = connection.send(request).await?;
-            let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+            let (parts, body) = response.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES);
             let body = body.collect().await;
             let body = body.map_err(|error| CallError::Body(error.to_string()))?;
-            Ok((status, body.to_bytes()))
+            Ok(Response::from_parts(parts, body.to_bytes()))
         };
         let completed = with_timeout(timeout_ms, exchange).await;
         completed.unwrap_or(Err(CallError::Timeout(timeout_ms)))
