--- a/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/outgoing.rs
@@ -172,8 +172,8 @@
         let streams = &mut control.streams;
         let mut by_peer: IndexMap<SocketAddr, Vec<StreamOrigin>> = IndexMap::new();
         for origin in streams.take_announcements(now) {
-            for keeper in streams.keepers(origin.stream, self.data_centre, peers) {
-                by_peer.entry(keeper).or_default().push(origin);
+            for peer in streams.announcement_targets(origin.stream, self.data_centre, peers) {
+                by_peer.entry(peer).or_default().push(origin);
             }
         }
         let datagrams = by_peer.into_iter().flat_map(|(peer, origins)| {
@@ -186,7 +186,7 @@
     pub fn ask_about_stream(&self, control: &mut Control, query: StreamQuery) -> Option<Datagram> {
         let peers = self.peering.live_peers();
         let streams = &mut control.streams;
-        let asked = streams.asked_peers(query.stream, self.data_centre, &peers);
+        let asked = streams.query_targets(query.stream, self.data_centre, &peers);
         streams.record_query(query.stream, &asked);
         if asked.is_empty() {
             return None;
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -27,9 +27,9 @@
     /// Maximum number of remembered streams.
     pub max_streams: usize,
     /// Peers of the own data centre, and of the whole fleet, that are told about a stream.
-    pub keepers: usize,
+    pub announcement_peers: usize,
     /// Further peers of each group that are asked, as some of those that were told may be gone.
-    pub spare_keepers: usize,
+    pub extra_query_peers: usize,
     /// Maximum age of the directory on which a gateway without peers relies.
     pub max_directory_age_ms: u64,
 }
@@ -39,8 +39,8 @@
         Self {
             retention_ms: 30_000,
             max_streams: 65_536,
-            keepers: 2,
-            spare_keepers: 1,
+            announcement_peers: 2,
+            extra_query_peers: 1,
             max_directory_age_ms: 4_000,
         }
     }
@@ -340,24 +340,24 @@
 
     /// The peers to tell about a stream.
     #[must_use]
-    pub fn keepers(
+    pub fn announcement_targets(
         &self,
         stream: StreamKey,
         data_centre: DataCentreKey,
         peers: &[LivePeer],
     ) -> Vec<SocketAddr> {
-        ranked_peers(stream, data_centre, peers, self.options.keepers)
+        ranked_peers(stream, data_centre, peers, self.options.announcement_peers)
     }
 
     /// The peers to ask about a stream.
     #[must_use]
-    pub fn asked_peers(
+    pub fn query_targets(
         &self,
         stream: StreamKey,
         data_centre: DataCentreKey,
         peers: &[LivePeer],
     ) -> Vec<SocketAddr> {
-        let count = self.options.keepers + self.options.spare_keepers;
+        let count = self.options.announcement_peers + self.options.extra_query_peers;
         ranked_peers(stream, data_centre, peers, count)
     }
 
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -107,9 +107,9 @@
     let versions = versions(&["1"]);
     for number in 0..100 {
         let stream = StreamKey::of(&format!("stream-{number}"));
-        let keepers = versions.keepers(stream, own, &peers);
+        let told = versions.announcement_targets(stream, own, &peers);
         let near = peers[..10].iter();
-        let near = near.filter(|peer| keepers.contains(&peer.address)).count();
+        let near = near.filter(|peer| told.contains(&peer.address)).count();
         assert!(near >= 2);
         // A third of the gateways is gone, other ones than all that were told.
         let left: Vec<LivePeer> = peers
@@ -118,10 +118,10 @@
             .filter(|(index, _)| index % 3 != number % 3)
             .map(|(_, peer)| *peer)
             .collect();
-        let asked = versions.asked_peers(stream, own, &left);
-        let survivors = keepers
+        let asked = versions.query_targets(stream, own, &left);
+        let survivors = told
             .iter()
-            .filter(|keeper| left.iter().any(|peer| peer.address == **keeper));
-        assert!(survivors.clone().all(|keeper| asked.contains(keeper)));
+            .filter(|address| left.iter().any(|peer| peer.address == **address));
+        assert!(survivors.clone().all(|address| asked.contains(address)));
     }
 }
