Log what a late gateway spends its turns on, and when a request was sent

A late gateway could not be told apart by cause: its line has how long a probe waits, and how many requests it read, but not whether requests are dear or wait often. gateway-strained has the turns of tasks, processor time, connections opened to endpoints, parts of streams and messages of peers since the previous line; request-ended has the time until the request was sent. 700 open requests and 0.2 s for one turn do not explain by themselves a response after 2.1 s.

--- a/crates/curranttrestle-gateway/src/executor.rs
+++ b/crates/curranttrestle-gateway/src/executor.rs
@@ -1,5 +1,6 @@
 //! Runs the tasks of a gateway on one thread, those of its control path first.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use futures_lite::{FutureExt, future};
@@ -27,6 +28,7 @@
 pub struct Executors {
     control: Rc<LocalExecutor<'static>>,
     traffic: Rc<LocalExecutor<'static>>,
+    turns: Rc<Cell<u64>>,
 }
 
 impl Executors {
@@ -42,6 +44,12 @@
         &self.traffic
     }
 
+    /// The number of times that a task ran.
+    #[must_use]
+    pub fn turns(&self) -> u64 {
+        self.turns.get()
+    }
+
     /// Runs the tasks until `main` completes.
     pub async fn run<T>(&self, main: impl Future<Output = T>) -> T {
         let tasks = async {
@@ -61,9 +69,15 @@
             if !self.control.try_tick() {
                 break;
             }
+            self.count_turn();
         }
         if !self.traffic.try_tick() {
             self.control.tick().or(self.traffic.tick()).await;
         }
+        self.count_turn();
+    }
+
+    fn count_turn(&self) {
+        self.turns.set(self.turns.get() + 1);
     }
 }
--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// When the request got its connection, by the steady clock.
+    #[must_use]
+    pub fn connected_ms(&self) -> u64 {
+        self.connected_ms.get()
+    }
+
     /// Records that the endpoint was running when it sent what was received now.
     fn record_answer(&self, now: Now) {
         let mut control = self.gateway.control.borrow_mut();
@@ -259,6 +265,7 @@
     {
         return Ok(connection);
     }
+    exchange.gateway.strain.borrow_mut().work.opened_connections += 1;
     exchange
         .gateway
         .pool
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -239,6 +239,8 @@
     /// Records the ids of the events and returns the bytes for the client. Drops all of them and
     /// returns `None` if the client already has the first one that has an id.
     fn filter_events(&mut self, events: Events) -> Option<Bytes> {
+        let strain = &self.exchange.gateway.strain;
+        strain.borrow_mut().work.forwarded_parts += 1;
         let now = clock::now();
         if let Some(head) = &self.head {
             head.guard.record_first_event(now);
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -77,7 +77,7 @@
     /// Accepts connections until the task is cancelled.
     pub async fn accept(self, listener: Async<TcpListener>) {
         accept_each(&listener, |stream, address| {
-            self.gateway.strain.borrow_mut().record_connection();
+            self.gateway.strain.borrow_mut().work.accepted_connections += 1;
             // Without room for it, the new connection is closed.
             if let Some(admitted) = self.admit() {
                 let serving = self.clone().serve(stream, address, admitted);
--- a/crates/curranttrestle-gateway/src/front/record.rs
+++ b/crates/curranttrestle-gateway/src/front/record.rs
@@ -26,6 +26,8 @@
     limit_ms: Option<u64>,
     target_ms: u64,
     max_pause_ms: u64,
+    /// Time from the arrival until the first attempt that got a response was sent.
+    sent_ms: Option<u64>,
     first_event_ms: Option<u64>,
     longest_pause_ms: u64,
     last_placement: Option<LastPlacement>,
@@ -62,7 +64,7 @@
     #[must_use]
     pub fn new(gateway: &Rc<Gateway>, arrived: Now) -> Self {
         gateway.open_requests.set(gateway.open_requests.get() + 1);
-        gateway.strain.borrow_mut().record_request();
+        gateway.strain.borrow_mut().work.received_requests += 1;
         Self {
             gateway: Rc::clone(gateway),
             id: String::new(),
@@ -72,6 +74,7 @@
             limit_ms: None,
             target_ms: u64::MAX,
             max_pause_ms: u64::MAX,
+            sent_ms: None,
             first_event_ms: None,
             longest_pause_ms: 0,
             last_placement: None,
@@ -107,6 +110,12 @@
         });
     }
 
+    /// Records that the request was sent to an endpoint at `steady_ms` of the steady clock.
+    pub fn record_sent(&mut self, steady_ms: u64) {
+        let sent_ms = steady_ms.saturating_sub(self.arrived.steady_ms);
+        self.sent_ms.get_or_insert(sent_ms);
+    }
+
     /// Records that the first event was sent to the client.
     pub fn record_first_event(&mut self, now: Now) {
         self.first_event_ms = Some(now.since_ms(self.arrived.steady_ms));
@@ -172,6 +181,8 @@
                     load_fields(&placed.load)
                 )
             });
+        let sent = self.sent_ms;
+        let sent = sent.map_or_else(String::new, |ms| format!(" sent_ms={ms}"));
         let first_event = self.first_event_ms.map_or_else(String::new, |ms| {
             let (target_ms, pause_ms) = (self.target_ms, self.longest_pause_ms);
             format!(" first_event_ms={ms} target_ms={target_ms} longest_pause_ms={pause_ms}")
@@ -180,7 +191,7 @@
         let limit = limit.map_or_else(String::new, |ms| format!(" limit_ms={ms}"));
         let proof = self.proof_fields(reason);
         log::info!(
-            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{limit}{first_event}{placed}{proof}",
+            "kind=request-ended id={} route={} customer={} outcome={outcome} reason={reason} ms={elapsed_ms}{limit}{sent}{first_event}{placed}{proof}",
             self.id,
             self.route,
             self.customer,
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -249,6 +249,9 @@
         )
         .await;
         let endpoint = choice.entry.endpoint.clone();
+        if let Ok(head) = &sent {
+            record.record_sent(head.guard.connected_ms());
+        }
         let failure = match sent {
             Ok(head) => match forward_response(exchange, head, choice.predicted_ms, record).await {
                 Forwarded::Sent(response) => return response,
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -29,7 +29,7 @@
 use crate::peers::{Peers, ProofRole};
 use crate::settings::{GatewaySettings, ReloadCause};
 use crate::store;
-use crate::strain::{StrainMonitor, measure_own_delay};
+use crate::strain::{StrainMonitor, WorkTotals, measure_own_delay};
 use crate::timer::sleep_ms;
 use crate::upstream::{HttpClient, HttpClientOptions, Pool, PoolLimits};
 
@@ -201,7 +201,18 @@
         let open_requests = self.open_requests.get();
         let directory_age_ms = self.directory_age_ms(now);
         let reports = peers.report_state();
-        let line = strain.log_line(reports, shares, open_requests, directory_age_ms, now);
+        let totals = WorkTotals {
+            task_turns: self.executors.turns(),
+            processor_ms: clock::processor_ms(),
+        };
+        let line = strain.log_line(
+            reports,
+            shares,
+            open_requests,
+            directory_age_ms,
+            totals,
+            now,
+        );
         if let Some(line) = line {
             log::warn!("{line}");
         }
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -111,6 +111,7 @@
     }
 
     fn handle_datagram(&self, gateway: &Gateway, from: SocketAddr, bytes: &[u8], now: Now) {
+        gateway.strain.borrow_mut().work.peer_messages += 1;
         let mut control = gateway.control.borrow_mut();
         let received = self
             .exchange
--- a/crates/curranttrestle-gateway/src/strain.rs
+++ b/crates/curranttrestle-gateway/src/strain.rs
@@ -43,20 +43,45 @@
     }
 }
 
+/// What a gateway did in an interval.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkCounts {
+    /// Client connections that were accepted.
+    pub accepted_connections: u64,
+    /// Requests whose head was read.
+    pub received_requests: u64,
+    /// Connections to endpoints that were opened.
+    pub opened_connections: u64,
+    /// Parts of streams that were forwarded.
+    pub forwarded_parts: u64,
+    /// Messages of other gateways that were received.
+    pub peer_messages: u64,
+}
+
+/// Totals since the process started, of which a log line has the difference to the previous one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkTotals {
+    /// Turns of tasks.
+    pub task_turns: u64,
+    /// Processor time of the process.
+    pub processor_ms: u64,
+}
+
 /// Tracks how late the timers of the event loop fire, and how long tasks wait for their turn.
 ///
 /// ```
 /// use curranttrestle::coordination::gateway::shares::ShareCoverage;
 /// use curranttrestle::state::Now;
 /// use curranttrestle_gateway::peers::ReportState;
-/// use curranttrestle_gateway::strain::StrainMonitor;
+/// use curranttrestle_gateway::strain::{StrainMonitor, WorkTotals};
 /// let mut monitor = StrainMonitor::default();
 /// let reports = ReportState { live_peers: 0, interval_ms: 100, round_bytes: 0 };
 /// let now = Now::default().plus_ms(5_000);
 /// monitor.record_tick(70, 50);
-/// assert_eq!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, now), None);
+/// let totals = WorkTotals::default();
+/// assert_eq!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, totals, now), None);
 /// monitor.record_tick(400, 50);
-/// assert!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, now).is_some());
+/// assert!(monitor.log_line(reports, ShareCoverage::default(), 0, 0, totals, now).is_some());
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StrainMonitor {
@@ -67,10 +92,10 @@
     /// Maximum delay of a task since the last log line.
     max_task_delay_ms: u64,
     logged_ms: u64,
-    /// Client connections that were accepted since the last log line.
-    accepted_connections: u64,
-    /// Requests whose head was read since the last log line.
-    received_requests: u64,
+    /// Counts since the last log line.
+    pub work: WorkCounts,
+    /// Totals at the last log line.
+    logged_totals: WorkTotals,
 }
 
 impl StrainMonitor {
@@ -86,16 +111,6 @@
         self.max_task_delay_ms = self.max_task_delay_ms.max(delay_ms);
     }
 
-    /// Counts an accepted client connection.
-    pub fn record_connection(&mut self) {
-        self.accepted_connections += 1;
-    }
-
-    /// Counts a request whose head was read.
-    pub fn record_request(&mut self) {
-        self.received_requests += 1;
-    }
-
     /// How long the last measured task waited for its turn.
     #[must_use]
     pub fn task_delay_ms(&self) -> u64 {
@@ -117,6 +132,7 @@
         shares: ShareCoverage,
         open_requests: usize,
         directory_age_ms: u64,
+        totals: WorkTotals,
         now: Now,
     ) -> Option<String> {
         let interval_ms = now.since_ms(self.logged_ms);
@@ -134,10 +150,18 @@
         self.logged_ms = now.steady_ms;
         self.max_delay_ms = 0;
         self.max_task_delay_ms = 0;
-        let accepted_connections = std::mem::take(&mut self.accepted_connections);
-        let received_requests = std::mem::take(&mut self.received_requests);
+        let WorkCounts {
+            accepted_connections,
+            received_requests,
+            opened_connections,
+            forwarded_parts,
+            peer_messages,
+        } = std::mem::take(&mut self.work);
+        let before = std::mem::replace(&mut self.logged_totals, totals);
+        let task_turns = totals.task_turns - before.task_turns;
+        let processor_ms = totals.processor_ms.saturating_sub(before.processor_ms);
         Some(format!(
-            "kind=gateway-strained loop_delay_ms={delay_ms} task_delay_ms={task_delay_ms} directory_age_ms={directory_age_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests} interval_ms={interval_ms} accepted_connections={accepted_connections} received_requests={received_requests}",
+            "kind=gateway-strained loop_delay_ms={delay_ms} task_delay_ms={task_delay_ms} directory_age_ms={directory_age_ms} report_interval_ms={} round_bytes={} live_peers={} share_reports={} oldest_share_ms={} open_requests={open_requests} interval_ms={interval_ms} accepted_connections={accepted_connections} received_requests={received_requests} opened_connections={opened_connections} forwarded_parts={forwarded_parts} peer_messages={peer_messages} task_turns={task_turns} processor_ms={processor_ms}",
             reports.interval_ms,
             reports.round_bytes,
             reports.live_peers,
