Wait for events with tokio's runtime instead of smol's reactor

What callers saw: at a gateway without processor time, most responses start late or pause for too long, also after the order of tasks was mended.

Cause: the price of waiting. Tokio's current-thread runtime has edges instead of registrations, remembers what is not readable, keeps timers in a wheel and has no second thread. The order of tasks stays that of our executor.

--- a/crates/curranttrestle-gateway/src/executor.rs
+++ b/crates/curranttrestle-gateway/src/executor.rs
@@ -3,12 +3,15 @@
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::poll_fn;
+use std::io;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Poll, Waker};
 
 use async_task::{Runnable, ScheduleInfo, Task, WithInfo};
 use futures_lite::{FutureExt, future};
+use tokio::runtime::Builder;
+use tokio::task;
 
 /// Traffic tasks that run before the events of sockets and timers are collected again. A call of the
 /// control path waits for events several times, but collecting them takes time from all requests.
@@ -116,16 +119,31 @@
     ready.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Runs a future on this thread, with the sockets and timers that it uses.
+///
+/// # Errors
+///
+/// [`io::Error`] if the operating system provides no events of sockets.
+pub fn block_on<T>(future: impl Future<Output = T>) -> io::Result<T> {
+    let runtime = Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()?;
+    // `Executors` lets the runtime collect events often enough.
+    Ok(runtime.block_on(task::unconstrained(future)))
+}
+
 /// Two queues of tasks. A call to the store takes some ten turns, so in one queue with the requests
 /// it would take ten times as long as a request waits for its turn.
 ///
 /// ```
-/// use curranttrestle_gateway::executor::Executors;
+/// use curranttrestle_gateway::executor::{Executors, block_on};
 /// let executors = Executors::default();
 /// let traffic = executors.traffic().spawn(async { 1 });
 /// let control = executors.control().spawn(async { 2 });
-/// let sum = smol::block_on(executors.run(async { traffic.await + control.await }));
+/// let sum = block_on(executors.run(async { traffic.await + control.await }))?;
 /// assert_eq!(sum, 3);
+/// # Ok::<(), std::io::Error>(())
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Executors {
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -17,15 +17,15 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use smol::Async;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
 
 use self::connection::{Admitted, BusyGuard, ConnectionWakers, TrackedBody};
 use crate::gateway::Gateway;
@@ -75,7 +75,7 @@
     }
 
     /// Accepts connections until the task is cancelled.
-    pub async fn accept(self, listener: Async<TcpListener>) {
+    pub async fn accept(self, listener: TcpListener) {
         accept_each(&listener, |stream, address| {
             self.gateway.strain.borrow_mut().work.accepted_connections += 1;
             // Without room for it, the new connection is closed.
@@ -87,9 +87,9 @@
         .await;
     }
 
-    async fn serve(self, stream: Async<TcpStream>, address: SocketAddr, admitted: Admitted) {
+    async fn serve(self, stream: TcpStream, address: SocketAddr, admitted: Admitted) {
         let _open = OpenGuard::new(&self.open);
-        if let Err(error) = stream.get_ref().set_nodelay(true) {
+        if let Err(error) = stream.set_nodelay(true) {
             log::debug!("kind=socket-option-failed error={error:?}");
         }
         let tcp_user_timeout_ms = self.gateway.settings.traffic.tcp_user_timeout_ms;
@@ -112,13 +112,13 @@
             })
         });
         let connection = http1::Builder::new()
-            .timer(SmolTimer::new())
+            .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
             .max_buf_size(MAX_BUFFER_BYTES)
             .auto_date_header(false)
             // Otherwise the library copies a response before it sends it.
             .writev(true)
-            .serve_connection(FuturesIo::new(stream), service);
+            .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let close_receiver = self.close_receiver.clone();
         let close_requested = async {
@@ -147,7 +147,7 @@
 }
 
 /// Passes each new connection to `serve`; never returns.
-async fn accept_each(listener: &Async<TcpListener>, serve: impl Fn(Async<TcpStream>, SocketAddr)) {
+async fn accept_each(listener: &TcpListener, serve: impl Fn(TcpStream, SocketAddr)) {
     loop {
         match listener.accept().await {
             Ok((stream, address)) => serve(stream, address),
--- a/crates/curranttrestle-gateway/src/front/status.rs
+++ b/crates/curranttrestle-gateway/src/front/status.rs
@@ -1,7 +1,6 @@
 //! Serves readiness for the load balancer, and metrics.
 
 use std::convert::Infallible;
-use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,8 +10,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use smol::Async;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
 
 use super::accept_each;
 use crate::clock;
@@ -26,7 +25,7 @@
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves readiness and metrics; never returns.
-pub async fn serve(gateway: Rc<Gateway>, listener: Async<TcpListener>) {
+pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     accept_each(&listener, |stream, _address| {
         let serving = serve_connection(Rc::clone(&gateway), stream);
         gateway.executors().traffic().spawn(serving).detach();
@@ -34,16 +33,16 @@
     .await;
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: Async<TcpStream>) {
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     let service = service_fn(move |request: Request<Incoming>| {
         let response = respond(&gateway, request.uri().path());
         async move { Ok::<_, Infallible>(response) }
     });
     let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(HEADER_READ_TIMEOUT_MS))
         .auto_date_header(false)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), service);
     if let Err(error) = connection.await {
         log::debug!("kind=status-connection-failed error={error:?}");
     }
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -2,7 +2,8 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt;
-use std::net::{SocketAddr, UdpSocket};
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,14 +15,14 @@
 use curranttrestle::state::Now;
 use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use smol::Async;
 use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::client_limits::ClientLimits;
 use crate::clock;
 use crate::connections::{ConnectionLimit, max_idle_by_descriptors};
 use crate::edge::{Dialect, Platform};
-use crate::executor::Executors;
+use crate::executor::{Executors, block_on};
 use crate::front;
 use crate::front::body::ReceivingBodies;
 use crate::log::{EventRateLimiter, LogLines};
@@ -52,11 +53,14 @@
         /// The address.
         address: SocketAddr,
         /// The cause.
-        source: std::io::Error,
+        source: io::Error,
     },
+    /// The events of sockets and timers are not available.
+    #[error("cannot wait for events: {0}")]
+    Runtime(io::Error),
     /// Signal handlers cannot be installed.
     #[error("cannot receive signals: {0}")]
-    Signals(std::io::Error),
+    Signals(io::Error),
     /// The metrics cannot be registered.
     #[error("cannot set up metrics: {0}")]
     Metrics(#[from] prometheus::Error),
@@ -348,30 +352,38 @@
         .control
         .borrow_mut()
         .observe_fleet_size(assumed_size);
-    let listeners = Listeners::bind(&gateway.settings)?;
-    log::info!(
-        "kind=started clients={} peers={} data_centre={:?}",
-        gateway.settings.client_listen,
-        gateway.settings.peers,
-        gateway.settings.control.data_centre
-    );
-    smol::block_on(executors.run(serve(gateway, listeners, platform, flags, reload)));
-    Ok(())
+    let running = async {
+        let listeners = Listeners::bind(&gateway.settings)?;
+        log::info!(
+            "kind=started clients={} peers={} data_centre={:?}",
+            gateway.settings.client_listen,
+            gateway.settings.peers,
+            gateway.settings.control.data_centre
+        );
+        let serving = serve(gateway, listeners, platform, flags, reload);
+        executors.run(serving).await;
+        Ok(())
+    };
+    block_on(running).map_err(StartError::Runtime)?
 }
 
 /// The listening sockets of a gateway.
 struct Listeners {
-    clients: Async<std::net::TcpListener>,
-    readiness: Async<std::net::TcpListener>,
-    metrics: Option<Async<std::net::TcpListener>>,
-    peers: Async<UdpSocket>,
+    clients: TcpListener,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+    peers: UdpSocket,
 }
 
 impl Listeners {
+    /// Binds the sockets. Runs inside [`block_on`].
     fn bind(settings: &GatewaySettings) -> Result<Self, StartError> {
         let listen = |address: SocketAddr| {
-            Async::<std::net::TcpListener>::bind(address)
-                .map_err(|source| StartError::Listen { address, source })
+            let bound = std::net::TcpListener::bind(address).and_then(|listener| {
+                listener.set_nonblocking(true)?;
+                TcpListener::from_std(listener)
+            });
+            bound.map_err(|source| StartError::Listen { address, source })
         };
         let peers = settings.peers;
         let clients = listen(settings.client_listen)?;
@@ -387,7 +399,7 @@
             clients,
             readiness: listen(settings.readiness)?,
             metrics: settings.metrics.map(listen).transpose()?,
-            peers: Async::<UdpSocket>::bind(peers).map_err(|source| StartError::Listen {
+            peers: bind_udp(peers).map_err(|source| StartError::Listen {
                 address: peers,
                 source,
             })?,
@@ -395,6 +407,12 @@
     }
 }
 
+fn bind_udp(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
 async fn serve<P: Platform + 'static>(
     gateway: Rc<Gateway>,
     listeners: Listeners,
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -7,7 +7,7 @@
 pub mod exchange;
 
 use std::cell::RefCell;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use curranttrestle::coordination::gateway::load_relay::RelayChange;
@@ -15,7 +15,7 @@
 use curranttrestle::coordination::gateway::stream_versions::StreamQuery;
 use curranttrestle::state::Now;
 use rand::Rng;
-use smol::Async;
+use tokio::net::UdpSocket;
 
 use crate::clock;
 use crate::gateway::Gateway;
@@ -29,14 +29,14 @@
 /// Exchanges reports and load updates with the other gateways.
 #[derive(Debug)]
 pub struct Peers {
-    socket: Async<UdpSocket>,
+    socket: UdpSocket,
     exchange: RefCell<PeerExchange>,
 }
 
 impl Peers {
     /// Starts with the seeds as the only peers.
     #[must_use]
-    pub fn new(settings: &GatewaySettings, socket: Async<UdpSocket>) -> Self {
+    pub fn new(settings: &GatewaySettings, socket: UdpSocket) -> Self {
         let exchange = PeerExchange::new(settings, rand::rng().random(), clock::now());
         Self {
             socket,
@@ -80,7 +80,7 @@
         count_bytes(gateway, "sent", datagram.kind, bytes);
         for target in &datagram.targets {
             // A full socket buffer drops this message; the next one supersedes it.
-            if let Err(error) = self.socket.get_ref().send_to(&datagram.bytes, target) {
+            if let Err(error) = self.socket.try_send_to(&datagram.bytes, *target) {
                 count_message(gateway, "unsent");
                 log::debug!("kind=peer-send-failed peer={target} error={error:?}");
             }
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -11,10 +11,10 @@
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
-use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
+use tokio::net::TcpStream;
 
 use super::head_limit::{HeadLimit, HeadLimitedStream};
 use crate::clock;
@@ -117,7 +117,7 @@
         let (sender, driver) = http1::Builder::new()
             // Otherwise the library copies a body before it sends it.
             .writev(true)
-            .handshake(FuturesIo::new(stream))
+            .handshake(TokioIo::new(stream))
             .await?;
         let driver = executor.spawn(async move {
             if let Err(error) = driver.await {
--- a/crates/curranttrestle-gateway/src/upstream/head_limit.rs
+++ b/crates/curranttrestle-gateway/src/upstream/head_limit.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use futures_lite::{AsyncRead, AsyncWrite};
-use smol::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 
 /// Maximum bytes before the end of a response head, including interim responses.
 const MAX_HEAD_BYTES: usize = 65_536;
@@ -56,17 +56,28 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let left_bytes = self.limit.0.get();
         if left_bytes == Some(0) {
             let error = io::Error::new(io::ErrorKind::InvalidData, "the response head is too long");
             return Poll::Ready(Err(error));
         }
-        let length = buffer.len().min(MAX_READ_BYTES);
-        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
-        if let (Some(left_bytes), Poll::Ready(Ok(length))) = (left_bytes, &read) {
-            self.limit.0.set(Some(left_bytes.saturating_sub(*length)));
+        let filled_bytes = buffer.filled().len();
+        let read = if buffer.remaining() <= MAX_READ_BYTES {
+            Pin::new(&mut self.stream).poll_read(context, buffer)
+        } else {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
+            let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+            let read_bytes = part.filled().len();
+            buffer.advance(read_bytes);
+            read
+        };
+        if let (Some(left_bytes), Poll::Ready(Ok(()))) = (left_bytes, &read) {
+            let read_bytes = buffer.filled().len() - filled_bytes;
+            self.limit
+                .0
+                .set(Some(left_bytes.saturating_sub(read_bytes)));
         }
         read
     }
@@ -89,11 +100,15 @@
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/curranttrestle-gateway/tests/executor.rs
+++ b/crates/curranttrestle-gateway/tests/executor.rs
@@ -1,13 +1,12 @@
 //! Runs control tasks and requests beside many traffic tasks that are always ready.
 
 use std::cell::Cell;
-use std::net::UdpSocket;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use curranttrestle_gateway::executor::Executors;
+use curranttrestle_gateway::executor::{Executors, block_on};
 use futures_lite::future;
-use smol::Async;
+use tokio::net::UdpSocket;
 
 const TRAFFIC_TASKS: usize = 1_000;
 const ROUND_TRIPS: usize = 20;
@@ -40,8 +39,8 @@
 
 /// Sends datagrams to itself, one after the other.
 async fn exchange_datagrams() {
-    let socket = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0)).unwrap();
-    let address = socket.get_ref().local_addr().unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
     for _ in 0..ROUND_TRIPS {
         socket.send_to(&[1], address).await.unwrap();
         socket.readable().await.unwrap();
@@ -54,7 +53,7 @@
     let executors = Executors::default();
     let polls = spawn_busy_tasks(&executors);
     let call = executors.control().spawn(exchange_datagrams());
-    smol::block_on(executors.run(call));
+    block_on(executors.run(call)).unwrap();
     let polls_per_round_trip = polls.get() / ROUND_TRIPS;
     assert!(
         polls_per_round_trip < TRAFFIC_TASKS / 10,
@@ -72,13 +71,14 @@
         executors.traffic().spawn(pass_on(from, to)).detach();
         from = next;
     }
-    smol::block_on(executors.run(async {
+    block_on(executors.run(async {
         // Not a task, like the reactor.
         for _ in 0..ROUND_TRIPS {
             event.send(()).await.unwrap();
             from.recv().await.unwrap();
         }
-    }));
+    }))
+    .unwrap();
     let turns = polls.get() / TRAFFIC_TASKS / ROUND_TRIPS;
     assert!(turns <= 2, "waited {turns} times for all other requests");
 }
@@ -93,6 +93,6 @@
     traffic.spawn(pass_on(back.1, there.0)).detach();
     let polls = spawn_busy_tasks(&executors);
     let call = executors.traffic().spawn(exchange_datagrams());
-    smol::block_on(executors.run(call));
+    block_on(executors.run(call)).unwrap();
     assert!(polls.get() >= TRAFFIC_TASKS);
 }
