Subtract the gateway's own delay from the target before admission

What callers saw: at a gateway without processor time, requests were begun that had no chance to start in time.

Cause: admission compared the target with the time of the endpoint alone, while each response waits for its turn in the gateway, 0.2 to 0.6 s. The delay was measured and used only for timeouts and for the slowness of endpoints.

The endpoint now has what one turn of the delay leaves of the target; if nothing is left, an idle endpoint does not help either. A client is told to come back after the delay at the earliest. The line of a refusal has own_delay_ms.

The test fails before (admitted 500 ms late with a target of 500 ms).

--- a/crates/curranttrestle-gateway/src/executor.rs
+++ b/crates/curranttrestle-gateway/src/executor.rs
@@ -31,7 +31,7 @@
 /// The tasks of a queue that are ready to run.
 #[derive(Debug, Default)]
 struct ReadyTasks {
-    /// Tasks that another task made ready, such as the task of a request whose connection received the
+    /// Tasks that another task made ready, such as that of a request whose connection received a
     /// response.
     continuations: VecDeque<Runnable>,
     /// Tasks that an event made ready, or that let others run.
@@ -115,7 +115,7 @@
 }
 
 fn lock(ready: &Mutex<ReadyTasks>) -> MutexGuard<'_, ReadyTasks> {
-    // A queue is not left half changed by a panic.
+    // No panic leaves a queue half changed.
     ready.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -124,12 +124,19 @@
 /// # Errors
 ///
 /// [`io::Error`] if the operating system provides no events of sockets.
+///
+/// ```
+/// use curranttrestle_gateway::executor::block_on;
+/// use curranttrestle_gateway::timer::sleep_ms;
+/// block_on(sleep_ms(1))?;
+/// # Ok::<(), std::io::Error>(())
+/// ```
 pub fn block_on<T>(future: impl Future<Output = T>) -> io::Result<T> {
     let runtime = Builder::new_current_thread()
         .enable_io()
         .enable_time()
         .build()?;
-    // `Executors` lets the runtime collect events often enough.
+    // `Executors` returns to the runtime often enough; its limit would only end the turns of tasks early.
     Ok(runtime.block_on(task::unconstrained(future)))
 }
 
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -313,11 +313,12 @@
     let RefusalInputs {
         predicted_ms,
         wait_ms,
+        own_delay_ms,
         load,
         share_ratio,
     } = inputs;
     log::info!(
-        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} wait_ms={wait_ms:.0} {} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={requested:.0} admitted_tokens={admitted:.0} share_ratio={share_ratio:.2} share_reports={} oldest_share_ms={} gateways={}",
+        "kind=request-refused id={} reason={reason} predicted_ms={predicted_ms:.0} wait_ms={wait_ms:.0} own_delay_ms={own_delay_ms:.0} {} target_ms={} retry_after_ms={retry_after_ms:.0} asked_tokens={requested:.0} admitted_tokens={admitted:.0} share_ratio={share_ratio:.2} share_reports={} oldest_share_ms={} gateways={}",
         exchange.hints.attempt_id,
         load_fields(&load),
         exchange.route.target_latency_ms,
--- a/crates/curranttrestle/src/coordination/gateway/admission.rs
+++ b/crates/curranttrestle/src/coordination/gateway/admission.rs
@@ -101,7 +101,8 @@
     }
 }
 
-/// Decides whether to admit a request whose best endpoint is `choice`.
+/// Decides whether to admit a request whose best endpoint is `choice`. `target_latency_ms` is the part
+/// of the target latency that the endpoint may use.
 ///
 /// An idle endpoint admits a request however long its prefill takes, unless the customer's share
 /// ratio reaches [`AdmissionOptions::idle_limit_ratio`] or it leads a customer that lacks capacity.
@@ -124,7 +125,7 @@
     let limit_ms = target_latency_ms * fraction;
     // Negative if the predicted time would exceed the limit even without waiting.
     let max_wait_ms = limit_ms - (choice.predicted_ms - choice.wait_ms);
-    let may_use_idle = choice.wait_ms < 1.0 && !is_limited_while_idle;
+    let may_use_idle = choice.wait_ms < 1.0 && !is_limited_while_idle && target_latency_ms > 0.0;
     let without_room = match choice.room {
         Room::Free => None,
         Room::Reserved => Some(RefusalReason::OverShare),
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -161,6 +161,8 @@
     pub predicted_ms: f64,
     /// The part of it that is spent waiting for other requests.
     pub wait_ms: f64,
+    /// The scheduling delay of this gateway.
+    pub own_delay_ms: f64,
     /// The load of the endpoint.
     pub load: EndpointLoad,
     /// Admitted tokens of the customer over its fair share; zero if it is within its share.
@@ -384,18 +386,26 @@
             return Placement::Send(choice);
         }
         #[expect(clippy::cast_precision_loss, reason = "durations are far below 2^52")]
-        let target_ms = request.route.target_latency_ms as f64;
-        match admit(&choice, target_ms, share_status, &self.options.admission) {
+        let (target_ms, own_delay_ms) = (
+            request.route.target_latency_ms as f64,
+            self.load.own_delay.delay_ms(now) as f64,
+        );
+        // The response waits for its turn here, however fast the endpoint is.
+        let endpoint_target_ms = (target_ms - own_delay_ms).max(0.0);
+        let options = &self.options.admission;
+        match admit(&choice, endpoint_target_ms, share_status, options) {
             AdmissionDecision::Admit => Placement::Send(choice),
             AdmissionDecision::Refuse {
                 reason,
                 retry_after_ms,
             } => Placement::Refuse {
                 reason: RefusalReason::as_str(reason),
-                retry_after_ms,
+                // Sooner, the client would find the same delay.
+                retry_after_ms: retry_after_ms.max(own_delay_ms.min(options.max_retry_after_ms)),
                 inputs: RefusalInputs {
                     predicted_ms: choice.predicted_ms,
                     wait_ms: choice.wait_ms,
+                    own_delay_ms,
                     load: choice.load,
                     share_ratio: match share_status {
                         ShareStatus::Within => 0.0,
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -218,3 +218,25 @@
     control.directory.set(restarted);
     assert_eq!(chosen(place(&control, &hints, &[])), endpoint);
 }
+
+#[test]
+fn late_gateway_refuses_what_it_cannot_start_within_the_target() {
+    let target_ms = route("drafts", "host.example", "/drafts/").target_latency_ms;
+    for (delay_ms, is_admitted) in [(0, true), (target_ms / 2, true), (target_ms, false)] {
+        let mut control = ready(1);
+        control
+            .load
+            .own_delay
+            .expect_probe(at(0).steady_ms - delay_ms);
+        control.load.own_delay.record_probe(at(0));
+        match place(&control, &prompt(1, 10, 10), &[]) {
+            Placement::Send(_) => assert!(is_admitted, "admitted {delay_ms} ms late"),
+            Placement::Refuse { retry_after_ms, .. } => {
+                assert!(!is_admitted, "refused {delay_ms} ms late");
+                #[expect(clippy::cast_precision_loss, reason = "a short duration")]
+                let shortest_ms = delay_ms as f64;
+                assert!(retry_after_ms >= shortest_ms, "{retry_after_ms} ms");
+            }
+        }
+    }
+}
