Admit requests without a target at a late gateway

The commit before refused every request of a route that has no target, since nothing was left of a target of 0 ms. A refusal for the delay alone has a reason of its own, gateway-late.

--- a/crates/curranttrestle/src/coordination/gateway/admission.rs
+++ b/crates/curranttrestle/src/coordination/gateway/admission.rs
@@ -69,6 +69,8 @@
     /// The customer is over its fair share, and the predicted time exceeds its lower limit or the
     /// capacity that is left is reserved for other customers.
     OverShare,
+    /// The response would wait in this gateway for longer than the target latency.
+    OwnDelay,
 }
 
 impl RefusalReason {
@@ -79,6 +81,7 @@
             Self::Queue => "queue",
             Self::Full => "full",
             Self::OverShare => "beyond-share",
+            Self::OwnDelay => "gateway-late",
         }
     }
 }
@@ -101,6 +104,21 @@
     }
 }
 
+/// The part of a target latency that the delay of the gateway leaves to the endpoint; `None` if it
+/// leaves nothing. A target of zero means that the route has none.
+///
+/// ```
+/// use curranttrestle::coordination::gateway::admission::endpoint_target_ms;
+/// assert_eq!(endpoint_target_ms(500.0, 200.0), Some(300.0));
+/// assert_eq!(endpoint_target_ms(500.0, 500.0), None);
+/// assert_eq!(endpoint_target_ms(0.0, 500.0), Some(0.0));
+/// ```
+#[must_use]
+pub fn endpoint_target_ms(target_latency_ms: f64, own_delay_ms: f64) -> Option<f64> {
+    let left_ms = (target_latency_ms - own_delay_ms).max(0.0);
+    (left_ms > 0.0 || target_latency_ms <= 0.0).then_some(left_ms)
+}
+
 /// Decides whether to admit a request whose best endpoint is `choice`. `target_latency_ms` is the part
 /// of the target latency that the endpoint may use.
 ///
@@ -125,7 +143,7 @@
     let limit_ms = target_latency_ms * fraction;
     // Negative if the predicted time would exceed the limit even without waiting.
     let max_wait_ms = limit_ms - (choice.predicted_ms - choice.wait_ms);
-    let may_use_idle = choice.wait_ms < 1.0 && !is_limited_while_idle && target_latency_ms > 0.0;
+    let may_use_idle = choice.wait_ms < 1.0 && !is_limited_while_idle;
     let without_room = match choice.room {
         Room::Free => None,
         Room::Reserved => Some(RefusalReason::OverShare),
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::admission::{
-    AdmissionDecision, AdmissionOptions, RefusalReason, admit, usable_fraction,
+    AdmissionDecision, AdmissionOptions, RefusalReason, admit, endpoint_target_ms, usable_fraction,
 };
 use super::directory::{Directory, DirectoryChange, DirectoryOptions};
 use super::endpoint_load::{EndpointKey, EndpointLoad, LoadOptions, LoadTracker, SentRequest};
@@ -391,9 +391,16 @@
             self.load.own_delay.delay_ms(now) as f64,
         );
         // The response waits for its turn here, however fast the endpoint is.
-        let endpoint_target_ms = (target_ms - own_delay_ms).max(0.0);
+        let endpoint_target_ms = endpoint_target_ms(target_ms, own_delay_ms);
         let options = &self.options.admission;
-        match admit(&choice, endpoint_target_ms, share_status, options) {
+        let decision = endpoint_target_ms.map_or(
+            AdmissionDecision::Refuse {
+                reason: RefusalReason::OwnDelay,
+                retry_after_ms: options.min_retry_after_ms,
+            },
+            |target_ms| admit(&choice, target_ms, share_status, options),
+        );
+        match decision {
             AdmissionDecision::Admit => Placement::Send(choice),
             AdmissionDecision::Refuse {
                 reason,
--- a/crates/curranttrestle/tests/gateway/control.rs
+++ b/crates/curranttrestle/tests/gateway/control.rs
@@ -219,17 +219,20 @@
     assert_eq!(chosen(place(&control, &hints, &[])), endpoint);
 }
 
+/// A control whose probe is late by `delay_ms`.
+fn late_by(delay_ms: u64) -> Control {
+    let mut control = ready(1);
+    let due_ms = at(0).steady_ms - delay_ms;
+    control.load.own_delay.expect_probe(due_ms);
+    control.load.own_delay.record_probe(at(0));
+    control
+}
+
 #[test]
 fn late_gateway_refuses_what_it_cannot_start_within_the_target() {
     let target_ms = route("drafts", "host.example", "/drafts/").target_latency_ms;
     for (delay_ms, is_admitted) in [(0, true), (target_ms / 2, true), (target_ms, false)] {
-        let mut control = ready(1);
-        control
-            .load
-            .own_delay
-            .expect_probe(at(0).steady_ms - delay_ms);
-        control.load.own_delay.record_probe(at(0));
-        match place(&control, &prompt(1, 10, 10), &[]) {
+        match place(&late_by(delay_ms), &prompt(1, 10, 10), &[]) {
             Placement::Send(_) => assert!(is_admitted, "admitted {delay_ms} ms late"),
             Placement::Refuse { retry_after_ms, .. } => {
                 assert!(!is_admitted, "refused {delay_ms} ms late");
@@ -240,3 +243,14 @@
         }
     }
 }
+
+#[test]
+fn late_gateway_sends_a_request_without_a_target_to_an_idle_endpoint() {
+    let route = Route {
+        target_latency_ms: 0,
+        ..route("drafts", "host.example", "/drafts/")
+    };
+    let hints = prompt(1, 10, 10);
+    let placement = late_by(1_000).place(request(&route, &hints), at(0));
+    assert!(matches!(placement, Placement::Send(_)), "{placement:?}");
+}
