--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -473,7 +473,8 @@
         if self.has_ended() {
             return Ok(());
         }
-        let status = Command::new("kill").arg(format!("-{name}")).arg(self.pid.to_string()).status();
+        let command = format!("kill -{name} {}", self.pid);
+        let status = Command::new("sh").args(["-c", &command]).status();
         status.map(|_status| ()).map_err(|error| error.to_string())
     }
 
