--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -293,7 +293,7 @@
     stream_paced(stream, signed, first, last, || pause_ms)
 }
 
-/// A stream of events, each after a pause. The head goes with the first one.
+/// A stream of events, each after a pause. The head is sent half a pause before the first one.
 pub fn stream_paced(
     stream: &mut TcpStream,
     signed: &str,
