--- a/review/common-3/cases.rs
+++ b/review/common-3/cases.rs
@@ -8,7 +8,7 @@
 use std::thread;
 
 use crate::fleet::{
-    Arrival, Behaviour, Gateway, Launcher, Record, Replica, Settings, Store, lock, sleep_ms,
+    Behaviour, Gateway, Launcher, Record, Replica, Settings, Store, lock, sleep_ms,
     stream_events, stream_paced,
 };
 use crate::http::{Answer, call, respond};
@@ -28,7 +28,6 @@
 pub fn run(name: &str, case: &Case) -> Result<bool, String> {
     match name {
         "foreign" => foreign(case),
-        "tenant" => tenant(case),
         "grace" => grace(case),
         "seeds" => seeds(case),
         "attempts" => attempts(case),
@@ -49,8 +48,8 @@
     )
 }
 
-/// A configuration with a model service and a plain one. `tenants` are names with their key.
-fn config(version: u64, tenants: &[(String, String)]) -> String {
+/// The configuration of all cases, with a model service, a plain one and one tenant.
+fn config() -> String {
     let routes = [
         route("chat", "streaming", "atelier-modele", 15_000, 2, true),
         route("draft", "streaming", "atelier-modele", 15_000, 1, false),
@@ -58,26 +57,17 @@
         route("book", "non_idempotent", "guichet", 1_500, 1, false),
         route("watch", "streaming", "guichet", 15_000, 2, true),
     ];
-    let tenants: Vec<String> = tenants
-        .iter()
-        .map(|(name, key)| format!("{{\"name\":\"{name}\",\"apiKeys\":[\"{key}\"],\"priority\":1}}"))
-        .collect();
     format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
+        "{{\"version\":1,\"routes\":[{}],\"services\":[\
          {{\"name\":\"atelier-modele\",\"healthPath\":\"/healthz\",\"maxConnections\":370,\"protocol\":\"h1\",\"tls\":false,\
          \"inferenceEngine\":{{\"slots\":64,\"kvCapacityTokens\":304154}}}},\
          {{\"name\":\"guichet\",\"healthPath\":\"/healthz\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
-         \"idleTimeoutMs\":15000,\"tokensPerS\":360000}},\"tenants\":[{}]}}",
-        routes.join(","),
-        tenants.join(",")
+         \"idleTimeoutMs\":15000,\"tokensPerS\":360000}},\"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}",
+        routes.join(",")
     )
 }
 
-fn one_tenant() -> Vec<(String, String)> {
-    vec![("hule930".to_owned(), KEY.to_owned())]
-}
-
 /// A client's request.
 struct Call<'a> {
     method: &'a str,
@@ -150,7 +140,7 @@
     const CONTACT_MS: u64 = 3_000;
     let record = &case.record;
     let (store, store_address) = Store::start();
-    store.set_config(&config(1, &one_tenant()));
+    store.set_config(&config());
     let replicas: Vec<Arc<Replica>> = (0..3)
         .map(|n| Replica::start(&format!("i-desk{n}"), "guichet", &store, record, plain(30)))
         .collect();
@@ -177,9 +167,7 @@
     let is_ready = started.wait_ready(10_000);
     record.line(&format!("a gateway started now is ready within 10 s: {is_ready}"));
     is_done.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.join().map_err(|_panic| "a client failed")?;
-    }
+    clients.join().map_err(|_panic| "a client failed")?;
     Ok(late > 0)
 }
 
@@ -189,10 +177,10 @@
     gateways: &[Gateway],
     is_done: &Arc<AtomicBool>,
     interval_ms: u64,
-) -> Vec<thread::JoinHandle<()>> {
+) -> thread::JoinHandle<()> {
     let addresses: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.client).collect();
     let (record, is_done) = (Arc::clone(&case.record), Arc::clone(is_done));
-    vec![thread::spawn(move || {
+    thread::spawn(move || {
         let mut number = 0;
         while !is_done.load(Ordering::Relaxed) {
             let attempt = format!("look-{number}");
@@ -216,51 +204,7 @@
             sleep_ms(interval_ms);
         }
         sleep_ms(2_000);
-    })]
-}
-
-/// A new version of the configuration adds a tenant.
-fn tenant(case: &Case) -> Result<bool, String> {
-    const REQUESTS: usize = 10;
-    let record = &case.record;
-    let name = if case.has_trouble { "Énergie Bretagne" } else { "Energie Bretagne" };
-    let key = "k7b2ex5wa5xwyhks8nbk";
-    let (store, store_address) = Store::start();
-    store.set_config(&config(1, &one_tenant()));
-    let replicas: Vec<Arc<Replica>> = (0..2)
-        .map(|n| Replica::start(&format!("i-desk{n}"), "guichet", &store, record, plain(30)))
-        .collect();
-    let launcher = Launcher::new(&case.directory, store_address, record);
-    let gateways = start_gateways(case, &launcher, 2, &settings(&launcher))?;
-    let mut tenants = one_tenant();
-    tenants.push((name.to_owned(), key.to_owned()));
-    store.set_config(&config(2, &tenants));
-    record.line(&format!("the store acknowledges version 2, which adds the tenant {name:?}"));
-    sleep_ms(3_000);
-    for number in 0..REQUESTS {
-        let attempt = format!("tenant-{number}");
-        let request = Call {
-            method: "POST",
-            path: "/book/camera",
-            attempt: &attempt,
-            key,
-            deadline_ms: 1_500,
-            headers: "",
-            body: "camera",
-        };
-        let answer = call(gateways[number % 2].client, &request.bytes(), 2_000);
-        record.line(&format!("{attempt} ends: {}", answer.describe()));
-    }
-    let arrivals: Vec<Arrival> = replicas.iter().flat_map(|replica| lock(&replica.arrivals).clone()).collect();
-    let run = arrivals.iter().filter(|arrival| arrival.has_run);
-    let foreign = run.filter(|arrival| arrival.tenant.as_deref() != Some(name.as_bytes()));
-    let foreign: Vec<&Arrival> = foreign.collect();
-    for arrival in &foreign {
-        let tenant = arrival.tenant.as_deref().map(String::from_utf8_lossy);
-        record.line(&format!("{} ran with the tenant {tenant:?}", arrival.attempt));
-    }
-    record.line(&format!("{} requests ran without their tenant", foreign.len()));
-    Ok(!foreign.is_empty())
+    })
 }
 
 /// The settings file gives a longer grace period. Later the gateway is stopped.
@@ -269,7 +213,7 @@
     const GRACE_S: u64 = 16;
     let record = &case.record;
     let (store, store_address) = Store::start();
-    store.set_config(&config(1, &one_tenant()));
+    store.set_config(&config());
     // 11 s of work.
     for n in 0..2 {
         Replica::start(&format!("i-model{n}"), "atelier-modele", &store, record, streaming(55, 200));
@@ -330,7 +274,7 @@
     const SENDS: usize = 40;
     let record = &case.record;
     let (store, store_address) = Store::start();
-    store.set_config(&config(1, &one_tenant()));
+    store.set_config(&config());
     let replicas: Arc<Mutex<Vec<Arc<Replica>>>> = Arc::default();
     for n in 0..4 {
         let all = Arc::clone(&replicas);
@@ -407,7 +351,7 @@
     const MAX_ATTEMPTS: usize = 2;
     let record = &case.record;
     let (store, store_address) = Store::start();
-    store.set_config(&config(1, &one_tenant()));
+    store.set_config(&config());
     let is_slow = Arc::new(AtomicBool::new(false));
     let replicas: Vec<Arc<Replica>> = (0..REPLICAS)
         .map(|n| {
@@ -468,9 +412,7 @@
         sender.join().map_err(|_panic| "a client failed")?;
     }
     is_done.store(true, Ordering::Relaxed);
-    for lookup in lookups {
-        lookup.join().map_err(|_panic| "a client failed")?;
-    }
+    lookups.join().map_err(|_panic| "a client failed")?;
     let mut over = 0;
     for number in 0..STREAMS {
         let attempt = format!("watch-{number}");
--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -157,7 +157,6 @@
 pub struct Arrival {
     pub at_ms: u64,
     pub attempt: String,
-    pub tenant: Option<Vec<u8>>,
     /// Whether the replica ran it.
     pub has_run: bool,
 }
@@ -236,7 +235,6 @@
         lock(&self.arrivals).push(Arrival {
             at_ms: self.record.ms(),
             attempt: attempt.clone(),
-            tenant: request.raw_header("x-curranttrestle-tenant-name"),
             has_run: is_expected,
         });
         self.record.line(&format!("replica {} receives {attempt}", self.id));
--- a/review/common-3/http.rs
+++ b/review/common-3/http.rs
@@ -11,21 +11,14 @@
 pub struct Request {
     pub target: String,
     /// Names in lowercase; values as they came.
-    pub headers: Vec<(String, Vec<u8>)>,
+    pub headers: Headers,
     pub body: Vec<u8>,
 }
 
 impl Request {
     /// The value of a header as text; empty if there is none.
     pub fn header(&self, name: &str) -> String {
-        let value = self.raw_header(name).unwrap_or_default();
-        String::from_utf8_lossy(&value).into_owned()
-    }
-
-    /// The bytes of a header.
-    pub fn raw_header(&self, name: &str) -> Option<Vec<u8>> {
-        let mut headers = self.headers.iter();
-        headers.find(|(other, _)| other == name).map(|(_, value)| value.clone())
+        String::from_utf8_lossy(find(&self.headers, name).unwrap_or_default()).into_owned()
     }
 
     /// A number in the query.
