--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -176,6 +176,9 @@
         Ok(connection) => {
             guard.connected_ms.set(clock::now().steady_ms);
             record_connected(exchange, &guard.endpoint, started, clock::now());
+            if let Some(last_event_id) = last_event_id {
+                log_continued(exchange, choice, last_event_id, &connection, clock::now());
+            }
             let request = endpoint_request(exchange, &guard.endpoint, last_event_id);
             let sending = send_for_head(exchange, connection, request, &guard);
             let timeout = async {
@@ -231,6 +234,26 @@
     }
 }
 
+/// Logs at which endpoint a stream goes on, and how old the information is that led to it.
+fn log_continued(
+    exchange: &Exchange,
+    choice: &Choice,
+    last_event_id: u64,
+    connection: &Connection,
+    now: Now,
+) {
+    let gateway = &exchange.gateway;
+    let opened_ms = connection.open_since_ms();
+    log::info!(
+        "kind=stream-continued id={} endpoint={} last_event_id={last_event_id} listed_version={:?} connection_age_ms={} directory_age_ms={}",
+        exchange.hints.attempt_id,
+        choice.entry.endpoint,
+        choice.entry.software_version,
+        opened_ms.map_or(0, |opened_ms| now.since_ms(opened_ms)),
+        gateway.directory_age_ms(now)
+    );
+}
+
 /// Whether the request may be sent now. Takes a permit if the endpoint is cold, as the last check.
 fn may_send_now(exchange: &Exchange, guard: &AttemptGuard) -> bool {
     let now = clock::now();
