Streams go on only over connections whose process has their version

Callers saw events of two software versions in one stream, in one response or over the attempts of a client, when an endpoint started again in place, under its id and address, with another version.

Cause: the version of an endpoint was taken from its entry, which belongs to the process that wrote it, while the request went to whatever process accepted the connection. Entries are read with the next watch, up to 0.7 s later, and later without bound while the store is away. The class: acting on an attribute of a process that may have been replaced.

Why it works: a connection ends with its process. So what the endpoint states about its run over a new connection, or what its entry says once the connection is open, holds for everything that follows over it. The version of a stream is that of the process which sent its first event, and it goes on only over a connection whose process has it. A run that the directory does not list yet counts as a version of its own until its entry is read; an unknown run fits none. Resumption does not depend on the store where endpoints state their run.

Ruled out: the entry read anew for each stream that goes on (a store call that all gateways share, no resumption while the store is away, and the process that began the stream stays unknown); no resumption over connections younger than the entry (would cut most of them).

--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Traits and types that the adapter of a platform implements.
 
 use std::future::Future;
+use std::pin::Pin;
 
 use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationState};
 use curranttrestle::state::EndpointId;
@@ -23,6 +24,12 @@
 
     /// Reads what the endpoint's status and headers say about its response.
     fn read_response(&self, status: u16, headers: &HeaderMap) -> ResponseInfo;
+
+    /// The path at which an endpoint reports about itself.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads when the endpoint started from its report, in Unix milliseconds; `None` if it does not say.
+    fn read_start_unix_ms(&self, report: &[u8]) -> Option<u64>;
 }
 
 /// What an endpoint receives in addition to the client's own headers.
@@ -76,6 +83,13 @@
         timeout_ms: u64,
     ) -> impl Future<Output = Result<EndpointList, PlatformError>>;
 
+    /// Reads one entry of the directory with a linearizable read.
+    fn read_endpoint(
+        &self,
+        endpoint: &EndpointId,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<EndpointEntry, PlatformError>>;
+
     /// Waits up to `wait_ms` for changes of the directory after `revision`.
     fn watch_endpoints(
         &self,
@@ -99,6 +113,26 @@
     ) -> impl Future<Output = Result<EvacuationEvents, PlatformError>>;
 }
 
+/// The part of a [`Platform`] that reads single entries, as a trait object.
+pub trait EntryReader {
+    /// Reads one entry of the directory with a linearizable read.
+    fn read_entry<'a>(
+        &'a self,
+        endpoint: &'a EndpointId,
+        timeout_ms: u64,
+    ) -> Pin<Box<dyn Future<Output = Result<EndpointEntry, PlatformError>> + 'a>>;
+}
+
+impl<P: Platform> EntryReader for P {
+    fn read_entry<'a>(
+        &'a self,
+        endpoint: &'a EndpointId,
+        timeout_ms: u64,
+    ) -> Pin<Box<dyn Future<Output = Result<EndpointEntry, PlatformError>> + 'a>> {
+        Box::pin(self.read_endpoint(endpoint, timeout_ms))
+    }
+}
+
 /// Changes of the evacuated data centres.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationEvents {
--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt at an endpoint, from the chosen endpoint to the head of its response.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -9,7 +8,7 @@
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::software_version::VersionKey;
-use curranttrestle::state::gateway::RetryPolicy;
+use curranttrestle::state::gateway::EndpointEntry;
 use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
 use http_body_util::Full;
@@ -17,6 +16,7 @@
 use hyper::header;
 use hyper::{Request, Response, Uri};
 
+use super::endpoint_connection;
 use super::exchange::Exchange;
 use crate::clock;
 use crate::edge::{Announcements, ForwardInfo, ResponseInfo};
@@ -76,10 +76,10 @@
     number: u64,
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// The run of the endpoint.
-    pub run: EndpointRun,
-    /// The version of its software.
-    pub version: VersionKey,
+    /// The entry of the endpoint when it was chosen.
+    entry: EndpointEntry,
+    /// When the process that got the request started, in Unix milliseconds; `None` if it is not known.
+    started_unix_ms: Cell<Option<u64>>,
     /// When the request got its connection, by the steady clock.
     connected_ms: Cell<u64>,
     /// When the request was last allowed to be sent, by the steady clock.
@@ -102,6 +102,31 @@
         }
     }
 
+    /// The run that got the request, or the listed one if it is not known.
+    #[must_use]
+    pub fn run(&self) -> EndpointRun {
+        let started_unix_ms = self.started_unix_ms.get();
+        let started_unix_ms = started_unix_ms.unwrap_or(self.entry.started_unix_ms);
+        endpoint_run(&self.endpoint, started_unix_ms)
+    }
+
+    /// The software version of the run that got the request.
+    #[must_use]
+    pub fn version(&self) -> VersionKey {
+        match (self.started_unix_ms.get(), self.entry.started_unix_ms) {
+            (None, _) => VersionKey::UNKNOWN,
+            // Entries without a start do not distinguish runs.
+            (Some(_), 0) => VersionKey::of(&self.entry),
+            (Some(started_unix_ms), listed_unix_ms) if started_unix_ms == listed_unix_ms => {
+                VersionKey::of(&self.entry)
+            }
+            (Some(_), _) => {
+                let control = self.gateway.control.borrow();
+                control.listed_version(VersionKey::of_run(self.run()))
+            }
+        }
+    }
+
     /// When the request got its connection, by the steady clock.
     #[must_use]
     pub fn connected_ms(&self) -> u64 {
@@ -161,15 +186,15 @@
         gateway: Rc::clone(gateway),
         number,
         endpoint: choice.entry.endpoint.clone(),
-        run: endpoint_run(&choice.entry.endpoint, choice.entry.started_unix_ms),
-        version: VersionKey::of(&choice.entry),
+        entry: choice.entry.clone(),
+        started_unix_ms: Cell::new(None),
         connected_ms: Cell::new(u64::MAX),
         allowed_ms: Cell::new(u64::MAX),
     };
-    let run = guard.run;
-    let result = match connect(exchange, choice.entry.address).await {
+    let connected = endpoint_connection::connect(exchange, &choice.entry).await;
+    let result = match connected {
         // The directory and the configuration may have changed while the request waited.
-        Ok(connection) if !may_send_now(exchange, &guard) => {
+        Ok(connection) if !may_send_now(exchange, &connection, &guard) => {
             exchange.return_connection(connection);
             Err(Failure::not_sent(FailureKind::Withdrawn))
         }
@@ -200,6 +225,7 @@
             Err(Failure::not_sent(FailureKind::Unreachable))
         }
     };
+    let run = guard.run();
     let head = result
         .and_then(|(response, connection)| check_response(exchange, response, connection, guard));
     if head
@@ -254,11 +280,33 @@
     );
 }
 
-/// Whether the request may be sent now. Takes a permit if the endpoint is cold, as the last check.
-fn may_send_now(exchange: &Exchange, guard: &AttemptGuard) -> bool {
+/// Whether the request may be sent over the connection now. Takes a permit if the endpoint is cold, as
+/// the last check.
+fn may_send_now(exchange: &Exchange, connection: &Connection, guard: &AttemptGuard) -> bool {
     let now = clock::now();
     guard.allowed_ms.set(now.steady_ms);
-    exchange.may_send(&guard.endpoint, guard.run, now) && exchange.take_permit(&guard.endpoint, now)
+    guard.started_unix_ms.set(connection.peer_started_unix_ms);
+    exchange.may_send(&guard.endpoint, guard.run(), now)
+        && may_go_on(exchange, guard)
+        && exchange.take_permit(&guard.endpoint, now)
+}
+
+/// Whether the run that would get the request has the version that sent the first event of the stream.
+fn may_go_on(exchange: &Exchange, guard: &AttemptGuard) -> bool {
+    let Some(required) = exchange.required_version.get() else {
+        return true;
+    };
+    let version = guard.version();
+    let required = exchange.gateway.control.borrow().listed_version(required);
+    let may_go_on = version == required && version != VersionKey::UNKNOWN;
+    if !may_go_on {
+        log::info!(
+            "kind=stream-not-continued id={} endpoint={} version={version:?} required={required:?}",
+            exchange.hints.attempt_id,
+            guard.endpoint
+        );
+    }
+    may_go_on
 }
 
 /// Records that no connection to an endpoint could be opened.
@@ -271,31 +319,6 @@
     }
 }
 
-/// Takes a pooled connection or opens a new one.
-async fn connect(exchange: &Exchange, address: SocketAddr) -> Result<Connection, ConnectError> {
-    let options = &exchange.gateway.settings.traffic;
-    // The endpoint may close a pooled connection just as the request is sent. The request may then
-    // have run, and one that must not run twice could not be retried.
-    let max_idle_ms = match exchange.route.retry_policy {
-        RetryPolicy::AtMostOnce => 0,
-        RetryPolicy::Stream { resumable: false } => options.non_resumable_max_idle_ms,
-        RetryPolicy::Idempotent | RetryPolicy::Stream { resumable: true } => {
-            options.idle_timeout_ms
-        }
-    };
-    if max_idle_ms > 0
-        && let Some(connection) = exchange.gateway.pool.take(address, max_idle_ms)
-    {
-        return Ok(connection);
-    }
-    exchange.gateway.strain.borrow_mut().work.opened_connections += 1;
-    exchange
-        .gateway
-        .pool
-        .open(address, options.connect_timeout_ms)
-        .await
-}
-
 async fn send_for_head(
     exchange: &Exchange,
     mut connection: Connection,
@@ -314,20 +337,14 @@
         Err(SendError::NotSent(request)) => *request,
     };
     // The connection was closed before anything was sent; open a new one.
-    let address = connection.address();
     drop(connection);
     guard.return_permit();
-    let connect_timeout_ms = exchange.gateway.settings.traffic.connect_timeout_ms;
-    let opened = exchange
-        .gateway
-        .pool
-        .open(address, connect_timeout_ms)
-        .await;
+    let opened = endpoint_connection::open(exchange, &guard.entry).await;
     let mut connection = opened.map_err(|error| {
         record_connect_error(guard, &error);
         Failure::not_sent(FailureKind::Unreachable)
     })?;
-    if !may_send_now(exchange, guard) {
+    if !may_send_now(exchange, &connection, guard) {
         exchange.return_connection(connection);
         return Err(Failure::not_sent(FailureKind::Withdrawn));
     }
@@ -432,13 +449,13 @@
             .control
             .borrow_mut()
             .directory
-            .record_leaving(guard.run);
+            .record_leaving(guard.run());
         gateway.apply_directory_changes(change.as_slice(), "response");
     }
     if let Some(pause_ms) = announced.pause_ms {
         let now = clock::now();
         let mut control = gateway.control.borrow_mut();
-        if control.pauses.record_pause(guard.run, pause_ms, now) {
+        if control.pauses.record_pause(guard.run(), pause_ms, now) {
             log::info!("kind=endpoint-paused id={id} endpoint={endpoint} ms={pause_ms}");
         }
     }
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -251,7 +251,7 @@
             self.has_events = true;
             self.exchange.record_begun(now);
             if let Some(head) = &self.head {
-                self.exchange.record_version(head.guard.version, now);
+                self.exchange.record_version(head.guard.version(), now);
             }
             self.record.record_first_event(now);
         }
@@ -355,7 +355,7 @@
         };
         let from = head.guard.endpoint.clone();
         if failed == FailureKind::ConnectionLost && self.last_event_id.is_none() {
-            self.exchange.record_crash(head.guard.run, clock::now());
+            self.exchange.record_crash(head.guard.run(), clock::now());
         }
         // The connection is closed before another endpoint resumes the stream.
         drop(head);
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -424,7 +424,7 @@
     let body = match with_timeout(remaining_ms, collect).await {
         Some(Some(body)) => body,
         Some(None) => {
-            exchange.record_crash(guard.run, clock::now());
+            exchange.record_crash(guard.run(), clock::now());
             let failure = Failure::possibly_run(FailureKind::ConnectionLost);
             return Forwarded::Failed(failure, Box::new((exchange, record)));
         }
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -77,6 +77,8 @@
     /// Drives the connection; dropping it closes the socket.
     _driver: Task<()>,
     address: SocketAddr,
+    /// When the process of the peer started, in Unix milliseconds; `None` if it is not known.
+    pub peer_started_unix_ms: Option<u64>,
     /// When the connection was opened, by the steady clock.
     opened_ms: u64,
     /// When the connection was last used, by the steady clock.
@@ -129,6 +131,7 @@
             head_limit,
             _driver: driver,
             address,
+            peer_started_unix_ms: None,
             opened_ms: clock::now().steady_ms,
             last_used_ms: clock::now().steady_ms,
             keep_alive_ms: None,
@@ -165,6 +168,11 @@
         }
     }
 
+    /// Waits until another request can be sent; false if the connection is closed.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Whether another request may be sent now.
     #[must_use]
     pub fn is_usable(&self, idle_timeout_ms: u64, margin_ms: u64, now_ms: u64) -> bool {
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -18,6 +18,7 @@
 use super::route_table::RouteTable;
 use super::shares::{ShareOptions, ShareStatus, ShareTracker};
 use super::software_version::VersionKey;
+use super::stated_runs::StatedRuns;
 use super::stream_versions::{StreamVersionOptions, StreamVersions};
 use super::warmup::{ColdEndpoints, ENDPOINTS_COLD, WarmupOptions, prefer_warm};
 use crate::coordination::quarantine::QuarantineOptions;
@@ -199,6 +200,8 @@
     pub prompt_parts: PartQuarantine,
     /// The software version at which each stream began.
     pub streams: StreamVersions,
+    /// The runs that endpoints stated themselves.
+    pub stated_runs: StatedRuns,
     budgets: IndexMap<String, RetryBudget>,
     fleet_size: usize,
     last_attempt: u64,
@@ -222,6 +225,7 @@
             quarantine: RequestQuarantine::new(options.quarantine),
             prompt_parts: PartQuarantine::new(options.prompt_parts),
             streams: StreamVersions::new(options.streams),
+            stated_runs: StatedRuns::default(),
             budgets: IndexMap::new(),
             fleet_size: 1,
             last_attempt: 0,
@@ -285,17 +289,13 @@
         }
     }
 
-    /// Records the software versions in the directory.
-    pub fn observe_versions(&mut self, now: Now) {
-        self.streams.observe(self.directory.all_entries(), now);
-    }
-
     /// The service among the targets of a route that has endpoints of a software version.
     #[must_use]
     pub fn service_of_version(&self, route: &Route, version: VersionKey) -> Option<&str> {
+        let version = self.listed_version(version);
         let mut entries = self.directory.all_entries();
         let entry = entries.find(|entry| {
-            VersionKey::of(entry) == version
+            self.stated_runs.version(entry) == version
                 && route
                     .targets
                     .iter()
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -170,6 +170,12 @@
             .map(|responded_ms| now.since_ms(responded_ms))
     }
 
+    /// Whether the last call to the store succeeded.
+    #[must_use]
+    pub fn is_store_available(&self) -> bool {
+        self.failed_calls == 0
+    }
+
     /// Whether the store has responded since a call was sent, so that the failure of this call does not
     /// show that the store is unavailable now.
     #[must_use]
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -2,7 +2,6 @@
 
 use super::control::{Control, PlacementRequest};
 use super::directory::{EndpointRun, endpoint_run};
-use super::software_version::VersionKey;
 use crate::state::gateway::EndpointEntry;
 use crate::state::{EndpointId, Now};
 
@@ -45,9 +44,19 @@
         if !self.directory.accepts_requests(&entry.endpoint) {
             return Some(Ineligible::NotAccepting);
         }
+        let request = self.with_listed_version(request);
         self.ineligibility_of_accepting(entry, request, self.allowed_regions(request), now)
     }
 
+    /// The request with the version by which the directory lists the run that began the stream.
+    fn with_listed_version<'a>(&self, request: PlacementRequest<'a>) -> PlacementRequest<'a> {
+        let required = request.required_version;
+        PlacementRequest {
+            required_version: required.map(|version| self.listed_version(version)),
+            ..request
+        }
+    }
+
     fn ineligibility_of_accepting(
         &self,
         entry: &EndpointEntry,
@@ -56,7 +65,7 @@
         now: Now,
     ) -> Option<Ineligible> {
         let required = request.required_version;
-        if required.is_some_and(|version| version != VersionKey::of(entry)) {
+        if required.is_some_and(|version| version != self.stated_runs.version(entry)) {
             return Some(Ineligible::SoftwareVersion);
         }
         if !self.is_in_allowed_region(entry, allowed) {
@@ -108,6 +117,7 @@
         request: PlacementRequest<'a>,
         now: Now,
     ) -> impl Iterator<Item = (&'a EndpointEntry, Option<Ineligible>)> {
+        let request = self.with_listed_version(request);
         let allowed = self.allowed_regions(request);
         let accepting = self.directory.accepting(request.service);
         accepting.map(move |entry| {
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -24,5 +24,6 @@
 pub mod route_table;
 pub mod shares;
 pub mod software_version;
+pub mod stated_runs;
 pub mod stream_versions;
 pub mod warmup;
--- a/crates/curranttrestle/src/coordination/gateway/software_version.rs
+++ b/crates/curranttrestle/src/coordination/gateway/software_version.rs
@@ -3,13 +3,20 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::directory::EndpointRun;
 use crate::state::gateway::EndpointEntry;
 
+/// Keeps the keys of runs apart from those of entries.
+const RUN_SEED: u64 = 1;
+
 /// Compact hash of a service and a version of its software.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct VersionKey(u32);
 
 impl VersionKey {
+    /// A version that cannot be determined. Nothing fits together with it.
+    pub const UNKNOWN: Self = Self(0);
+
     /// The version of an endpoint.
     #[must_use]
     #[expect(
@@ -21,4 +28,20 @@
         let hash = xxh3_64_with_seed(entry.software_version.as_bytes(), service);
         Self(hash as u32)
     }
+
+    /// The version of a run whose entry has not been read: it may be any, so it counts as one of its own.
+    ///
+    /// ```
+    /// use curranttrestle::coordination::gateway::software_version::VersionKey;
+    /// assert_eq!(VersionKey::of_run(7), VersionKey::of_run(7));
+    /// assert_ne!(VersionKey::of_run(7), VersionKey::of_run(8));
+    /// ```
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the key is a truncated hash"
+    )]
+    pub fn of_run(run: EndpointRun) -> Self {
+        Self(xxh3_64_with_seed(&run.to_le_bytes(), RUN_SEED) as u32)
+    }
 }
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -153,8 +153,12 @@
     expiries: VecDeque<(u64, StreamKey)>,
     /// Streams that began here and that no peer was told about.
     unannounced: VecDeque<Unannounced>,
+    /// Whether a stream that began at an unknown version is among them.
+    has_unknown: bool,
     /// When each version was last seen in the directory, by the steady clock.
     seen: IndexMap<ServiceKey, IndexMap<VersionKey, u64>>,
+    /// Versions of runs that the directory does not list yet.
+    unlisted: IndexMap<ServiceKey, IndexSet<VersionKey>>,
     queries: IndexMap<StreamKey, Query>,
 }
 
@@ -167,7 +171,9 @@
             streams: IndexMap::new(),
             expiries: VecDeque::new(),
             unannounced: VecDeque::new(),
+            has_unknown: false,
             seen: IndexMap::new(),
+            unlisted: IndexMap::new(),
             queries: IndexMap::new(),
         }
     }
@@ -185,9 +191,18 @@
         });
     }
 
-    /// The only version of a service that was seen recently; `None` if there were several or none.
+    /// Replaces the versions of runs that the directory does not list yet.
+    pub fn set_unlisted(&mut self, unlisted: IndexMap<ServiceKey, IndexSet<VersionKey>>) {
+        self.unlisted = unlisted;
+    }
+
+    /// The only version of a service that was seen recently; `None` if there were several or none, or if
+    /// a run of the service is not listed yet.
     #[must_use]
     pub fn only_version(&self, service: ServiceKey, now: Now) -> Option<VersionKey> {
+        if self.unlisted.contains_key(&service) {
+            return None;
+        }
         let versions = self.seen.get(&service)?;
         let mut recent = versions
             .iter()
@@ -206,6 +221,7 @@
     ) {
         let origin = StreamOrigin { stream, version };
         self.remember(origin, now);
+        self.has_unknown |= version == VersionKey::UNKNOWN;
         self.unannounced.push_back(Unannounced {
             origin,
             service,
@@ -216,7 +232,8 @@
         }
     }
 
-    /// Returns the streams to tell peers about: those of services with several versions.
+    /// Returns the streams to tell peers about: those of services with several versions, and those that
+    /// began at an unknown version.
     pub fn take_announcements(&mut self, now: Now) -> Vec<StreamOrigin> {
         self.remove_expired(now);
         let retention_ms = self.options.retention_ms;
@@ -232,13 +249,15 @@
             .iter()
             .filter(|(_, versions)| is_mixed(versions))
             .map(|(service, _)| *service)
+            .chain(self.unlisted.keys().copied())
             .collect();
-        if mixed.is_empty() {
+        if mixed.is_empty() && !std::mem::take(&mut self.has_unknown) {
             return Vec::new();
         }
         let mut announced = Vec::new();
         self.unannounced.retain(|stream| {
-            let is_announced = mixed.contains(&stream.service);
+            let is_unknown = stream.origin.version == VersionKey::UNKNOWN;
+            let is_announced = is_unknown || mixed.contains(&stream.service);
             if is_announced {
                 announced.push(stream.origin);
             }
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod request_quarantine;
 mod route_table;
 mod shares;
+mod stated_runs;
 mod stream_versions;
 mod support;
 mod warmup;
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -125,3 +125,27 @@
         assert!(survivors.clone().all(|address| asked.contains(address)));
     }
 }
+
+#[test]
+fn stream_goes_on_at_any_version_while_a_run_of_its_service_is_not_listed() {
+    let mut versions = versions(&["1"]);
+    let unlisted = VersionKey::of_run(7);
+    versions.set_unlisted([(service(), [unlisted].into_iter().collect())].into());
+    let resumed = versions.resolve(None, service(), Some(0), at(0));
+    assert_eq!(resumed, ResumedFrom::Unknown);
+    let stream = StreamKey::of("a");
+    versions.record_begun(stream, service(), unlisted, at(0));
+    assert_eq!(versions.take_announcements(at(50)).len(), 1);
+}
+
+#[test]
+fn stream_that_began_at_an_unknown_version_is_not_announced() {
+    let mut versions = versions(&["1"]);
+    let stream = StreamKey::of("a");
+    versions.record_begun(stream, service(), VersionKey::UNKNOWN, at(0));
+    let origin = StreamOrigin {
+        stream,
+        version: VersionKey::UNKNOWN,
+    };
+    assert_eq!(versions.take_announcements(at(50)), [origin]);
+}
