A gateway that starts to read evacuations lists them if a watch would respond too late

Cause: knowledge lasts for 4.5 s, and a watch responds after 2 s. A gateway that became a reader when its knowledge was 2.5 to 3.3 s old began a watch that outlasted it. Trace: listed at 14.208 s, peers lost at 16.626 and 16.678, requests refused from 18.709 to 18.749, when the watch sent at 16.7 responded. The class: the decision to wait looks at the present age, not at the age at the end of the wait.

Ruled out: a shorter watch for all readers (more calls in each fleet).

--- a/crates/curranttrestle-gateway/src/store/evacuations.rs
+++ b/crates/curranttrestle-gateway/src/store/evacuations.rs
@@ -50,6 +50,10 @@
             sleep_ms(CHECK_INTERVAL_MS).await;
             continue;
         };
+        if !may_watch(&gateway, options) {
+            must_list = true;
+            continue;
+        }
         let started = clock::now();
         match watch(&gateway, platform.as_ref(), base, options).await {
             // A list proves more than the response with the change.
@@ -78,6 +82,14 @@
     age_ms.is_none_or(|age_ms| age_ms >= max_age_ms)
 }
 
+/// Whether a watch would respond in time. The knowledge of a gateway that has just become a reader may be
+/// too old for it.
+fn may_watch(gateway: &Gateway, options: EvacuationOptions) -> bool {
+    let control = gateway.control.borrow();
+    let age_ms = control.evacuations.age_ms(clock::now());
+    age_ms.is_some_and(|age_ms| options.may_watch(age_ms))
+}
+
 /// The state after which this gateway watches; `None` if it is no reader.
 fn state_to_watch(gateway: &Gateway) -> Option<EvacuationState> {
     let control = gateway.control.borrow();
--- a/crates/curranttrestle/src/coordination/gateway/evacuation.rs
+++ b/crates/curranttrestle/src/coordination/gateway/evacuation.rs
@@ -92,6 +92,20 @@
         wait_ms.max(MIN_WATCH_WAIT_MS)
     }
 
+    /// Whether a watch that is sent now responds before the knowledge, which is `age_ms` old, has to be
+    /// renewed.
+    ///
+    /// ```
+    /// use curranttrestle::coordination::gateway::evacuation::EvacuationOptions;
+    /// let options = EvacuationOptions::default();
+    /// assert!(options.may_watch(1_600));
+    /// assert!(!options.may_watch(1_601));
+    /// ```
+    #[must_use]
+    pub fn may_watch(&self, age_ms: u64) -> bool {
+        age_ms + self.watch_wait_ms() <= *self.age_limits_ms().end()
+    }
+
     /// The time of which the response to a watch certainly shows the state, by the steady clock. The
     /// watch was sent at `sent_ms` and waited for `wait_ms`. `is_quiet` if it waited to the end.
     #[must_use]
--- a/crates/curranttrestle/tests/gateway/evacuation.rs
+++ b/crates/curranttrestle/tests/gateway/evacuation.rs
@@ -10,6 +10,7 @@
 use curranttrestle::coordination::gateway::load_relay::{LivePeer, data_centre_key};
 use curranttrestle::coordination::gateway::warmup::WarmupOptions;
 use curranttrestle::protocol::gateway::EvacuationUpdate;
+use curranttrestle::state::Now;
 use curranttrestle::state::gateway::{EndpointEntry, RequestHints, Route, Warmup};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -43,6 +44,18 @@
     EvacuationChange::Ended(name.to_owned())
 }
 
+#[test]
+fn watch_of_a_new_reader_responds_after_its_knowledge_is_too_old() {
+    let options = EvacuationOptions::default();
+    let mut evacuations = evacuations();
+    evacuations.record_read(state(7, &[]), at(0).steady_ms);
+    let watched = (0..options.bound_ms).filter(|age_ms| options.may_watch(*age_ms));
+    let responses = watched.map(|age_ms| at(age_ms + options.watch_wait_ms()));
+    // A list that fails must fit in after the response.
+    let spare = |now: Now| now.plus_ms(options.failed_list_ms - 1);
+    assert!(responses.map(spare).all(|now| evacuations.may_be_used(now)));
+}
+
 #[test]
 fn announcement_out_of_order_does_not_bring_back_an_older_state() {
     let mut evacuations = evacuations();
