Calls to the store give up connecting after 300 ms

Cause: while an instance is cut off, each call waits 0.7 s for its connection, and then up to 0.5 s before the next one. So the first list succeeds up to 1.2 s after the link is back, and the grace of 2 s for missing entries begins only then. The class: a time limit for a response is used for the opening of a connection, too.

Connections time out after 0.3 s, as those to endpoints do.

Ruled out: a grace that begins with the last failed call would drop endpoints that are alive, since the store may have come back only after it.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -309,7 +309,7 @@
     let pool = Pool::new(executors.traffic().clone(), settings.traffic, limits);
     let pool = Rc::new(pool);
     let client_options = HttpClientOptions {
-        connect_timeout_ms: settings.store.timeout_ms,
+        connect_timeout_ms: settings.store.connect_timeout_ms,
         tcp_user_timeout_ms: settings.traffic.tcp_user_timeout_ms,
     };
     let client = HttpClient::new(executors.control().clone(), client_options);
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -196,6 +196,8 @@
     pub watch_wait_ms: u64,
     /// Timeout of a watch's response after its wait.
     pub watch_timeout_ms: u64,
+    /// Timeout for connecting. While this instance is cut off, each call waits for it.
+    pub connect_timeout_ms: u64,
     /// Timeout of other calls.
     pub timeout_ms: u64,
     /// Backoff after the first failed call; it doubles with each further failure.
@@ -218,6 +220,7 @@
             max_watch_interval_ms: 700,
             watch_wait_ms: 3_000,
             watch_timeout_ms: 400,
+            connect_timeout_ms: 300,
             timeout_ms: 700,
             min_backoff_ms: 100,
             max_backoff_ms: 500,
