Only what a process states identifies it, not an entry that is read after the connection

A process accepts connections before it has written its entry, so the order "connect, then read" proves nothing.

- A lost report is asked again over another connection.
Without an answer the listed run counts only if the store responded 3 s after the connection was opened.
Reads of single entries are gone.
- The timeout of a report respects the delay of this gateway, like the other timeouts.
- A stated run counts until a newer connection or the directory shows another one, or for 30 s.
Before, a start in the future was kept for good, and no unknown stream of the service could be resumed.
- The only version of a service is required only as long as it is the only one.

--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -1,7 +1,6 @@
 //! Traits and types that the adapter of a platform implements.
 
 use std::future::Future;
-use std::pin::Pin;
 
 use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationState};
 use curranttrestle::state::EndpointId;
@@ -83,13 +82,6 @@
         timeout_ms: u64,
     ) -> impl Future<Output = Result<EndpointList, PlatformError>>;
 
-    /// Reads one entry of the directory with a linearizable read.
-    fn read_endpoint(
-        &self,
-        endpoint: &EndpointId,
-        timeout_ms: u64,
-    ) -> impl Future<Output = Result<EndpointEntry, PlatformError>>;
-
     /// Waits up to `wait_ms` for changes of the directory after `revision`.
     fn watch_endpoints(
         &self,
@@ -113,26 +105,6 @@
     ) -> impl Future<Output = Result<EvacuationEvents, PlatformError>>;
 }
 
-/// The part of a [`Platform`] that reads single entries, as a trait object.
-pub trait EntryReader {
-    /// Reads one entry of the directory with a linearizable read.
-    fn read_entry<'a>(
-        &'a self,
-        endpoint: &'a EndpointId,
-        timeout_ms: u64,
-    ) -> Pin<Box<dyn Future<Output = Result<EndpointEntry, PlatformError>> + 'a>>;
-}
-
-impl<P: Platform> EntryReader for P {
-    fn read_entry<'a>(
-        &'a self,
-        endpoint: &'a EndpointId,
-        timeout_ms: u64,
-    ) -> Pin<Box<dyn Future<Output = Result<EndpointEntry, PlatformError>> + 'a>> {
-        Box::pin(self.read_endpoint(endpoint, timeout_ms))
-    }
-}
-
 /// Changes of the evacuated data centres.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationEvents {
--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -8,6 +8,7 @@
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::software_version::VersionKey;
+use curranttrestle::coordination::gateway::stream_versions::ServiceKey;
 use curranttrestle::state::gateway::EndpointEntry;
 use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
@@ -102,27 +103,26 @@
         }
     }
 
-    /// The run that got the request, or the listed one if it is not known.
+    /// The run that got the request, as far as it is known.
     #[must_use]
     pub fn run(&self) -> EndpointRun {
-        let started_unix_ms = self.started_unix_ms.get();
-        let started_unix_ms = started_unix_ms.unwrap_or(self.entry.started_unix_ms);
-        endpoint_run(&self.endpoint, started_unix_ms)
+        match self.started_unix_ms.get() {
+            Some(started_unix_ms) => endpoint_run(&self.endpoint, started_unix_ms),
+            None => self.gateway.control.borrow().stated_runs.run(&self.entry),
+        }
     }
 
     /// The software version of the run that got the request.
     #[must_use]
     pub fn version(&self) -> VersionKey {
-        match (self.started_unix_ms.get(), self.entry.started_unix_ms) {
-            (None, _) => VersionKey::UNKNOWN,
-            // Entries without a start do not distinguish runs.
-            (Some(_), 0) => VersionKey::of(&self.entry),
-            (Some(started_unix_ms), listed_unix_ms) if started_unix_ms == listed_unix_ms => {
+        match self.started_unix_ms.get() {
+            None => VersionKey::UNKNOWN,
+            Some(started_unix_ms) if started_unix_ms == self.entry.started_unix_ms => {
                 VersionKey::of(&self.entry)
             }
-            (Some(_), _) => {
-                let control = self.gateway.control.borrow();
-                control.listed_version(VersionKey::of_run(self.run()))
+            Some(_) => {
+                let version = VersionKey::of_unlisted_run(self.run());
+                self.gateway.control.borrow().listed_version(version)
             }
         }
     }
@@ -285,7 +285,9 @@
 fn may_send_now(exchange: &Exchange, connection: &Connection, guard: &AttemptGuard) -> bool {
     let now = clock::now();
     guard.allowed_ms.set(now.steady_ms);
-    guard.started_unix_ms.set(connection.peer_started_unix_ms);
+    guard
+        .started_unix_ms
+        .set(connection.process_started_unix_ms);
     exchange.may_send(&guard.endpoint, guard.run(), now)
         && may_go_on(exchange, guard)
         && exchange.take_permit(&guard.endpoint, now)
@@ -297,8 +299,19 @@
         return true;
     };
     let version = guard.version();
-    let required = exchange.gateway.control.borrow().listed_version(required);
-    let may_go_on = version == required && version != VersionKey::UNKNOWN;
+    let control = exchange.gateway.control.borrow();
+    let required = control.listed_version(required);
+    // A second version may have been found since the only one was required.
+    let is_still_only = || {
+        let only = control
+            .streams
+            .only_version(ServiceKey::of(&exchange.service), clock::now());
+        only == Some(required)
+    };
+    let may_go_on = version == required
+        && version != VersionKey::UNKNOWN
+        && (!exchange.requires_only_version.get() || is_still_only());
+    drop(control);
     if !may_go_on {
         log::info!(
             "kind=stream-not-continued id={} endpoint={} version={version:?} required={required:?}",
@@ -443,19 +456,15 @@
 /// that it wants none for a time.
 fn record_announcements(exchange: &Exchange, announced: Announcements, guard: &AttemptGuard) {
     let gateway = &exchange.gateway;
-    let (id, endpoint) = (&exchange.hints.attempt_id, &guard.endpoint);
+    let (id, endpoint, run) = (&exchange.hints.attempt_id, &guard.endpoint, guard.run());
     if announced.is_leaving {
-        let change = gateway
-            .control
-            .borrow_mut()
-            .directory
-            .record_leaving(guard.run());
+        let change = gateway.control.borrow_mut().directory.record_leaving(run);
         gateway.apply_directory_changes(change.as_slice(), "response");
     }
     if let Some(pause_ms) = announced.pause_ms {
         let now = clock::now();
         let mut control = gateway.control.borrow_mut();
-        if control.pauses.record_pause(guard.run(), pause_ms, now) {
+        if control.pauses.record_pause(run, pause_ms, now) {
             log::info!("kind=endpoint-paused id={id} endpoint={endpoint} ms={pause_ms}");
         }
     }
--- a/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
+++ b/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
@@ -1,42 +1,47 @@
 //! Connections to endpoints, with the run of the process at the other end.
 //!
-//! An endpoint may start again in place before its new entry is read, so its address alone does not tell
-//! which process responds. A connection ends with its process. What the endpoint states over it, or what
-//! its entry says after it was opened, therefore holds for the whole connection.
-
-use std::rc::Rc;
+//! An endpoint may start again in place before its new entry is read, so its address alone does not show
+//! which process responds. A connection ends with its process. What the endpoint states over it therefore
+//! holds for the whole connection. The entry describes the process only if it was read so long after the
+//! connection was opened that a later process would have written its own.
 
 use bytes::Bytes;
 use curranttrestle::state::gateway::{EndpointEntry, RetryPolicy};
+use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Uri};
 
 use super::exchange::Exchange;
 use crate::clock;
+use crate::edge::ForwardInfo;
 use crate::gateway::Gateway;
-use crate::timer::with_timeout;
 use crate::upstream::{ConnectError, Connection};
 
-/// How long an endpoint may take to state its run, and the store to return an entry. A longer wait would
-/// delay the stream more than a retry does.
-const MAX_WAIT_MS: u64 = 150;
+/// How long an endpoint may take to state its run. A longer wait would delay the stream more than a retry
+/// does.
+const REPORT_TIMEOUT_MS: u64 = 150;
+
+/// How many connections are opened at most to ask for the run.
+const MAX_REPORTS: usize = 2;
 
 /// The longest report of an endpoint that is read.
 const MAX_REPORT_BYTES: usize = 65_536;
 
-/// The answer of an endpoint to the question for its run.
+/// The response of an endpoint to the question for its run.
 enum Report {
     /// The endpoint started at this Unix millisecond.
     Started(u64),
-    /// It does not state it. The connection can be used.
+    /// It does not state its start. The connection can be used.
     NotStated,
-    /// No complete response. The connection cannot be used.
-    Failed,
+    /// The connection was lost, or the endpoint closes it. It may have stated its start before.
+    Closed(Option<u64>),
+    /// No response in time. The connection cannot be used.
+    TimedOut,
 }
 
 /// Takes a pooled connection or opens a new one. For a stream that may go on elsewhere, also determines
-/// the run of the peer, if possible.
+/// the run of the process at the other end, if possible.
 ///
 /// # Errors
 ///
@@ -59,7 +64,7 @@
     if max_idle_ms > 0
         && let Some(connection) = gateway.pool.take(entry.address, max_idle_ms)
     {
-        return identify_peer(exchange, entry, connection).await;
+        return identify_process(exchange, entry, connection).await;
     }
     open(exchange, entry).await
 }
@@ -71,7 +76,7 @@
 /// [`ConnectError`]; nothing of the request was sent.
 pub async fn open(exchange: &Exchange, entry: &EndpointEntry) -> Result<Connection, ConnectError> {
     let connection = open_unidentified(&exchange.gateway, entry).await?;
-    identify_peer(exchange, entry, connection).await
+    identify_process(exchange, entry, connection).await
 }
 
 async fn open_unidentified(
@@ -83,9 +88,9 @@
     gateway.pool.open(entry.address, connect_timeout_ms).await
 }
 
-/// Determines the run of the peer if the exchange needs it and the connection does not have it yet. An
-/// endpoint that does not state its run is looked up in the directory.
-async fn identify_peer(
+/// Determines the run of the process if the exchange needs it and the connection does not have it yet.
+/// Opens another connection if the endpoint closes this one or does not respond.
+async fn identify_process(
     exchange: &Exchange,
     entry: &EndpointEntry,
     mut connection: Connection,
@@ -94,96 +99,113 @@
         exchange.route.retry_policy,
         RetryPolicy::Stream { resumable: true }
     );
-    if !is_needed || connection.peer_started_unix_ms.is_some() {
+    if !is_needed || connection.process_started_unix_ms.is_some() {
         return Ok(connection);
     }
     let gateway = &exchange.gateway;
-    let asked = clock::now();
-    let is_silent = gateway.control.borrow().stated_runs.is_silent(entry, asked);
-    if !is_silent {
-        let report = with_timeout(MAX_WAIT_MS, read_report(gateway, &mut connection)).await;
-        match report.unwrap_or(Report::Failed) {
-            Report::Started(started_unix_ms) => {
-                set_start(gateway, entry, &mut connection, started_unix_ms);
-                return Ok(connection);
+    if asks_for_run(gateway, entry) {
+        for _ in 0..MAX_REPORTS {
+            match ask_for_run(exchange, entry, &mut connection).await {
+                Report::Started(started_unix_ms) => {
+                    record_start(gateway, entry, started_unix_ms);
+                    connection.process_started_unix_ms = Some(started_unix_ms);
+                    return Ok(connection);
+                }
+                Report::NotStated => break,
+                Report::Closed(started_unix_ms) => {
+                    if let Some(started_unix_ms) = started_unix_ms {
+                        record_start(gateway, entry, started_unix_ms);
+                    }
+                    connection = open_unidentified(gateway, entry).await?;
+                }
+                Report::TimedOut => {
+                    connection = open_unidentified(gateway, entry).await?;
+                    break;
+                }
             }
-            Report::NotStated => {}
-            Report::Failed => connection = open_unidentified(gateway, entry).await?,
         }
-        let now = clock::now();
         let mut control = gateway.control.borrow_mut();
-        control.stated_runs.record_silence(entry, now);
-        drop(control);
-        log::info!(
-            "kind=endpoint-run-not-stated endpoint={} ms={}",
-            entry.endpoint,
-            now.since_ms(asked.steady_ms)
-        );
-    }
-    if let Some(started_unix_ms) = read_start_in_directory(gateway, entry).await {
-        set_start(gateway, entry, &mut connection, started_unix_ms);
+        control
+            .stated_runs
+            .record_unanswered_report(entry, clock::now());
+        log::info!("kind=endpoint-run-not-stated endpoint={}", entry.endpoint);
     }
+    connection.process_started_unix_ms = confirmed_start_unix_ms(gateway, entry, &connection);
     Ok(connection)
 }
 
-/// Asks an endpoint for its run.
-async fn read_report(gateway: &Gateway, connection: &mut Connection) -> Report {
+/// Whether an endpoint is asked for its run now. Entries without a start do not distinguish runs.
+fn asks_for_run(gateway: &Gateway, entry: &EndpointEntry) -> bool {
+    let control = gateway.control.borrow();
+    entry.started_unix_ms > 0 && !control.stated_runs.skips_report(entry, clock::now())
+}
+
+/// Asks an endpoint for its run. A response that has arrived may still wait for its turn in this gateway.
+async fn ask_for_run(
+    exchange: &Exchange,
+    entry: &EndpointEntry,
+    connection: &mut Connection,
+) -> Report {
+    let due_ms = clock::now().steady_ms + REPORT_TIMEOUT_MS;
+    let timeout = async {
+        exchange.wait_for_timeout(due_ms).await;
+        Report::TimedOut
+    };
+    let reading = read_report(&exchange.gateway, entry, connection);
+    reading.or(timeout).await
+}
+
+async fn read_report(
+    gateway: &Gateway,
+    entry: &EndpointEntry,
+    connection: &mut Connection,
+) -> Report {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(gateway.dialect.report_path());
-    match HeaderValue::from_str(&connection.address().to_string()) {
-        Ok(host) => request.headers_mut().insert(header::HOST, host),
-        Err(_) => return Report::NotStated,
+    let info = ForwardInfo {
+        endpoint: &entry.endpoint,
+        remaining_ms: REPORT_TIMEOUT_MS,
+        customer: None,
+        last_event_id: None,
     };
+    let headers = request.headers_mut();
+    let Ok(host) = HeaderValue::from_str(&connection.address().to_string()) else {
+        return Report::NotStated;
+    };
+    headers.insert(header::HOST, host);
+    gateway.dialect.set_endpoint_headers(headers, &info);
     let Ok(response) = connection.send(request).await else {
-        return Report::Failed;
+        return Report::Closed(None);
     };
     let is_success = response.status().is_success();
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
     let Ok(body) = body.collect().await else {
-        return Report::Failed;
+        return Report::Closed(None);
     };
-    if connection.will_close() || !connection.ready().await {
-        return Report::Failed;
-    }
     let started_unix_ms = gateway.dialect.read_start_unix_ms(&body.to_bytes());
-    match started_unix_ms.filter(|_| is_success) {
-        Some(started_unix_ms) => Report::Started(started_unix_ms),
-        None => Report::NotStated,
-    }
-}
-
-/// Reads the start of an endpoint in its entry in the store; `None` if it cannot be read in time.
-async fn read_start_in_directory(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> Option<u64> {
-    let is_available = gateway.control.borrow().directory.is_store_available();
-    let may_read = is_available && gateway.entry_read_limit.borrow_mut().allows(clock::now());
-    if !may_read {
-        return None;
-    }
-    let calls = &gateway.metrics.store_calls;
-    calls.with_label_values(&["directory-entry"]).inc();
-    let reading = gateway.entries.read_entry(&entry.endpoint, MAX_WAIT_MS);
-    match reading.await {
-        Ok(read) => Some(read.started_unix_ms),
-        Err(error) => {
-            let failures = &gateway.metrics.store_failures;
-            failures.with_label_values(&["directory-entry"]).inc();
-            log::warn!(
-                "kind=entry-not-read endpoint={} error={:?}",
-                entry.endpoint,
-                error.to_string()
-            );
-            None
-        }
+    let started_unix_ms = started_unix_ms.filter(|_| is_success);
+    if connection.will_close() || !connection.ready().await {
+        return Report::Closed(started_unix_ms);
     }
+    started_unix_ms.map_or(Report::NotStated, Report::Started)
 }
 
-fn set_start(
+/// The start of the listed run if the directory shows that it is at the other end of the connection.
+fn confirmed_start_unix_ms(
     gateway: &Gateway,
     entry: &EndpointEntry,
-    connection: &mut Connection,
-    started_unix_ms: u64,
-) {
-    connection.peer_started_unix_ms = Some(started_unix_ms);
+    connection: &Connection,
+) -> Option<u64> {
+    let opened_ms = connection.open_since_ms()?;
+    let control = gateway.control.borrow();
+    let listed = control.directory.entry(&entry.endpoint)?;
+    let is_confirmed = listed.address == connection.address()
+        && control.stated_runs.unlisted_run(listed).is_none()
+        && control.directory.confirms_connection(opened_ms);
+    is_confirmed.then_some(listed.started_unix_ms)
+}
+
+fn record_start(gateway: &Gateway, entry: &EndpointEntry, started_unix_ms: u64) {
     let now = clock::now();
     let mut control = gateway.control.borrow_mut();
     if control.record_stated_start(&entry.endpoint, started_unix_ms, now) {
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -64,6 +64,8 @@
     pub has_retry_token: Cell<bool>,
     /// The software version that sent the first event of the stream; `None` before that.
     pub required_version: Cell<Option<VersionKey>>,
+    /// Whether that version is required only because the service had no other one.
+    pub requires_only_version: Cell<bool>,
     /// Whether the client resumes a stream of which it is known where it began.
     pub continues_known_stream: bool,
     /// Endpoints that failed the request.
@@ -241,6 +243,11 @@
             return;
         }
         self.required_version.set(Some(version));
+        self.requires_only_version.set(false);
+        if !self.route.retry_policy.is_stream() {
+            // No client resumes the response.
+            return;
+        }
         let began_with = match self.hints.last_event_id {
             Some(_) => self.hints.resumed_attempt_id.as_deref(),
             None => Some(self.hints.attempt_id.as_str()),
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -133,6 +133,7 @@
         sends: Cell::new(0),
         has_retry_token: Cell::new(false),
         required_version: Cell::new(None),
+        requires_only_version: Cell::new(false),
         continues_known_stream: false,
         excluded: Vec::new(),
         memory: [body_memory, request_memory],
--- a/crates/curranttrestle-gateway/src/front/resumption.rs
+++ b/crates/curranttrestle-gateway/src/front/resumption.rs
@@ -56,6 +56,7 @@
         }
         ResumedFrom::OnlyVersion(version) => {
             exchange.required_version.set(Some(version));
+            exchange.requires_only_version.set(true);
             Ok(())
         }
         ResumedFrom::Unknown => Err(UNKNOWN_VERSION),
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::client_limits::ClientLimits;
 use crate::clock;
 use crate::connections::{ConnectionLimit, max_idle_by_descriptors};
-use crate::edge::{Dialect, EntryReader, Platform};
+use crate::edge::{Dialect, Platform};
 use crate::executor::{Executors, block_on};
 use crate::front;
 use crate::front::body::ReceivingBodies;
@@ -41,9 +41,6 @@
 /// Interval for checking whether the settings have changed.
 const SETTINGS_INTERVAL_MS: u64 = 500;
 
-/// Reads of single entries of the directory per second. All gateways share the store.
-const MAX_ENTRY_READS_PER_S: u64 = 5;
-
 /// Interval for recording the software versions in the directory.
 const VERSION_INTERVAL_MS: u64 = 1_000;
 
@@ -114,10 +111,6 @@
     pub settings: GatewaySettings,
     /// The header conventions of the platform.
     pub dialect: Rc<dyn Dialect>,
-    /// Reads single entries of the directory.
-    pub entries: Rc<dyn EntryReader>,
-    /// Limits the rate of these reads.
-    pub entry_read_limit: RefCell<EventRateLimiter>,
     /// State and decisions of the coordination layer.
     pub control: RefCell<Control>,
     /// Connections to endpoints.
@@ -324,8 +317,6 @@
         metrics: Metrics::new()?,
         pool,
         dialect,
-        entries: Rc::clone(&platform) as Rc<dyn EntryReader>,
-        entry_read_limit: RefCell::new(EventRateLimiter::new(MAX_ENTRY_READS_PER_S)),
         log_lines,
         refusal_log_limit: RefCell::new(EventRateLimiter::new(settings.logged_refusals_per_s)),
         newer_config: Notify::default(),
--- a/crates/curranttrestle-gateway/src/upstream/connection.rs
+++ b/crates/curranttrestle-gateway/src/upstream/connection.rs
@@ -77,8 +77,8 @@
     /// Drives the connection; dropping it closes the socket.
     _driver: Task<()>,
     address: SocketAddr,
-    /// When the process of the peer started, in Unix milliseconds; `None` if it is not known.
-    pub peer_started_unix_ms: Option<u64>,
+    /// When the process at the other end started, in Unix milliseconds; `None` if it is not known.
+    pub process_started_unix_ms: Option<u64>,
     /// When the connection was opened, by the steady clock.
     opened_ms: u64,
     /// When the connection was last used, by the steady clock.
@@ -131,7 +131,7 @@
             head_limit,
             _driver: driver,
             address,
-            peer_started_unix_ms: None,
+            process_started_unix_ms: None,
             opened_ms: clock::now().steady_ms,
             last_used_ms: clock::now().steady_ms,
             keep_alive_ms: None,
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -44,12 +44,17 @@
     /// Grace period after the store recovers in which a missing entry stays in use. Endpoints
     /// write their entries again within about two seconds.
     pub lapse_grace_ms: u64,
+    /// How long it may take from the moment at which an endpoint accepts connections until a gateway has
+    /// read its entry, if the store responds: endpoints write it within two seconds, and the store may
+    /// report a change a second late.
+    pub entry_delay_ms: u64,
 }
 
 impl Default for DirectoryOptions {
     fn default() -> Self {
         Self {
             lapse_grace_ms: 2_000,
+            entry_delay_ms: 3_000,
         }
     }
 }
@@ -170,10 +175,20 @@
             .map(|responded_ms| now.since_ms(responded_ms))
     }
 
-    /// Whether the last call to the store succeeded.
+    /// Whether the entry of an endpoint describes the process at the other end of a connection that was
+    /// opened at `opened_ms` of the steady clock: the store responded so long after that that a later
+    /// process would have written its entry.
     #[must_use]
-    pub fn is_store_available(&self) -> bool {
-        self.failed_calls == 0
+    pub fn confirms_connection(&self, opened_ms: u64) -> bool {
+        self.responded_ms.is_some_and(|responded_ms| {
+            responded_ms.saturating_sub(opened_ms) >= self.options.entry_delay_ms
+        })
+    }
+
+    /// Whether a run was announced as leaving.
+    #[must_use]
+    pub fn is_leaving(&self, run: EndpointRun) -> bool {
+        self.leaving_runs.contains_key(&run)
     }
 
     /// Whether the store has responded since a call was sent, so that the failure of this call does not
--- a/crates/curranttrestle/src/coordination/gateway/eligibility.rs
+++ b/crates/curranttrestle/src/coordination/gateway/eligibility.rs
@@ -1,7 +1,7 @@
 //! Whether an endpoint may be sent a request, at its placement and right before it is sent.
 
 use super::control::{Control, PlacementRequest};
-use super::directory::{EndpointRun, endpoint_run};
+use super::directory::EndpointRun;
 use crate::state::gateway::EndpointEntry;
 use crate::state::{EndpointId, Now};
 
@@ -64,6 +64,10 @@
         allowed: AllowedRegions<'_>,
         now: Now,
     ) -> Option<Ineligible> {
+        let unlisted_run = self.stated_runs.unlisted_run(entry);
+        if unlisted_run.is_some_and(|run| self.directory.is_leaving(run)) {
+            return Some(Ineligible::NotAccepting);
+        }
         let required = request.required_version;
         if required.is_some_and(|version| version != self.stated_runs.version(entry)) {
             return Some(Ineligible::SoftwareVersion);
@@ -81,7 +85,7 @@
         if self.pauses.is_empty() {
             return None;
         }
-        let pause_ms = self.pauses.left_ms(run_of(entry), now);
+        let pause_ms = self.pauses.left_ms(self.stated_runs.run(entry), now);
         pause_ms.map(|left_ms| Ineligible::Paused { left_ms })
     }
 
@@ -222,7 +226,3 @@
                 .any(|entry| entry.data_centre == name)
     }
 }
-
-fn run_of(entry: &EndpointEntry) -> EndpointRun {
-    endpoint_run(&entry.endpoint, entry.started_unix_ms)
-}
--- a/crates/curranttrestle/src/coordination/gateway/software_version.rs
+++ b/crates/curranttrestle/src/coordination/gateway/software_version.rs
@@ -33,15 +33,15 @@
     ///
     /// ```
     /// use curranttrestle::coordination::gateway::software_version::VersionKey;
-    /// assert_eq!(VersionKey::of_run(7), VersionKey::of_run(7));
-    /// assert_ne!(VersionKey::of_run(7), VersionKey::of_run(8));
+    /// assert_eq!(VersionKey::of_unlisted_run(7), VersionKey::of_unlisted_run(7));
+    /// assert_ne!(VersionKey::of_unlisted_run(7), VersionKey::of_unlisted_run(8));
     /// ```
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         reason = "the key is a truncated hash"
     )]
-    pub fn of_run(run: EndpointRun) -> Self {
+    pub fn of_unlisted_run(run: EndpointRun) -> Self {
         Self(xxh3_64_with_seed(&run.to_le_bytes(), RUN_SEED) as u32)
     }
 }
--- a/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
@@ -13,25 +13,39 @@
 use crate::state::gateway::EndpointEntry;
 use crate::state::{EndpointId, Now};
 
-/// How long an endpoint that did not state its run is not asked again.
-const SILENCE_MS: u64 = 10_000;
+/// How long an endpoint whose report did not state its run is not asked again.
+const REPORT_BACKOFF_MS: u64 = 10_000;
+
+/// How long a stated run counts that the directory does not list and that is not stated again.
+const RETENTION_MS: u64 = 30_000;
+
+/// A run that an endpoint stated and that the directory did not list then.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+struct UnlistedRun {
+    started_unix_ms: u64,
+    /// The start of the run that was listed when it was stated.
+    listed_unix_ms: u64,
+    /// When it was last stated, by the steady clock.
+    stated_ms: u64,
+}
 
 /// What endpoints stated about their runs that the directory does not show yet.
 #[derive(Clone, Debug, Default)]
 pub struct StatedRuns {
-    /// Starts that are later than the listed ones, in Unix milliseconds.
-    later_starts_unix_ms: IndexMap<EndpointId, u64>,
-    /// Listed runs that did not state themselves, and until when they are not asked again, by the steady
-    /// clock.
-    silent: IndexMap<EndpointRun, u64>,
+    unlisted: IndexMap<EndpointId, UnlistedRun>,
+    /// Listed runs whose report did not state the run, and until when they are not asked again, by the
+    /// steady clock.
+    unanswered_until_ms: IndexMap<EndpointRun, u64>,
 }
 
 impl StatedRuns {
-    /// Records when an endpoint started, as it states itself, in Unix milliseconds. Returns whether the
-    /// start is later than the listed one and all that were stated before.
+    /// Records when an endpoint started, as it states itself over its newest connection. Returns whether
+    /// that is another run than the listed one and was not stated before.
     ///
     /// ```
     /// use curranttrestle::coordination::gateway::stated_runs::StatedRuns;
+    /// use curranttrestle::state::Now;
     /// use curranttrestle::state::gateway::{EndpointEntry, EntryState};
     /// let entry = EndpointEntry {
     ///     endpoint: "m1".into(),
@@ -45,65 +59,82 @@
     ///     warmup_left_ms: 0,
     /// };
     /// let mut runs = StatedRuns::default();
-    /// assert!(!runs.record_start(&entry, 5));
-    /// assert!(runs.record_start(&entry, 6));
+    /// assert!(!runs.record_start(&entry, 5, Now::default()));
+    /// assert!(runs.record_start(&entry, 6, Now::default()));
     /// assert!(runs.unlisted_run(&entry).is_some());
     /// ```
-    pub fn record_start(&mut self, entry: &EndpointEntry, started_unix_ms: u64) -> bool {
-        let stated = self.later_starts_unix_ms.get(&entry.endpoint);
-        let known_unix_ms = stated.map_or(entry.started_unix_ms, |stated_unix_ms| {
-            entry.started_unix_ms.max(*stated_unix_ms)
-        });
-        // Entries without a start do not distinguish runs.
-        let is_later = entry.started_unix_ms > 0 && started_unix_ms > known_unix_ms;
-        if is_later {
-            let endpoint = entry.endpoint.clone();
-            self.later_starts_unix_ms.insert(endpoint, started_unix_ms);
+    pub fn record_start(&mut self, entry: &EndpointEntry, started_unix_ms: u64, now: Now) -> bool {
+        if started_unix_ms == entry.started_unix_ms {
+            self.unlisted.swap_remove(&entry.endpoint);
+            return false;
         }
-        is_later
+        let run = UnlistedRun {
+            started_unix_ms,
+            listed_unix_ms: entry.started_unix_ms,
+            stated_ms: now.steady_ms,
+        };
+        let before = self.unlisted.insert(entry.endpoint.clone(), run);
+        before.is_none_or(|before| before.started_unix_ms != started_unix_ms)
     }
 
-    /// Records that an endpoint did not state its run when it was asked.
-    pub fn record_silence(&mut self, entry: &EndpointEntry, now: Now) {
-        self.silent
-            .insert(run_of(entry), now.steady_ms + SILENCE_MS);
+    /// Records that the report of an endpoint did not state its run.
+    pub fn record_unanswered_report(&mut self, entry: &EndpointEntry, now: Now) {
+        let until_ms = now.steady_ms + REPORT_BACKOFF_MS;
+        self.unanswered_until_ms.insert(listed_run(entry), until_ms);
     }
 
-    /// Whether an endpoint did not state its run recently and need not be asked again.
+    /// Whether an endpoint is not to be asked for its run now, since its last report did not state it.
     #[must_use]
-    pub fn is_silent(&self, entry: &EndpointEntry, now: Now) -> bool {
-        let until_ms = self.silent.get(&run_of(entry));
+    pub fn skips_report(&self, entry: &EndpointEntry, now: Now) -> bool {
+        let until_ms = self.unanswered_until_ms.get(&listed_run(entry));
         until_ms.is_some_and(|until_ms| *until_ms > now.steady_ms)
     }
 
-    /// The present run of an endpoint if it started later than the listed one.
+    /// The present run of an endpoint if it is not the listed one.
     #[must_use]
     pub fn unlisted_run(&self, entry: &EndpointEntry) -> Option<EndpointRun> {
-        let started_unix_ms = *self.later_starts_unix_ms.get(&entry.endpoint)?;
-        (started_unix_ms > entry.started_unix_ms)
-            .then(|| endpoint_run(&entry.endpoint, started_unix_ms))
+        let unlisted = self.unlisted.get(&entry.endpoint)?;
+        unlisted
+            .is_current(entry)
+            .then(|| endpoint_run(&entry.endpoint, unlisted.started_unix_ms))
+    }
+
+    /// The present run of an endpoint, as far as it is known.
+    #[must_use]
+    pub fn run(&self, entry: &EndpointEntry) -> EndpointRun {
+        self.unlisted_run(entry)
+            .unwrap_or_else(|| listed_run(entry))
     }
 
     /// The version of the present run of an endpoint, as far as it is known.
     #[must_use]
     pub fn version(&self, entry: &EndpointEntry) -> VersionKey {
         let unlisted = self.unlisted_run(entry);
-        unlisted.map_or_else(|| VersionKey::of(entry), VersionKey::of_run)
+        unlisted.map_or_else(|| VersionKey::of(entry), VersionKey::of_unlisted_run)
     }
 
-    /// Removes what the directory shows by now, endpoints that it no longer lists, and past silences.
+    /// Removes what the directory shows by now, and what has not been stated for long.
     fn remove_outdated(&mut self, directory: &Directory, now: Now) {
-        self.later_starts_unix_ms.retain(|endpoint, start_unix_ms| {
+        self.unlisted.retain(|endpoint, run| {
             let entry = directory.entry(endpoint);
-            entry.is_some_and(|entry| entry.started_unix_ms < *start_unix_ms)
+            entry.is_some_and(|entry| run.is_current(entry))
+                && now.since_ms(run.stated_ms) < RETENTION_MS
         });
-        self.silent.retain(|_, until_ms| *until_ms > now.steady_ms);
+        self.unanswered_until_ms
+            .retain(|_, until_ms| *until_ms > now.steady_ms);
+    }
+}
+
+impl UnlistedRun {
+    /// Whether the directory still lists the run that it listed when this one was stated.
+    fn is_current(&self, entry: &EndpointEntry) -> bool {
+        self.listed_unix_ms == entry.started_unix_ms
     }
 }
 
 impl Control {
-    /// Records when an endpoint started, as it states itself, in Unix milliseconds. Returns whether that
-    /// is a run which is not listed yet and was not stated before.
+    /// Records when an endpoint started, as it states itself over its newest connection. Returns whether
+    /// that is another run than the listed one and was not stated before.
     pub fn record_stated_start(
         &mut self,
         endpoint: &EndpointId,
@@ -112,7 +143,7 @@
     ) -> bool {
         let entry = self.directory.entry(endpoint);
         let is_new =
-            entry.is_some_and(|entry| self.stated_runs.record_start(entry, started_unix_ms));
+            entry.is_some_and(|entry| self.stated_runs.record_start(entry, started_unix_ms, now));
         if is_new {
             self.observe_versions(now);
         }
@@ -122,27 +153,26 @@
     /// Records the software versions in the directory, and which services have unlisted runs.
     pub fn observe_versions(&mut self, now: Now) {
         self.stated_runs.remove_outdated(&self.directory, now);
-        let mut unlisted: IndexMap<ServiceKey, IndexSet<VersionKey>> = IndexMap::new();
-        for endpoint in self.stated_runs.later_starts_unix_ms.keys() {
-            if let Some(entry) = self.directory.entry(endpoint) {
-                let versions = unlisted.entry(ServiceKey::of(&entry.service)).or_default();
-                versions.insert(self.stated_runs.version(entry));
-            }
-        }
-        self.streams.set_unlisted(unlisted);
+        let endpoints = self.stated_runs.unlisted.keys();
+        let entries = endpoints.filter_map(|endpoint| self.directory.entry(endpoint));
+        let services: IndexSet<ServiceKey> = entries
+            .map(|entry| ServiceKey::of(&entry.service))
+            .collect();
+        self.streams.set_services_with_unlisted_runs(services);
         self.streams.observe(self.directory.all_entries(), now);
     }
 
-    /// The version by which the directory lists a run that was not listed before, and `version` itself
-    /// if it is none of an unlisted run.
+    /// Replaces the key of an unlisted run by its software version once the directory lists that run.
+    /// Other keys are returned unchanged.
     #[must_use]
     pub fn listed_version(&self, version: VersionKey) -> VersionKey {
         let mut entries = self.directory.all_entries();
-        let listed = entries.find(|entry| VersionKey::of_run(run_of(entry)) == version);
+        let listed =
+            entries.find(|entry| VersionKey::of_unlisted_run(listed_run(entry)) == version);
         listed.map_or(version, VersionKey::of)
     }
 }
 
-fn run_of(entry: &EndpointEntry) -> EndpointRun {
+fn listed_run(entry: &EndpointEntry) -> EndpointRun {
     endpoint_run(&entry.endpoint, entry.started_unix_ms)
 }
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -157,8 +157,8 @@
     has_unknown: bool,
     /// When each version was last seen in the directory, by the steady clock.
     seen: IndexMap<ServiceKey, IndexMap<VersionKey, u64>>,
-    /// Versions of runs that the directory does not list yet.
-    unlisted: IndexMap<ServiceKey, IndexSet<VersionKey>>,
+    /// Services of which a run is not listed in the directory yet.
+    services_with_unlisted_runs: IndexSet<ServiceKey>,
     queries: IndexMap<StreamKey, Query>,
 }
 
@@ -173,7 +173,7 @@
             unannounced: VecDeque::new(),
             has_unknown: false,
             seen: IndexMap::new(),
-            unlisted: IndexMap::new(),
+            services_with_unlisted_runs: IndexSet::new(),
             queries: IndexMap::new(),
         }
     }
@@ -191,16 +191,16 @@
         });
     }
 
-    /// Replaces the versions of runs that the directory does not list yet.
-    pub fn set_unlisted(&mut self, unlisted: IndexMap<ServiceKey, IndexSet<VersionKey>>) {
-        self.unlisted = unlisted;
+    /// Replaces the services of which a run is not listed in the directory yet.
+    pub fn set_services_with_unlisted_runs(&mut self, services: IndexSet<ServiceKey>) {
+        self.services_with_unlisted_runs = services;
     }
 
     /// The only version of a service that was seen recently; `None` if there were several or none, or if
     /// a run of the service is not listed yet.
     #[must_use]
     pub fn only_version(&self, service: ServiceKey, now: Now) -> Option<VersionKey> {
-        if self.unlisted.contains_key(&service) {
+        if self.services_with_unlisted_runs.contains(&service) {
             return None;
         }
         let versions = self.seen.get(&service)?;
@@ -249,7 +249,7 @@
             .iter()
             .filter(|(_, versions)| is_mixed(versions))
             .map(|(service, _)| *service)
-            .chain(self.unlisted.keys().copied())
+            .chain(self.services_with_unlisted_runs.iter().copied())
             .collect();
         if mixed.is_empty() && !std::mem::take(&mut self.has_unknown) {
             return Vec::new();
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -129,8 +129,8 @@
 #[test]
 fn stream_goes_on_at_any_version_while_a_run_of_its_service_is_not_listed() {
     let mut versions = versions(&["1"]);
-    let unlisted = VersionKey::of_run(7);
-    versions.set_unlisted([(service(), [unlisted].into_iter().collect())].into());
+    let unlisted = VersionKey::of_unlisted_run(7);
+    versions.set_services_with_unlisted_runs([service()].into_iter().collect());
     let resumed = versions.resolve(None, service(), Some(0), at(0));
     assert_eq!(resumed, ResumedFrom::Unknown);
     let stream = StreamKey::of("a");
