Changed bounds take effect, also while the gateway stops

Cause: a stop read its timing from the settings at the start. The class: a setting that may change is read once. A stopping gateway did not read its settings at all (fixed).

Why it works: the bounds are in one place (`Gateway::bounds`) that each use reads anew, and the check of the settings goes on while the gateway stops.

--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -6,17 +6,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 
-use async_task::Task;
 use curranttrestle::coordination::gateway::control::Control;
 use curranttrestle::coordination::gateway::evacuation::EvacuationOptions;
 use curranttrestle::coordination::gateway::part_quarantine::PartChange;
 use curranttrestle::state::Now;
-use rustix::net::sockopt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use thiserror::Error;
-use tokio::net::{TcpListener, UdpSocket};
 
 use crate::client_limits::ClientLimits;
 use crate::clock;
@@ -25,21 +22,21 @@
 use crate::executor::{Executors, block_on};
 use crate::front;
 use crate::front::body::ReceivingBodies;
+use crate::listeners::Listeners;
 use crate::log::{EventRateLimiter, LogLines};
 use crate::memory::{Budget, ClientMemory, socket_buffer_bytes};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
-use crate::settings::{GatewaySettings, ReloadCause};
+use crate::reload::SettingsCheck;
+use crate::settings::{Bounds, GatewaySettings, ReloadCause};
+use crate::shutdown::shut_down;
 use crate::store;
 use crate::strain::{StrainMonitor, WorkTotals, measure_own_delay};
 use crate::timer::sleep_ms;
 use crate::upstream::{HttpClient, HttpClientOptions, Pool, PoolLimits};
 
 /// Interval for checking signals and timers and for sending to peers.
-const TICK_INTERVAL_MS: u64 = 50;
-
-/// Interval for checking whether the settings have changed.
-const SETTINGS_INTERVAL_MS: u64 = 500;
+pub(crate) const TICK_INTERVAL_MS: u64 = 50;
 
 /// Reads of single entries of the directory per second. All gateways share the store.
 const MAX_ENTRY_READS_PER_S: u64 = 5;
@@ -110,8 +107,9 @@
 
 /// State that all tasks of a gateway share.
 pub struct Gateway {
-    /// The settings at the start. Bounds that are reloaded later are in `control`.
+    /// The settings at the start. Those that may change later are read from [`Gateway::bounds`].
     pub settings: GatewaySettings,
+    bounds: Cell<Bounds>,
     /// The header conventions of the platform.
     pub dialect: Rc<dyn Dialect>,
     /// Reads single entries of the directory.
@@ -175,13 +173,35 @@
         &self.executors
     }
 
+    /// The bounds in force.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Changes the bounds in force. A call or wait that is under way ends by the previous ones.
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        let mut control = self.control.borrow_mut();
+        control.set_bounds(bounds.freshness, bounds.retries);
+        self.bounds.set(bounds);
+        log::info!(
+            "kind=settings-reloaded revoke_ms={} repeat_ratio={} grace_ms={} config_interval_ms={} watch_interval_ms={}",
+            bounds.freshness.revoke_ms,
+            bounds.retries.ratio,
+            bounds.stop.grace_ms,
+            bounds.store.max_config_interval_ms,
+            bounds.store.max_watch_interval_ms
+        );
+    }
+
     /// Whether the load balancer should send clients here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Running && self.control.borrow().is_ready()
     }
 
-    fn tick(&self, now: Now) {
+    /// Does what is due at regular intervals.
+    pub(crate) fn tick(&self, now: Now) {
         self.update_client_limits(now);
         let changes = self.control.borrow_mut().directory.remove_lapsed(now);
         self.apply_directory_changes(&changes, "lapse-sweep");
@@ -258,8 +278,8 @@
 /// Signals that have arrived and were not handled yet.
 #[derive(Clone, Debug, Default)]
 pub struct SignalFlags {
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+    pub(crate) stop: Arc<AtomicBool>,
+    pub(crate) reload: Arc<AtomicBool>,
 }
 
 impl SignalFlags {
@@ -351,6 +371,7 @@
         versions_observed_ms: Cell::new(0),
         peers: OnceCell::new(),
         executors: executors.clone(),
+        bounds: Cell::new(settings.bounds()),
         settings,
     });
     gateway.update_connection_limit();
@@ -376,58 +397,12 @@
     block_on(running).map_err(StartError::Runtime)?
 }
 
-/// The listening sockets of a gateway.
-struct Listeners {
-    clients: TcpListener,
-    readiness: TcpListener,
-    metrics: Option<TcpListener>,
-    peers: UdpSocket,
-}
-
-impl Listeners {
-    /// Binds the sockets. Runs inside [`block_on`].
-    fn bind(settings: &GatewaySettings) -> Result<Self, StartError> {
-        let listen = |address: SocketAddr| {
-            let bound = std::net::TcpListener::bind(address).and_then(|listener| {
-                listener.set_nonblocking(true)?;
-                TcpListener::from_std(listener)
-            });
-            bound.map_err(|source| StartError::Listen { address, source })
-        };
-        let peers = settings.peers;
-        let clients = listen(settings.client_listen)?;
-        if let Some(bytes) = socket_buffer_bytes(settings.resources.memory_bytes) {
-            // Accepted sockets inherit the sizes.
-            let receive = sockopt::set_socket_recv_buffer_size(&clients, bytes);
-            let send = sockopt::set_socket_send_buffer_size(&clients, bytes);
-            if let Err(error) = receive.and(send) {
-                log::warn!("kind=socket-option-failed error={:?}", error.to_string());
-            }
-        }
-        Ok(Self {
-            clients,
-            readiness: listen(settings.readiness)?,
-            metrics: settings.metrics.map(listen).transpose()?,
-            peers: bind_udp(peers).map_err(|source| StartError::Listen {
-                address: peers,
-                source,
-            })?,
-        })
-    }
-}
-
-fn bind_udp(address: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = std::net::UdpSocket::bind(address)?;
-    socket.set_nonblocking(true)?;
-    UdpSocket::from_std(socket)
-}
-
 async fn serve<P: Platform + 'static>(
     gateway: Rc<Gateway>,
     listeners: Listeners,
     platform: Rc<P>,
     flags: SignalFlags,
-    mut reload: impl FnMut(ReloadCause) -> Option<GatewaySettings> + 'static,
+    reload: impl FnMut(ReloadCause) -> Option<GatewaySettings> + 'static,
 ) {
     let executors = gateway.executors().clone();
     let (control, traffic) = (executors.control(), executors.traffic());
@@ -459,9 +434,11 @@
     }
     let clients = front::ClientConnections::new(Rc::clone(&gateway));
     let accepting = traffic.spawn(clients.clone().accept(listeners.clients));
-    let mut last_tick_ms = clock::now().steady_ms;
-    let mut last_check_ms = last_tick_ms;
-    while !flags.stop.load(Ordering::Relaxed) {
+    let started = clock::now();
+    let mut last_tick_ms = started.steady_ms;
+    let mut settings = SettingsCheck::new(flags, reload, started);
+    while !settings.must_stop() {
+        settings.update(&gateway, clock::now());
         sleep_ms(TICK_INTERVAL_MS).await;
         let now = clock::now();
         gateway.tick(now);
@@ -469,70 +446,9 @@
         last_tick_ms = now.steady_ms;
         gateway.pool.close_expired();
         peers.send_due(&gateway, now);
-        let is_signalled = flags.reload.swap(false, Ordering::Relaxed);
-        if is_signalled || now.since_ms(last_check_ms) >= SETTINGS_INTERVAL_MS {
-            last_check_ms = now.steady_ms;
-            let cause = if is_signalled {
-                ReloadCause::Signal
-            } else {
-                ReloadCause::Check
-            };
-            apply_settings(&gateway, reload(cause));
-        }
     }
-    shut_down(&gateway, &clients, &peers, accepting).await;
+    shut_down(&gateway, &clients, &peers, accepting, settings).await;
     drop(tasks);
     log::info!("kind=stopped open_requests={}", gateway.open_requests.get());
     log::logger().flush();
 }
-
-fn apply_settings(gateway: &Gateway, settings: Option<GatewaySettings>) {
-    let Some(settings) = settings else {
-        // Unchanged, or the reader of the settings has logged the error.
-        return;
-    };
-    let (freshness, retries) = settings.bounds();
-    gateway.control.borrow_mut().set_bounds(freshness, retries);
-    log::info!(
-        "kind=settings-reloaded revoke_ms={} repeat_ratio={}",
-        freshness.revoke_ms,
-        retries.ratio
-    );
-}
-
-/// Stops gracefully: waits until the load balancer has noticed that the gateway is not ready,
-/// then completes requests in flight.
-async fn shut_down(
-    gateway: &Rc<Gateway>,
-    clients: &front::ClientConnections,
-    peers: &Peers,
-    accepting: Task<()>,
-) {
-    let options = gateway.settings.stop;
-    let started_ms = clock::now().steady_ms;
-    gateway.phase.set(Phase::NotReady);
-    log::info!(
-        "kind=stopping open_requests={} grace_ms={}",
-        gateway.open_requests.get(),
-        options.grace_ms
-    );
-    let mut accepting = Some(accepting);
-    loop {
-        sleep_ms(TICK_INTERVAL_MS).await;
-        let now = clock::now();
-        gateway.tick(now);
-        peers.send_due(gateway, now);
-        let elapsed_ms = now.since_ms(started_ms);
-        if elapsed_ms >= options.accept_ms
-            && let Some(accepting) = accepting.take()
-        {
-            accepting.cancel().await;
-            gateway.phase.set(Phase::Draining);
-            clients.close_idle();
-        }
-        let is_done = accepting.is_none() && clients.open_count() == 0;
-        if is_done || elapsed_ms >= options.grace_ms {
-            return;
-        }
-    }
-}
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -88,13 +88,31 @@
 }
 
 impl GatewaySettings {
-    /// The bounds that may be reloaded while the gateway runs.
+    /// The bounds that follow the settings while the gateway runs.
     #[must_use]
-    pub fn bounds(&self) -> (FreshnessOptions, FleetRetryOptions) {
-        (self.control.freshness, self.control.retries)
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            freshness: self.control.freshness,
+            retries: self.control.retries,
+            store: self.store,
+            stop: self.stop,
+        }
     }
 }
 
+/// The settings that take effect whenever they change.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bounds {
+    /// The bound on key revocation.
+    pub freshness: FreshnessOptions,
+    /// The retry budget of the whole fleet.
+    pub retries: FleetRetryOptions,
+    /// Options of the calls to the store.
+    pub store: StoreOptions,
+    /// Timing of a graceful stop.
+    pub stop: StopOptions,
+}
+
 /// Memory and descriptors of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct InstanceResources {
--- a/crates/curranttrestle-gateway/src/store/evacuations.rs
+++ b/crates/curranttrestle-gateway/src/store/evacuations.rs
@@ -101,7 +101,7 @@
 async fn list<P: Platform>(gateway: &Gateway, platform: &P) -> Result<(), PlatformError> {
     count_call(gateway, "evacuations-list");
     let sent = clock::now();
-    let timeout_ms = gateway.settings.store.timeout_ms;
+    let timeout_ms = gateway.bounds().store.timeout_ms;
     let state = match platform.list_evacuations(timeout_ms).await {
         // The store does not have evacuations.
         Err(PlatformError::NotFound) => EvacuationState::default(),
@@ -128,7 +128,7 @@
     count_call(gateway, "evacuations-watch");
     let sent = clock::now();
     let wait_ms = options.watch_wait_ms();
-    let timeout_ms = wait_ms + gateway.settings.store.watch_timeout_ms;
+    let timeout_ms = wait_ms + gateway.bounds().store.watch_timeout_ms;
     let events = platform
         .watch_evacuations(base.revision, wait_ms, timeout_ms)
         .await?;
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -102,7 +102,7 @@
 
     /// Waits before the next attempt, with exponential backoff and jitter.
     async fn back_off(&self, gateway: &Gateway) {
-        let options = gateway.settings.store;
+        let options = gateway.bounds().store;
         let doublings = self.failures.saturating_sub(1).min(8);
         let gateways = gateway.control.borrow().fleet_size();
         let max_ms = options.max_backoff_ms_in(gateways);
@@ -132,12 +132,12 @@
 /// Reads the configuration repeatedly. Each read also proves that the configuration is the newest
 /// one as of the time when the read was sent.
 pub async fn maintain_config<P: Platform>(gateway: Rc<Gateway>, platform: Rc<P>) {
-    let options = gateway.settings.store;
     let mut health = StoreHealth::new("store-config");
     loop {
         wait_until_proof_is_old(&gateway).await;
         let sent = clock::now();
-        let read = platform.read_config(options.timeout_ms).await;
+        let timeout_ms = gateway.bounds().store.timeout_ms;
+        let read = platform.read_config(timeout_ms).await;
         let calls = &gateway.metrics.store_calls;
         calls.with_label_values(&["config"]).inc();
         match read {
@@ -188,7 +188,7 @@
 /// early once a peer has a newer configuration.
 async fn wait_until_proof_is_old(gateway: &Gateway) {
     let gateways = gateway.control.borrow().fleet_size();
-    let longest_ms = gateway.settings.store.config_interval_ms_in(gateways);
+    let longest_ms = gateway.bounds().store.config_interval_ms_in(gateways);
     let range_ms = match gateway.proof_role.get() {
         ProofRole::Peer => longest_ms / 2..=longest_ms,
         ProofRole::Reader => longest_ms / 16 * 10..=longest_ms / 16 * 11,
@@ -266,7 +266,7 @@
         };
         if error == PlatformError::HistoryDiscarded {
             log::info!("kind=directory-history-gone");
-            sleep_ms(gateway.settings.store.min_backoff_ms).await;
+            sleep_ms(gateway.bounds().store.min_backoff_ms).await;
             continue;
         }
         gateway
@@ -283,7 +283,7 @@
     gateway: &Gateway,
     platform: &P,
 ) -> Result<EndpointList, PlatformError> {
-    let options = gateway.settings.store;
+    let options = gateway.bounds().store;
     gateway
         .metrics
         .store_calls
@@ -313,8 +313,8 @@
     platform: &P,
     mut revision: u64,
 ) -> PlatformError {
-    let options = gateway.settings.store;
     loop {
+        let options = gateway.bounds().store;
         let started = clock::now();
         gateway
             .metrics
@@ -344,7 +344,7 @@
         gateway.apply_directory_changes(&applied, "watch");
         let elapsed_ms = clock::now().since_ms(started.steady_ms);
         let gateways = gateway.control.borrow().fleet_size();
-        let interval_ms = options.watch_interval_ms_in(gateways);
+        let interval_ms = gateway.bounds().store.watch_interval_ms_in(gateways);
         sleep_ms(interval_ms.saturating_sub(elapsed_ms)).await;
     }
 }
