A request that is read late in a stop is not passed on and cut

Cause: the phase is looked at before the body is read, which takes as long as the client likes. The class: a decision by a state that was read before a wait. Looked at in the same function: the route, the customer and the proof of freshness were already looked at again after the body; the phase is now, too. The header that closes the connection is already decided after the response.

Why it works: from the end of accepting on, the exit time is part of the phase, and a request is passed on only if its deadline, which ends every response, is before it. The others get 503, not run, and can go to another gateway. While clients still come, requests are served as before: most end far earlier than their deadline.

Ruled out: refusing all requests whose body ends after the listener was closed (short ones can still be served); refusing by a predicted duration (a stream's may be longer); checking before each retry, too (a request that an endpoint may have run cannot be refused any more, and a retry may still end in time).

--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -22,7 +22,7 @@
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::held::HeldMemory;
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
-use super::response::{ClientResponse, LocalResponse, ResponseBody};
+use super::response::{ClientResponse, LocalResponse, ResponseBody, implies_not_run};
 use super::response_body::collect_response;
 use super::resumption::require_version;
 use crate::clock;
@@ -101,6 +101,12 @@
         .unwrap_or(u64::MAX)
         .min(resolved.route.timeout_ms);
     record.set_route(&resolved.route, resolved.customer.as_deref(), limit_ms);
+    let deadline_steady_ms = arrived.steady_ms.saturating_add(limit_ms);
+    // The gateway may have begun to stop, too.
+    if !gateway.phase.get().allows(deadline_steady_ms) {
+        let retry_ms = gateway.settings.traffic.refusal_retry_after_ms;
+        return Err(LocalResponse::refused("stopping", retry_ms));
+    }
     let mut headers = parts.headers;
     remove_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -129,7 +135,7 @@
         body,
         identity,
         arrived,
-        deadline_steady_ms: arrived.steady_ms.saturating_add(limit_ms),
+        deadline_steady_ms,
         sends: Cell::new(0),
         has_retry_token: Cell::new(false),
         required_version: Cell::new(None),
@@ -472,16 +478,6 @@
         && exchange.remaining_ms(now) > exchange.gateway.settings.traffic.min_remaining_ms
 }
 
-fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
-
 /// The head of the response for the client.
 fn response_head(head: &ResponseHead) -> Response<()> {
     let mut parts = Response::new(());
--- a/crates/curranttrestle-gateway/src/front/response.rs
+++ b/crates/curranttrestle-gateway/src/front/response.rs
@@ -76,3 +76,22 @@
         response
     }
 }
+
+/// Whether a status promises that the request did not run and never will.
+///
+/// ```
+/// use curranttrestle_gateway::front::response::implies_not_run;
+/// use hyper::StatusCode;
+/// assert!(implies_not_run(StatusCode::SERVICE_UNAVAILABLE));
+/// assert!(!implies_not_run(StatusCode::BAD_GATEWAY));
+/// ```
+#[must_use]
+pub fn implies_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -102,7 +102,29 @@
     /// noticed yet.
     NotReady,
     /// Accepts no new connections and completes requests in flight.
-    Draining,
+    Draining {
+        /// When the process exits at the latest, by the steady clock.
+        exit_ms: u64,
+    },
+}
+
+impl Phase {
+    /// Whether a request may be sent to an endpoint that has until `deadline_ms` to finish, by the
+    /// steady clock. In the first two phases clients still come, and most requests end far earlier.
+    ///
+    /// ```
+    /// use curranttrestle_gateway::gateway::Phase;
+    /// let draining = Phase::Draining { exit_ms: 5_000 };
+    /// assert!(draining.allows(5_000) && !draining.allows(5_001));
+    /// assert!(Phase::NotReady.allows(5_001));
+    /// ```
+    #[must_use]
+    pub fn allows(self, deadline_ms: u64) -> bool {
+        match self {
+            Self::Running | Self::NotReady => true,
+            Self::Draining { exit_ms } => deadline_ms <= exit_ms,
+        }
+    }
 }
 
 /// State that all tasks of a gateway share.
--- a/crates/curranttrestle-gateway/src/shutdown.rs
+++ b/crates/curranttrestle-gateway/src/shutdown.rs
@@ -43,9 +43,12 @@
             && let Some(accepting) = accepting.take()
         {
             accepting.cancel().await;
-            gateway.phase.set(Phase::Draining);
             clients.close_idle();
         }
+        if accepting.is_none() {
+            let exit_ms = started_ms.saturating_add(grace_ms);
+            gateway.phase.set(Phase::Draining { exit_ms });
+        }
         let is_done = accepting.is_none() && clients.open_count() == 0;
         if is_done || elapsed_ms >= grace_ms {
             return;
