A stream at a slow engine stays within the attempts of its route

All were answered in full.

Cause: `attempt::send` counted an attempt in `exchange.sends` when it returned. `ask_to_resume` drops its future if the silent engine sends an event first; the other engine has then begun to work on the stream, but nothing was counted, and each further event that came just after the idle timeout did the same again.

Class: a count that is taken only where an operation ends well, so that cancelled operations are free. Looked at for the same cause: the retry budget, permits of cold endpoints, requests in flight and admitted tokens are taken before the send; the part of `forward` that races a response with its timeout and the reopened streams use the same function and are now counted there.

Fix: an attempt counts right before the request is given to the connection. The count is taken back only where the intended endpoint certainly did not receive it: the connection was closed before anything was sent, or another endpoint responded 421. A dropped future leaves the count as it is. `Failure::was_delivered` said the same in a second place and is gone. An attempt that times out while a new connection replaces one that was closed unsent no longer counts, since nothing was sent.

Ruled out: the same effect from refusals, which were counted before (they return a failure that says so).

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -45,8 +45,6 @@
     pub kind: FailureKind,
     /// Whether the request certainly did not run.
     pub not_run: bool,
-    /// Whether the intended endpoint may have received the request.
-    pub was_delivered: bool,
 }
 
 impl Failure {
@@ -54,7 +52,6 @@
         Self {
             kind,
             not_run: true,
-            was_delivered: false,
         }
     }
 
@@ -64,7 +61,6 @@
         Self {
             kind,
             not_run: false,
-            was_delivered: true,
         }
     }
 }
@@ -162,8 +158,8 @@
 
 /// Sends a request to the chosen endpoint and waits for the head of the response. At
 /// `response_deadline_ms`, by the steady clock, the attempt is abandoned if another endpoint would
-/// take the request; otherwise at the deadline of the request. Increments `exchange.sends` if the
-/// endpoint may have received the request.
+/// take the request; otherwise at the deadline of the request. Increments `exchange.sends` before it
+/// sends, and decrements it only if the endpoint did not receive the request.
 ///
 /// # Errors
 ///
@@ -208,8 +204,7 @@
             let sending = send_for_head(exchange, connection, request, &guard);
             let timeout = async {
                 exchange.wait_for_timeout(response_deadline_ms).await;
-                let sends = exchange.sends.get() + 1;
-                if !exchange.try_move(&guard.endpoint, sends, is_resumed, clock::now()) {
+                if !exchange.try_move(&guard.endpoint, is_resumed, clock::now()) {
                     sleep_until(exchange.deadline_steady_ms).await;
                 }
                 Err(Failure::possibly_run(FailureKind::TimedOut))
@@ -228,12 +223,6 @@
     let run = guard.run();
     let head = result
         .and_then(|(response, connection)| check_response(exchange, response, connection, guard));
-    if head
-        .as_ref()
-        .map_or_else(|failure| failure.was_delivered, |_| true)
-    {
-        exchange.sends.set(exchange.sends.get() + 1);
-    }
     if last_event_id.is_none()
         && let Err(failure) = &head
         && failure.kind == FailureKind::ConnectionLost
@@ -319,13 +308,27 @@
     }
 }
 
+/// Sends the request and counts it, also if this future is dropped before the response.
+async fn send_counted(
+    exchange: &Exchange,
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, SendError> {
+    exchange.count_send();
+    let sent = connection.send(request).await;
+    if matches!(sent, Err(SendError::NotSent(_))) {
+        exchange.uncount_send();
+    }
+    sent
+}
+
 async fn send_for_head(
     exchange: &Exchange,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
     guard: &AttemptGuard,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
-    let unsent = match connection.send(request).await {
+    let unsent = match send_counted(exchange, &mut connection, request).await {
         Ok(response) => return Ok((response, connection)),
         Err(SendError::ConnectionFailed(error)) => {
             log::debug!(
@@ -348,7 +351,7 @@
         exchange.return_connection(connection);
         return Err(Failure::not_sent(FailureKind::Withdrawn));
     }
-    match connection.send(unsent).await {
+    match send_counted(exchange, &mut connection, unsent).await {
         Ok(response) => Ok((response, connection)),
         Err(SendError::NotSent(_)) => Err(Failure::not_sent(FailureKind::Unreachable)),
         Err(SendError::ConnectionFailed(_)) => {
@@ -416,6 +419,7 @@
             .mark_displaced(&guard.endpoint);
         log::warn!("kind=endpoint-displaced endpoint={}", guard.endpoint);
         // The intended endpoint did not receive the request.
+        exchange.uncount_send();
         return Err(Failure::not_sent(FailureKind::Unreachable));
     }
     guard.record_answer(clock::now());
@@ -424,7 +428,6 @@
         return Err(Failure {
             kind: FailureKind::Overloaded,
             not_run: true,
-            was_delivered: true,
         });
     }
     let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -207,10 +207,9 @@
     /// budget.
     fn try_move(&self) -> bool {
         let exchange = &self.exchange;
-        let sends = exchange.sends.get();
         self.head
             .as_ref()
-            .is_some_and(|head| exchange.try_move(&head.guard.endpoint, sends, true, clock::now()))
+            .is_some_and(|head| exchange.try_move(&head.guard.endpoint, true, clock::now()))
     }
 
     /// How long the stream may be idle; `None` if it may not be resumed at another endpoint.
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -58,7 +58,8 @@
     pub arrived: Now,
     /// When the request times out, by the steady clock.
     pub deadline_steady_ms: u64,
-    /// Number of attempts that may have reached the intended endpoint.
+    /// Number of attempts that may have reached the intended endpoint, also of those that were dropped
+    /// while they waited for a response.
     pub sends: Cell<u32>,
     /// A retry was taken from the budget and has not been used yet.
     pub has_retry_token: Cell<bool>,
@@ -150,6 +151,16 @@
         is_granted
     }
 
+    /// Counts an attempt, before any of it is sent.
+    pub fn count_send(&self) {
+        self.sends.set(self.sends.get() + 1);
+    }
+
+    /// Takes back the count of an attempt that did not reach the intended endpoint.
+    pub fn uncount_send(&self) {
+        self.sends.set(self.sends.get().saturating_sub(1));
+    }
+
     /// Whether the request may be sent to another endpoint. Uses the retry that [`Self::try_move`]
     /// took, if any. Otherwise checks the route, the time left and the retry budget, and takes a
     /// retry from the budget.
@@ -168,13 +179,12 @@
                 .try_retry(&self.service, now)
     }
 
-    /// Whether to abandon the attempt at `from`, which timed out, and use another endpoint. `sends`
-    /// endpoints have received the request, including `from`. The attempt continues if no other
-    /// endpoint would take the request, since a late response is better than none. If the attempt
-    /// is abandoned, takes a retry from the budget.
+    /// Whether to abandon the attempt at `from`, which timed out, and use another endpoint. The attempt
+    /// continues if no other endpoint would take the request, since a late response is better than
+    /// none. If the attempt is abandoned, takes a retry from the budget.
     #[must_use]
-    pub fn try_move(&self, from: &EndpointId, sends: u32, is_resumed: bool, now: Now) -> bool {
-        if sends >= self.route.max_attempts || self.refusal_reason(now).is_some() {
+    pub fn try_move(&self, from: &EndpointId, is_resumed: bool, now: Now) -> bool {
+        if self.sends.get() >= self.route.max_attempts || self.refusal_reason(now).is_some() {
             return false;
         }
         let mut excluded = self.excluded.clone();
