Gateways whose seeds are all stale find each other through the store

What gateways share fails too: the retry budget, shares of customers, leaving endpoints.

Cause: gateways learn of each other only from seeds and from the reports of peers. The same cause splits a fleet in two for good if its parts have different seeds that are live.

One object, gateways/main, lists at most eight addresses of peer listeners. Only a gateway that knows of no live one with a lower address reads it: one that is alone, or the first of a fleet or of each part of a split one. It adds the listed gateways as peers, and if none of them responds within a second it replaces the list with itself and its live peers, on condition of the revision that it read. Of gateways that write at the same time one succeeds; the others read its address. The gateways still agree on nothing, and nothing depends on the store while a seed is live. In calm it is one read in 30 s for the fleet, and a read and a write after its start. Addresses of gateways that are gone stay peers for at most a minute, as before.

--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Traits and types that the adapter of a platform implements.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 
 use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationState};
@@ -111,6 +112,21 @@
         wait_ms: u64,
         timeout_ms: u64,
     ) -> impl Future<Output = Result<EvacuationEvents, PlatformError>>;
+
+    /// Reads the list of gateways.
+    fn read_gateways(
+        &self,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<GatewayList, PlatformError>>;
+
+    /// Writes the list of gateways unless it has changed since it was read at `revision`. `None` if it
+    /// did not exist.
+    fn write_gateways(
+        &self,
+        addresses: &[SocketAddr],
+        revision: Option<u64>,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<(), PlatformError>>;
 }
 
 /// The part of a [`Platform`] that reads single entries, as a trait object.
@@ -133,6 +149,15 @@
     }
 }
 
+/// The gateways that the store lists, so that others find them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayList {
+    /// The addresses of their peer listeners.
+    pub addresses: Vec<SocketAddr>,
+    /// The store's revision of the list; `None` if there is none.
+    pub revision: Option<u64>,
+}
+
 /// Changes of the evacuated data centres.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationEvents {
@@ -197,6 +222,9 @@
     /// The history after the revision has been discarded; the directory must be listed again.
     #[error("the history after the revision has been discarded")]
     HistoryDiscarded,
+    /// The object was changed or created by another writer.
+    #[error("another writer changed the object")]
+    Conflict,
     /// The object does not exist.
     #[error("the store has no such object")]
     NotFound,
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -29,7 +29,7 @@
 use crate::memory::{Budget, ClientMemory, socket_buffer_bytes};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, ProofRole};
-use crate::settings::{GatewaySettings, ReloadCause};
+use crate::settings::{GatewaySettings, ListingOptions, ReloadCause};
 use crate::store;
 use crate::strain::{StrainMonitor, WorkTotals, measure_own_delay};
 use crate::timer::sleep_ms;
@@ -449,6 +449,12 @@
         traffic.spawn(Rc::clone(&peers).receive(Rc::clone(&gateway))),
         traffic.spawn(measure_own_delay(Rc::clone(&gateway))),
     ];
+    tasks.push(control.spawn(store::maintain_gateways(
+        Rc::clone(&gateway),
+        Rc::clone(&platform),
+        Rc::clone(&peers),
+        ListingOptions::default(),
+    )));
     let evacuation = gateway.control.borrow().evacuations.options();
     if let Some(options) = evacuation {
         let reading = store::maintain_evacuations(Rc::clone(&gateway), platform, options);
--- a/crates/curranttrestle-gateway/src/peers/exchange/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/exchange/mod.rs
@@ -244,6 +244,17 @@
         self.evacuations.is_reader(&self.peering.live_peers())
     }
 
+    /// The other gateways.
+    #[must_use]
+    pub fn peering(&self) -> &Peering {
+        &self.peering
+    }
+
+    /// Adds the gateways that the store lists.
+    pub fn add_listed(&mut self, listed: &[SocketAddr], now: Now) {
+        self.peering.add_listed(listed, now);
+    }
+
     fn uses_sums(&self) -> bool {
         self.relay_options.uses_sums_in(self.peering.live_count())
     }
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -87,6 +87,23 @@
         }
     }
 
+    /// Whether this gateway keeps the list of gateways in the store.
+    #[must_use]
+    pub fn keeps_list(&self) -> bool {
+        self.exchange.borrow().peering().is_first()
+    }
+
+    /// Adds the gateways that the store lists.
+    pub fn add_listed(&self, listed: &[SocketAddr], now: Now) {
+        self.exchange.borrow_mut().add_listed(listed, now);
+    }
+
+    /// The gateways that the store should list instead of `listed`; `None` if it should not change.
+    #[must_use]
+    pub fn addresses_to_list(&self, listed: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
+        self.exchange.borrow().peering().addresses_to_list(listed)
+    }
+
     /// The rate and size of the reports to all peers.
     #[must_use]
     pub fn report_state(&self) -> ReportState {
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -173,6 +173,27 @@
     }
 }
 
+/// Times of the list of gateways in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListingOptions {
+    /// Time after the start in which the seeds respond, and between two attempts.
+    pub settle_ms: u64,
+    /// Time in which the gateways of the list respond.
+    pub response_ms: u64,
+    /// Interval between two reads by the first gateway.
+    pub interval_ms: u64,
+}
+
+impl Default for ListingOptions {
+    fn default() -> Self {
+        Self {
+            settle_ms: 2_500,
+            response_ms: 1_000,
+            interval_ms: 30_000,
+        }
+    }
+}
+
 /// Intervals and timeouts of the calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOptions {
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps the configuration and the directory up to date.
 
 mod evacuations;
+mod gateways;
 
 use std::rc::Rc;
 
@@ -17,6 +18,7 @@
 use crate::timer::sleep_ms;
 
 pub use evacuations::maintain_evacuations;
+pub use gateways::maintain_gateways;
 
 /// The failures of one task's calls: logs the first of consecutive ones and the recovery, and records
 /// outages.
@@ -57,6 +59,7 @@
             PlatformError::Unreachable(_)
             | PlatformError::Refused(_)
             | PlatformError::HistoryDiscarded
+            | PlatformError::Conflict
             | PlatformError::NotFound
             | PlatformError::InvalidResponse(_) => CallFailure::NotServed,
         };
--- a/crates/curranttrestle/src/coordination/gateway/peering.rs
+++ b/crates/curranttrestle/src/coordination/gateway/peering.rs
@@ -1,6 +1,7 @@
 //! Which peers receive a report, and when.
 //!
-//! Gateways discover each other from seeds and from the peers that reports name. All live peers
+//! Gateways discover each other from seeds, from the peers that reports name and from a list in the store,
+//! which the first gateway keeps: all seeds may be stale, and a fleet may be split in two. All live peers
 //! receive a report in the same round, so that each of them gets the complete information. The
 //! interval of reports grows with their size. Information that expires must not wait for a report,
 //! so it is also sent in summaries at a fixed interval.
@@ -24,6 +25,9 @@
 /// interval.
 const MAX_GREETINGS: usize = 16;
 
+/// Maximum number of gateways in the list in the store. One live one is enough to find the others.
+const MAX_LISTED_PEERS: usize = 8;
+
 /// Rate of reports between gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeeringOptions {
@@ -328,6 +332,38 @@
         was_lost.then_some(PeerChange::Live(from))
     }
 
+    /// Adds the gateways that the store lists.
+    pub fn add_listed(&mut self, listed: &[SocketAddr], now: Now) {
+        for address in listed.iter().take(MAX_LISTED_PEERS) {
+            self.add(*address, false, now);
+        }
+    }
+
+    /// The gateways that the store should list instead of `listed`; `None` if one of these is live, or if
+    /// this gateway is not the first of the live ones.
+    ///
+    /// ```
+    /// use curranttrestle::coordination::gateway::peering::{Peering, PeeringOptions};
+    /// use curranttrestle::state::Now;
+    /// let [own, gone] = ["10.0.0.1:7400", "10.0.0.2:7400"].map(|text| text.parse().unwrap());
+    /// let peering = Peering::new(own, &[], PeeringOptions::default(), Now::default());
+    /// assert_eq!(peering.addresses_to_list(&[gone]), Some(vec![own]));
+    /// assert_eq!(peering.addresses_to_list(&[gone, own]), None);
+    /// ```
+    #[must_use]
+    pub fn addresses_to_list(&self, listed: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
+        let is_live = |address: &SocketAddr| {
+            let peer = self.peers.get(address);
+            *address == self.own_address || peer.is_some_and(|peer| peer.received_ms.is_some())
+        };
+        if !self.is_first() || listed.iter().any(is_live) {
+            return None;
+        }
+        let live = self.peers.keys().filter(|address| is_live(address));
+        let own = std::iter::once(&self.own_address);
+        Some(own.chain(live).take(MAX_LISTED_PEERS).copied().collect())
+    }
+
     /// Marks a live peer as lost, until a message from it is received.
     pub fn mark_lost(&mut self, address: SocketAddr, now: Now) -> Option<PeerChange> {
         let peer = self.peers.get_mut(&address)?;
