Events of a stream are judged one by one, and a gap ends the attempt at its endpoint

Callers of a stream lost events that arrived in the same read as a repeated one, and got a stream with a gap as complete, whether the gap was within a read, between two, at its begin, or where it went on at another endpoint.

Cause: the events of one read were judged by the first id among them; nothing compared an id with the one before it. The class: deciding on a batch by one of its members.

Evidence: the six tests of event_order fail before: events 4 and 5 are lost beside a repeated 3 (at the first endpoint and at the next one); 1, 2, 3, 5, 6, 7, 8 is forwarded as complete on a resumable and on another route, and after a resumption at 3; a stream that begins at 2 is forwarded. All six hold with this change.

Why it works: each event is compared with the last one that the client has. A later id than the next one is a malformed response: what lies before it is forwarded, then the stream goes on elsewhere after it, or is cut. Events in order are forwarded without copying, and no list of ids is built any more.

Repeated events no longer count as begun or as the end of a pause of the client.

--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -12,7 +12,8 @@
 use hyper::body::Frame;
 
 use super::attempt::{self, Failure, ResponseHead};
-use super::events::{EventSplitter, Events};
+use super::event_order::EventOrder;
+use super::events::EventSplitter;
 use super::exchange::Exchange;
 use super::held::{HeldMemory, MEMORY_WAIT_MS};
 use super::record::RequestRecord;
@@ -30,8 +31,7 @@
     exchange: Exchange,
     head: Option<ResponseHead>,
     splitter: EventSplitter,
-    /// The id of the last event that the client has.
-    last_event_id: Option<u64>,
+    order: EventOrder,
     has_events: bool,
     /// When events last arrived, by the steady clock.
     last_event_ms: u64,
@@ -74,8 +74,8 @@
 /// The result of waiting for the next part of a stream.
 enum ReceiveResult {
     Data(Bytes),
-    /// Complete events, already split.
-    Events(Events),
+    /// Complete events.
+    Events(Bytes),
     Complete,
     Failed(FailureKind),
     DeadlineReached,
@@ -91,7 +91,7 @@
         record: RequestRecord,
     ) -> Self {
         Self {
-            last_event_id: exchange.hints.last_event_id,
+            order: EventOrder::after(exchange.hints.last_event_id),
             exchange,
             head: Some(head),
             splitter: EventSplitter::default(),
@@ -129,7 +129,7 @@
             }
             let failed = match received {
                 ReceiveResult::Data(bytes) => match self.splitter.push(bytes) {
-                    Some(events) if events.bytes.is_empty() => continue,
+                    Some(events) if events.is_empty() => continue,
                     Some(events) => match self.filter_events(events) {
                         Some(bytes) => return Some(Ok(bytes)),
                         None => continue,
@@ -236,15 +236,20 @@
         Some(limit_ms.max(options.min_stream_timeout_ms))
     }
 
-    /// Records the ids of the events and returns the bytes for the client. Drops all of them and
-    /// returns `None` if the client already has the first one that has an id.
-    fn filter_events(&mut self, events: Events) -> Option<Bytes> {
+    /// Returns the events that the client gets, or `None` if there are none. At a gap, the endpoint counts
+    /// as failed next.
+    fn filter_events(&mut self, events: Bytes) -> Option<Bytes> {
         let strain = &self.exchange.gateway.strain;
         strain.borrow_mut().work.forwarded_parts += 1;
         let now = clock::now();
         if let Some(head) = &self.head {
             head.guard.record_first_event(now);
         }
+        self.idle_since_ms = now.steady_ms;
+        let events = self.put_in_order(events);
+        if events.is_empty() {
+            return None;
+        }
         if self.has_events {
             self.record.record_pause(now.since_ms(self.last_event_ms));
         } else {
@@ -256,23 +261,29 @@
             self.record.record_first_event(now);
         }
         self.last_event_ms = now.steady_ms;
-        self.idle_since_ms = now.steady_ms;
-        let is_duplicate = events
-            .ids
-            .first()
-            .zip(self.last_event_id)
-            .is_some_and(|(first, last)| *first <= last);
-        if is_duplicate {
+        Some(events)
+    }
+
+    /// Returns the new events up to the first gap.
+    fn put_in_order(&mut self, events: Bytes) -> Bytes {
+        if !self.exchange.route.retry_policy.is_stream() {
+            // Only streams promise anything about their ids.
+            return events;
+        }
+        let last_id = self.order.last_id();
+        let accepted = self.order.accept(&events);
+        if accepted.repeated > 0 || accepted.gap_before.is_some() {
             log::warn!(
-                "kind=events-out-of-order id={} last={:?} got={:?}",
+                "kind=events-out-of-order id={} last={last_id:?} repeated={} gap_before={:?}",
                 self.exchange.hints.attempt_id,
-                self.last_event_id,
-                events.ids
+                accepted.repeated,
+                accepted.gap_before
             );
-            return None;
         }
-        self.last_event_id = events.ids.last().copied().or(self.last_event_id);
-        Some(events.bytes)
+        if accepted.gap_before.is_some() {
+            self.received = Some(ReceiveResult::Failed(FailureKind::Malformed));
+        }
+        accepted.bytes
     }
 
     fn complete(&mut self) {
@@ -317,7 +328,7 @@
         let result = ask_to_resume(
             &self.exchange,
             &choice,
-            self.last_event_id,
+            self.order.last_id(),
             silent,
             &mut self.splitter,
         )
@@ -354,7 +365,7 @@
             return Err(self.abort("not-resumed"));
         };
         let from = head.guard.endpoint.clone();
-        if failed == FailureKind::ConnectionLost && self.last_event_id.is_none() {
+        if failed == FailureKind::ConnectionLost && self.order.last_id().is_none() {
             self.exchange.record_crash(head.guard.run(), clock::now());
         }
         // The connection is closed before another endpoint resumes the stream.
@@ -406,7 +417,7 @@
             &self.exchange,
             choice,
             true,
-            self.last_event_id,
+            self.order.last_id(),
             deadline_ms,
         )
         .await;
@@ -437,7 +448,7 @@
     loop {
         match receive_from(head).await {
             ReceiveResult::Data(bytes) => match splitter.push(bytes) {
-                Some(events) if events.bytes.is_empty() => {}
+                Some(events) if events.is_empty() => {}
                 Some(events) => return ReceiveResult::Events(events),
                 None => return ReceiveResult::Failed(FailureKind::Malformed),
             },
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod connection;
 pub mod endpoint_connection;
+pub mod event_order;
 pub mod event_stream;
 pub mod events;
 pub mod exchange;
