A stream is not begun anew after a Last-Event-Id that cannot be read

A client that resumed a stream with a Last-Event-Id that is no number, is too large or appears twice got 200 and a stream that the gateway took for a new one, while the endpoint received the header as the client sent it.

Cause: parsing it discarded the error, and absent and unreadable were the same value. The class: a header that two readers read differently.

Why it works: on streams the gateway answers 400 (`unreadable-event-id`) before anything is sent, as for a deadline or a prompt prefix that cannot be read. On other routes the header does not concern the gateway and is forwarded as it is.

--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use rand::Rng;
 
 use super::attempt::{self, Failure, ResponseHead};
@@ -22,7 +22,7 @@
 use super::headers::{head_bytes, remove_hop_by_hop};
 use super::held::HeldMemory;
 use super::record::{RequestRecord, STALE_CONFIGURATION, load_fields};
-use super::response::{ClientResponse, LocalResponse, ResponseBody};
+use super::response::{ClientResponse, LocalResponse, response_head, with_body};
 use super::response_body::collect_response;
 use super::resumption::require_version;
 use crate::clock;
@@ -196,6 +196,11 @@
     } else {
         None
     };
+    // The endpoint may read it in another way, so what it sends may not follow.
+    if hints.has_unreadable_event_id && route.retry_policy.is_stream() {
+        let reason = "unreadable-event-id";
+        return Err(LocalResponse::new(StatusCode::BAD_REQUEST, reason));
+    }
     let Some(service) = table.choose_service(route, rand::rng().random()) else {
         return Err(LocalResponse::refused("no-service", retry_ms));
     };
@@ -408,7 +413,7 @@
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let is_stream = content_type.is_some_and(|value| value.starts_with("text/event-stream"))
         || exchange.route.retry_policy.is_stream();
-    let parts = response_head(&head);
+    let parts = response_head(&head.response);
     if status.is_success() && is_stream {
         let event_stream = EventStream::new(exchange, head, predicted_ms, record);
         return Forwarded::Sent(with_body(parts, event_stream.into_body()));
@@ -481,18 +486,3 @@
             | StatusCode::MISDIRECTED_REQUEST
     )
 }
-
-/// The head of the response for the client.
-fn response_head(head: &ResponseHead) -> Response<()> {
-    let mut parts = Response::new(());
-    *parts.status_mut() = head.response.status();
-    let mut headers = head.response.headers().clone();
-    remove_hop_by_hop(&mut headers);
-    headers.remove(header::CONTENT_LENGTH);
-    *parts.headers_mut() = headers;
-    parts
-}
-
-fn with_body(parts: Response<()>, body: ResponseBody) -> ClientResponse {
-    parts.map(|()| body)
-}
--- a/crates/curranttrestle-gateway/src/front/response.rs
+++ b/crates/curranttrestle-gateway/src/front/response.rs
@@ -9,6 +9,8 @@
 use hyper::{Response, StatusCode};
 use thiserror::Error;
 
+use super::headers::remove_hop_by_hop;
+
 /// The body of a response ended early. The connection is closed so that the client notices.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("response ended early: {0}")]
@@ -76,3 +78,21 @@
         response
     }
 }
+
+/// The head of an endpoint's response as the client gets it.
+#[must_use]
+pub fn response_head<B>(response: &Response<B>) -> Response<()> {
+    let mut head = Response::new(());
+    *head.status_mut() = response.status();
+    let mut headers = response.headers().clone();
+    remove_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    *head.headers_mut() = headers;
+    head
+}
+
+/// The response with a head and a body.
+#[must_use]
+pub fn with_body(head: Response<()>, body: ResponseBody) -> ClientResponse {
+    head.map(|()| body)
+}
--- a/crates/curranttrestle/src/state/gateway/request.rs
+++ b/crates/curranttrestle/src/state/gateway/request.rs
@@ -29,6 +29,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// The id of the last event that the client received; `None` unless it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Whether the client names a last event in a way that cannot be read.
+    pub has_unreadable_event_id: bool,
     /// The id of the client's attempt that received the first event of the stream that it resumes.
     pub resumed_attempt_id: Option<String>,
 }
