The end of a connection ends a response only if the run that sent it still serves

Callers got what a killed process had sent of a response without a length or chunks as a complete success: a whole response with 200, a stream that was complete after event 3.

Cause: such a response ends with its connection, and the operating system ends the connections of a killed process alike (FIN) unless something was left unread. The class: an end that several causes share is taken for the good one.

Evidence: two of the three tests of unframed_ends failed before (200 instead of 502, and a resumable stream complete after event 3); the third shows what stayed: responses of processes that live or state no run are complete. The three and a fourth, for the number of questions, hold with this change.

Why it works: when such a response ends, the gateway asks over a new connection for the endpoint's run (GET /report, at most 150 ms). A dead process cannot answer, and a new one states another run. Then the connection counts as lost: a stream goes on elsewhere or is cut, a whole response is retried or fails. Framed responses are not affected.

On routes without resumable streams the run is that of the entry, so a complete response of a process that started again before its entry was read counts as lost; so does that of a process that exits right after it, or does not answer in time.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -18,6 +18,7 @@
 
 use super::endpoint_connection;
 use super::exchange::Exchange;
+use super::response_end::Framing;
 use crate::clock;
 use crate::edge::{Announcements, ForwardInfo, ResponseInfo};
 use crate::gateway::Gateway;
@@ -32,6 +33,8 @@
     pub response: Response<Incoming>,
     /// What the endpoint says about the response.
     pub info: ResponseInfo,
+    /// What ends its body.
+    pub framing: Framing,
     /// The connection that carries the body.
     pub connection: Connection,
     /// Counts the attempt as in flight until it is dropped.
@@ -72,12 +75,13 @@
 /// Counts an attempt as in flight until it is dropped.
 #[derive(Debug)]
 pub struct AttemptGuard {
-    gateway: Rc<Gateway>,
+    /// The gateway.
+    pub gateway: Rc<Gateway>,
     number: u64,
     /// The endpoint.
     pub endpoint: EndpointId,
     /// The entry of the endpoint when it was chosen.
-    entry: EndpointEntry,
+    pub entry: EndpointEntry,
     /// When the process that got the request started, in Unix milliseconds; `None` if it is not known.
     started_unix_ms: Cell<Option<u64>>,
     /// When the request got its connection, by the steady clock.
@@ -102,6 +106,12 @@
         }
     }
 
+    /// Whether it is known which run got the request.
+    #[must_use]
+    pub fn is_identified(&self) -> bool {
+        self.started_unix_ms.get().is_some()
+    }
+
     /// The run that got the request, or the listed one if it is not known.
     #[must_use]
     pub fn run(&self) -> EndpointRun {
@@ -432,6 +442,7 @@
         return Err(Failure::possibly_run(FailureKind::Malformed));
     }
     Ok(ResponseHead {
+        framing: Framing::of(&response),
         response,
         info,
         connection,
--- a/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
+++ b/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
@@ -7,11 +7,13 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::state::gateway::{EndpointEntry, RetryPolicy};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Uri};
 
+use super::attempt::AttemptGuard;
 use super::exchange::Exchange;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -83,6 +85,43 @@
     gateway.pool.open(entry.address, connect_timeout_ms).await
 }
 
+/// Whether the run that sent a response may still be alive: it answers over a new connection within
+/// [`MAX_WAIT_MS`], or the endpoint does not state its run. Such an endpoint is not asked each time, since
+/// it may count the question as a request.
+pub async fn may_be_alive(guard: &AttemptGuard) -> bool {
+    let (gateway, entry) = (&guard.gateway, &guard.entry);
+    let is_silent = |now| gateway.control.borrow().stated_runs.is_silent(entry, now);
+    if !guard.is_identified() && is_silent(clock::now()) {
+        return true;
+    }
+    let asking = async {
+        match open_unidentified(gateway, entry).await {
+            Ok(mut connection) => ask_for_run(gateway, &mut connection).await,
+            Err(_) => Report::Failed,
+        }
+    };
+    let report = with_timeout(MAX_WAIT_MS, asking).await;
+    let (may_be_alive, stated) = match report.unwrap_or(Report::Failed) {
+        Report::Started(started_unix_ms) => {
+            let run = endpoint_run(&entry.endpoint, started_unix_ms);
+            // Entries without a start do not distinguish runs.
+            let is_known = guard.run() != endpoint_run(&entry.endpoint, 0);
+            (run == guard.run() || !is_known, "run")
+        }
+        Report::NotStated => {
+            let mut control = gateway.control.borrow_mut();
+            control.stated_runs.record_silence(entry, clock::now());
+            (true, "nothing")
+        }
+        Report::Failed => (false, "no-answer"),
+    };
+    log::info!(
+        "kind=unframed-response-ended endpoint={} stated={stated} is_complete={may_be_alive}",
+        entry.endpoint
+    );
+    may_be_alive
+}
+
 /// Determines the run of the peer if the exchange needs it and the connection does not have it yet. An
 /// endpoint that does not state its run is looked up in the directory.
 async fn identify_peer(
@@ -126,8 +165,17 @@
     Ok(connection)
 }
 
-/// Asks an endpoint for its run.
+/// Asks an endpoint for its run over a connection that carries a request afterwards.
 async fn read_report(gateway: &Gateway, connection: &mut Connection) -> Report {
+    let report = ask_for_run(gateway, connection).await;
+    if connection.will_close() || !connection.ready().await {
+        return Report::Failed;
+    }
+    report
+}
+
+/// Asks an endpoint for its run.
+async fn ask_for_run(gateway: &Gateway, connection: &mut Connection) -> Report {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(gateway.dialect.report_path());
     match HeaderValue::from_str(&connection.address().to_string()) {
@@ -142,9 +190,6 @@
     let Ok(body) = body.collect().await else {
         return Report::Failed;
     };
-    if connection.will_close() || !connection.ready().await {
-        return Report::Failed;
-    }
     let started_unix_ms = gateway.dialect.read_start_unix_ms(&body.to_bytes());
     match started_unix_ms.filter(|_| is_success) {
         Some(started_unix_ms) => Report::Started(started_unix_ms),
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -11,13 +11,14 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use super::attempt::{self, Failure, ResponseHead};
+use super::attempt::{self, ResponseHead};
 use super::event_order::EventOrder;
 use super::events::EventSplitter;
 use super::exchange::Exchange;
 use super::held::{HeldMemory, MEMORY_WAIT_MS};
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
+use super::silent_stream::{MoveResult, ask_to_resume};
 use crate::clock;
 use crate::memory::MemoryKind;
 use crate::timer::sleep_ms;
@@ -47,37 +48,17 @@
     is_done: bool,
 }
 
-/// How long a silent endpoint keeps a stream while another one may refuse it. Engines refuse at once;
-/// a stream must not run at two of them for longer than some hundred milliseconds.
-const MAX_OVERLAP_MS: u64 = 150;
-
-/// What happened first while another endpoint was asked to resume the stream of a silent one.
-enum MoveEvent {
-    /// The other endpoint responded or failed.
-    Responded(Box<Result<ResponseHead, Failure>>),
-    /// The silent endpoint sent events, or its response ended.
-    Received(ReceiveResult),
-    /// Neither within [`MAX_OVERLAP_MS`].
-    Timeout,
-}
-
-/// The result of asking another endpoint to resume the stream of a silent one.
-enum MoveResult {
-    /// The other endpoint resumed it.
-    Moved(ResponseHead),
-    /// The silent endpoint keeps it, with what it sent.
-    Kept(ResponseHead, Option<ReceiveResult>),
-    /// The other endpoint failed after the connection to the silent one was closed.
-    Failed(FailureKind),
-}
-
 /// The result of waiting for the next part of a stream.
-enum ReceiveResult {
+pub enum ReceiveResult {
+    /// Bytes of events.
     Data(Bytes),
     /// Complete events.
     Events(Bytes),
-    Complete,
+    /// The response ended.
+    Ended,
+    /// The endpoint failed.
     Failed(FailureKind),
+    /// The time of the request is over.
     DeadlineReached,
 }
 
@@ -140,11 +121,11 @@
                     Some(bytes) => return Some(Ok(bytes)),
                     None => continue,
                 },
-                ReceiveResult::Complete if !self.splitter.has_partial() => {
+                ReceiveResult::Ended if self.is_complete().await => {
                     self.complete();
                     return None;
                 }
-                ReceiveResult::Complete => FailureKind::ConnectionLost,
+                ReceiveResult::Ended => FailureKind::ConnectionLost,
                 ReceiveResult::Failed(FailureKind::TimedOut) if !self.try_move() => {
                     self.idle_since_ms = clock::now().steady_ms;
                     continue;
@@ -286,6 +267,16 @@
         accepted.bytes
     }
 
+    /// Whether the response of the endpoint, which ended, is complete.
+    async fn is_complete(&self) -> bool {
+        match &self.head {
+            Some(head) if !self.splitter.has_partial() => {
+                head.framing.is_complete(&head.guard).await
+            }
+            _ => false,
+        }
+    }
+
     fn complete(&mut self) {
         self.is_done = true;
         let now = clock::now();
@@ -431,9 +422,9 @@
 }
 
 /// Waits for data from an endpoint or for the end of its response.
-async fn receive_from(head: &mut ResponseHead) -> ReceiveResult {
+pub async fn receive_from(head: &mut ResponseHead) -> ReceiveResult {
     match head.response.body_mut().frame().await {
-        None => ReceiveResult::Complete,
+        None => ReceiveResult::Ended,
         Some(Ok(frame)) => ReceiveResult::Data(frame.into_data().unwrap_or_default()),
         Some(Err(error)) => {
             log::debug!("kind=stream-failed error={error:?}");
@@ -441,57 +432,3 @@
         }
     }
 }
-
-/// Waits for a complete event from an endpoint or for the end of its response. Parts of an event do
-/// not count, since an endpoint may send them without end.
-async fn receive_events(head: &mut ResponseHead, splitter: &mut EventSplitter) -> ReceiveResult {
-    loop {
-        match receive_from(head).await {
-            ReceiveResult::Data(bytes) => match splitter.push(bytes) {
-                Some(events) if events.is_empty() => {}
-                Some(events) => return ReceiveResult::Events(events),
-                None => return ReceiveResult::Failed(FailureKind::Malformed),
-            },
-            received => return received,
-        }
-    }
-}
-
-/// Sends the request to the chosen endpoint and keeps `silent` until that one has had time to refuse.
-async fn ask_to_resume(
-    exchange: &Exchange,
-    choice: &Choice,
-    last_event_id: Option<u64>,
-    mut silent: ResponseHead,
-    splitter: &mut EventSplitter,
-) -> MoveResult {
-    let deadline_ms = exchange.deadline_steady_ms;
-    let sending = attempt::send(exchange, choice, true, last_event_id, deadline_ms);
-    let mut sending = std::pin::pin!(sending);
-    let responded = async { MoveEvent::Responded(Box::new(sending.as_mut().await)) };
-    let received = async { MoveEvent::Received(receive_events(&mut silent, splitter).await) };
-    let timeout = async {
-        sleep_ms(MAX_OVERLAP_MS).await;
-        MoveEvent::Timeout
-    };
-    let sent = match responded.or(received).or(timeout).await {
-        MoveEvent::Responded(response) => match *response {
-            Ok(head) if head.response.status().is_success() => Ok(head),
-            response => {
-                let kind = response.map_or_else(|failure| failure.kind, |_| FailureKind::Failed);
-                exchange.record_failure(&choice.entry.endpoint, kind, clock::now());
-                return MoveResult::Kept(silent, None);
-            }
-        },
-        MoveEvent::Received(ReceiveResult::Failed(_)) | MoveEvent::Timeout => {
-            drop(silent);
-            sending.await
-        }
-        MoveEvent::Received(received) => return MoveResult::Kept(silent, Some(received)),
-    };
-    match sent {
-        Ok(head) if head.response.status().is_success() => MoveResult::Moved(head),
-        Ok(_) => MoveResult::Failed(FailureKind::Failed),
-        Err(failure) => MoveResult::Failed(failure.kind),
-    }
-}
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -14,7 +14,9 @@
 pub mod request;
 pub mod response;
 pub mod response_body;
+pub mod response_end;
 pub mod resumption;
+pub mod silent_stream;
 pub mod status;
 
 use std::cell::Cell;
--- a/crates/curranttrestle-gateway/src/front/request.rs
+++ b/crates/curranttrestle-gateway/src/front/request.rs
@@ -421,11 +421,15 @@
     let ResponseHead {
         response,
         info,
+        framing,
         connection,
         guard,
     } = head;
     let remaining_ms = exchange.remaining_ms(clock::now());
-    let collect = collect_response(&exchange.gateway, response.into_body());
+    let collect = async {
+        let body = collect_response(&exchange.gateway, response.into_body()).await?;
+        framing.is_complete(&guard).await.then_some(body)
+    };
     let body = match with_timeout(remaining_ms, collect).await {
         Some(Some(body)) => body,
         Some(None) => {
