--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -19,6 +19,7 @@
 
 use super::endpoint_connection;
 use super::exchange::Exchange;
+use super::response_end::Framing;
 use crate::clock;
 use crate::edge::{Announcements, ForwardInfo, ResponseInfo};
 use crate::gateway::Gateway;
@@ -33,6 +34,8 @@
     pub response: Response<Incoming>,
     /// What the endpoint says about the response.
     pub info: ResponseInfo,
+    /// What ends its body.
+    pub framing: Framing,
     /// The connection that carries the body.
     pub connection: Connection,
     /// Counts the attempt as in flight until it is dropped.
@@ -69,12 +72,13 @@
 /// Counts an attempt as in flight until it is dropped.
 #[derive(Debug)]
 pub struct AttemptGuard {
-    gateway: Rc<Gateway>,
+    /// The gateway.
+    pub gateway: Rc<Gateway>,
     number: u64,
     /// The endpoint.
     pub endpoint: EndpointId,
     /// The entry of the endpoint when it was chosen.
-    entry: EndpointEntry,
+    pub entry: EndpointEntry,
     /// When the process that got the request started, in Unix milliseconds; `None` if it is not known.
     started_unix_ms: Cell<Option<u64>>,
     /// When the request got its connection, by the steady clock.
@@ -99,6 +103,12 @@
         }
     }
 
+    /// Whether it is known which run got the request.
+    #[must_use]
+    pub fn is_identified(&self) -> bool {
+        self.started_unix_ms.get().is_some()
+    }
+
     /// The run that got the request, as far as it is known.
     #[must_use]
     pub fn run(&self) -> EndpointRun {
@@ -448,6 +458,7 @@
         return Err(Failure::possibly_run(FailureKind::Malformed));
     }
     Ok(ResponseHead {
+        framing: Framing::of(&response),
         response,
         info,
         connection,
--- a/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
+++ b/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
@@ -6,12 +6,14 @@
 //! connection was opened that a later process would have written its own.
 
 use bytes::Bytes;
+use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::state::gateway::{EndpointEntry, RetryPolicy};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Uri};
 
+use super::attempt::AttemptGuard;
 use super::exchange::Exchange;
 use crate::clock;
 use crate::edge::ForwardInfo;
@@ -34,8 +36,10 @@
     Started(u64),
     /// It does not state its start. The connection can be used.
     NotStated,
-    /// The connection was lost, or the endpoint closes it. It may have stated its start before.
+    /// It closes the connection after the response, which may state its start.
     Closed(Option<u64>),
+    /// The connection was refused, or lost before the response was complete.
+    Lost,
     /// No response in time. The connection cannot be used.
     TimedOut,
 }
@@ -88,6 +92,45 @@
     gateway.pool.open(entry.address, connect_timeout_ms).await
 }
 
+/// Whether the run that sent a response may still be alive: it responds over a new connection within
+/// [`REPORT_TIMEOUT_MS`], or the endpoint does not state its run. Such an endpoint is not asked each time,
+/// since it may count the question as a request.
+pub async fn may_be_alive(exchange: &Exchange, guard: &AttemptGuard) -> bool {
+    let (gateway, entry) = (&guard.gateway, &guard.entry);
+    let skips_report = |now| {
+        let control = gateway.control.borrow();
+        control.stated_runs.skips_report(entry, now)
+    };
+    if !guard.is_identified() && skips_report(clock::now()) {
+        return true;
+    }
+    let report = match open_unidentified(gateway, entry).await {
+        Ok(mut connection) => ask_for_run(exchange, entry, &mut connection).await,
+        Err(error) if error.is_refused() => Report::Lost,
+        Err(_) => Report::TimedOut,
+    };
+    let (may_be_alive, stated) = match report {
+        Report::Started(started_unix_ms) | Report::Closed(Some(started_unix_ms)) => {
+            let run = endpoint_run(&entry.endpoint, started_unix_ms);
+            // Entries without a start do not distinguish runs.
+            let is_known = guard.run() != endpoint_run(&entry.endpoint, 0);
+            (run == guard.run() || !is_known, "run")
+        }
+        Report::NotStated | Report::Closed(None) => {
+            record_unanswered_report(gateway, entry);
+            (true, "nothing")
+        }
+        // A process that ended accepts no connections.
+        Report::TimedOut => (true, "nothing-in-time"),
+        Report::Lost => (false, "no-answer"),
+    };
+    log::info!(
+        "kind=unframed-response-ended endpoint={} stated={stated} is_complete={may_be_alive}",
+        entry.endpoint
+    );
+    may_be_alive
+}
+
 /// Determines the run of the process if the exchange needs it and the connection does not have it yet.
 /// Opens another connection if the endpoint closes this one or does not respond.
 async fn identify_process(
@@ -121,6 +164,7 @@
                     }
                     connection = open_unidentified(gateway, entry).await?;
                 }
+                Report::Lost => connection = open_unidentified(gateway, entry).await?,
                 Report::TimedOut => {
                     record_unanswered_report(gateway, entry);
                     connection = open_unidentified(gateway, entry).await?;
@@ -174,12 +218,12 @@
     headers.insert(header::HOST, host);
     gateway.dialect.set_endpoint_headers(headers, &info);
     let Ok(response) = connection.send(request).await else {
-        return Report::Closed(None);
+        return Report::Lost;
     };
     let is_success = response.status().is_success();
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
     let Ok(body) = body.collect().await else {
-        return Report::Closed(None);
+        return Report::Lost;
     };
     let started_unix_ms = gateway.dialect.read_start_unix_ms(&body.to_bytes());
     let started_unix_ms = started_unix_ms.filter(|_| is_success);
--- a/crates/curranttrestle-gateway/src/front/event_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/event_stream.rs
@@ -11,12 +11,14 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use super::attempt::{self, Failure, ResponseHead};
-use super::events::{EventSplitter, Events};
+use super::attempt::{self, ResponseHead};
+use super::event_order::EventOrder;
+use super::events::EventSplitter;
 use super::exchange::Exchange;
 use super::held::{HeldMemory, MEMORY_WAIT_MS};
 use super::record::RequestRecord;
 use super::response::{BodyAborted, ResponseBody};
+use super::silent_stream::{MoveResult, ask_to_resume};
 use crate::clock;
 use crate::memory::MemoryKind;
 use crate::timer::sleep_ms;
@@ -30,8 +32,7 @@
     exchange: Exchange,
     head: Option<ResponseHead>,
     splitter: EventSplitter,
-    /// The id of the last event that the client has.
-    last_event_id: Option<u64>,
+    order: EventOrder,
     has_events: bool,
     /// When events last arrived, by the steady clock.
     last_event_ms: u64,
@@ -47,37 +48,17 @@
     is_done: bool,
 }
 
-/// How long a silent endpoint keeps a stream while another one may refuse it. Engines refuse at once;
-/// a stream must not run at two of them for longer than some hundred milliseconds.
-const MAX_OVERLAP_MS: u64 = 150;
-
-/// What happened first while another endpoint was asked to resume the stream of a silent one.
-enum MoveEvent {
-    /// The other endpoint responded or failed.
-    Responded(Box<Result<ResponseHead, Failure>>),
-    /// The silent endpoint sent events, or its response ended.
-    Received(ReceiveResult),
-    /// Neither within [`MAX_OVERLAP_MS`].
-    Timeout,
-}
-
-/// The result of asking another endpoint to resume the stream of a silent one.
-enum MoveResult {
-    /// The other endpoint resumed it.
-    Moved(ResponseHead),
-    /// The silent endpoint keeps it, with what it sent.
-    Kept(ResponseHead, Option<ReceiveResult>),
-    /// The other endpoint failed after the connection to the silent one was closed.
-    Failed(FailureKind),
-}
-
 /// The result of waiting for the next part of a stream.
-enum ReceiveResult {
+pub enum ReceiveResult {
+    /// Bytes of events.
     Data(Bytes),
-    /// Complete events, already split.
-    Events(Events),
-    Complete,
+    /// Complete events.
+    Events(Bytes),
+    /// The response ended.
+    Ended,
+    /// The endpoint failed.
     Failed(FailureKind),
+    /// The time of the request is over.
     DeadlineReached,
 }
 
@@ -91,7 +72,7 @@
         record: RequestRecord,
     ) -> Self {
         Self {
-            last_event_id: exchange.hints.last_event_id,
+            order: EventOrder::after(exchange.hints.last_event_id),
             exchange,
             head: Some(head),
             splitter: EventSplitter::default(),
@@ -129,7 +110,7 @@
             }
             let failed = match received {
                 ReceiveResult::Data(bytes) => match self.splitter.push(bytes) {
-                    Some(events) if events.bytes.is_empty() => continue,
+                    Some(events) if events.is_empty() => continue,
                     Some(events) => match self.filter_events(events) {
                         Some(bytes) => return Some(Ok(bytes)),
                         None => continue,
@@ -140,11 +121,11 @@
                     Some(bytes) => return Some(Ok(bytes)),
                     None => continue,
                 },
-                ReceiveResult::Complete if !self.splitter.has_partial() => {
+                ReceiveResult::Ended if self.is_complete().await => {
                     self.complete();
                     return None;
                 }
-                ReceiveResult::Complete => FailureKind::ConnectionLost,
+                ReceiveResult::Ended => FailureKind::ConnectionLost,
                 ReceiveResult::Failed(FailureKind::TimedOut) if !self.try_move() => {
                     self.idle_since_ms = clock::now().steady_ms;
                     continue;
@@ -235,15 +216,20 @@
         Some(limit_ms.max(options.min_stream_timeout_ms))
     }
 
-    /// Records the ids of the events and returns the bytes for the client. Drops all of them and
-    /// returns `None` if the client already has the first one that has an id.
-    fn filter_events(&mut self, events: Events) -> Option<Bytes> {
+    /// Returns the events that the client gets, or `None` if there are none. At a gap, the endpoint counts
+    /// as failed next.
+    fn filter_events(&mut self, events: Bytes) -> Option<Bytes> {
         let strain = &self.exchange.gateway.strain;
         strain.borrow_mut().work.forwarded_parts += 1;
         let now = clock::now();
         if let Some(head) = &self.head {
             head.guard.record_first_event(now);
         }
+        self.idle_since_ms = now.steady_ms;
+        let events = self.put_in_order(events);
+        if events.is_empty() {
+            return None;
+        }
         if self.has_events {
             self.record.record_pause(now.since_ms(self.last_event_ms));
         } else {
@@ -255,23 +241,39 @@
             self.record.record_first_event(now);
         }
         self.last_event_ms = now.steady_ms;
-        self.idle_since_ms = now.steady_ms;
-        let is_duplicate = events
-            .ids
-            .first()
-            .zip(self.last_event_id)
-            .is_some_and(|(first, last)| *first <= last);
-        if is_duplicate {
+        Some(events)
+    }
+
+    /// Returns the new events up to the first gap.
+    fn put_in_order(&mut self, events: Bytes) -> Bytes {
+        if !self.exchange.route.retry_policy.is_stream() {
+            // Only streams promise anything about their ids.
+            return events;
+        }
+        let last_id = self.order.last_id();
+        let accepted = self.order.accept(&events);
+        if accepted.repeated > 0 || accepted.gap_before.is_some() {
             log::warn!(
-                "kind=events-out-of-order id={} last={:?} got={:?}",
+                "kind=events-out-of-order id={} last={last_id:?} repeated={} gap_before={:?}",
                 self.exchange.hints.attempt_id,
-                self.last_event_id,
-                events.ids
+                accepted.repeated,
+                accepted.gap_before
             );
-            return None;
         }
-        self.last_event_id = events.ids.last().copied().or(self.last_event_id);
-        Some(events.bytes)
+        if accepted.gap_before.is_some() {
+            self.received = Some(ReceiveResult::Failed(FailureKind::Malformed));
+        }
+        accepted.bytes
+    }
+
+    /// Whether the response of the endpoint, which ended, is complete.
+    async fn is_complete(&self) -> bool {
+        match &self.head {
+            Some(head) if !self.splitter.has_partial() => {
+                head.framing.is_complete(&self.exchange, &head.guard).await
+            }
+            _ => false,
+        }
     }
 
     fn complete(&mut self) {
@@ -316,7 +318,7 @@
         let result = ask_to_resume(
             &self.exchange,
             &choice,
-            self.last_event_id,
+            self.order.last_id(),
             silent,
             &mut self.splitter,
         )
@@ -353,7 +355,7 @@
             return Err(self.abort("not-resumed"));
         };
         let from = head.guard.endpoint.clone();
-        if failed == FailureKind::ConnectionLost && self.last_event_id.is_none() {
+        if failed == FailureKind::ConnectionLost && self.order.last_id().is_none() {
             self.exchange.record_crash(head.guard.run(), clock::now());
         }
         // The connection is closed before another endpoint resumes the stream.
@@ -405,7 +407,7 @@
             &self.exchange,
             choice,
             true,
-            self.last_event_id,
+            self.order.last_id(),
             deadline_ms,
         )
         .await;
@@ -419,9 +421,9 @@
 }
 
 /// Waits for data from an endpoint or for the end of its response.
-async fn receive_from(head: &mut ResponseHead) -> ReceiveResult {
+pub async fn receive_from(head: &mut ResponseHead) -> ReceiveResult {
     match head.response.body_mut().frame().await {
-        None => ReceiveResult::Complete,
+        None => ReceiveResult::Ended,
         Some(Ok(frame)) => ReceiveResult::Data(frame.into_data().unwrap_or_default()),
         Some(Err(error)) => {
             log::debug!("kind=stream-failed error={error:?}");
@@ -429,57 +431,3 @@
         }
     }
 }
-
-/// Waits for a complete event from an endpoint or for the end of its response. Parts of an event do
-/// not count, since an endpoint may send them without end.
-async fn receive_events(head: &mut ResponseHead, splitter: &mut EventSplitter) -> ReceiveResult {
-    loop {
-        match receive_from(head).await {
-            ReceiveResult::Data(bytes) => match splitter.push(bytes) {
-                Some(events) if events.bytes.is_empty() => {}
-                Some(events) => return ReceiveResult::Events(events),
-                None => return ReceiveResult::Failed(FailureKind::Malformed),
-            },
-            received => return received,
-        }
-    }
-}
-
-/// Sends the request to the chosen endpoint and keeps `silent` until that one has had time to refuse.
-async fn ask_to_resume(
-    exchange: &Exchange,
-    choice: &Choice,
-    last_event_id: Option<u64>,
-    mut silent: ResponseHead,
-    splitter: &mut EventSplitter,
-) -> MoveResult {
-    let deadline_ms = exchange.deadline_steady_ms;
-    let sending = attempt::send(exchange, choice, true, last_event_id, deadline_ms);
-    let mut sending = std::pin::pin!(sending);
-    let responded = async { MoveEvent::Responded(Box::new(sending.as_mut().await)) };
-    let received = async { MoveEvent::Received(receive_events(&mut silent, splitter).await) };
-    let timeout = async {
-        sleep_ms(MAX_OVERLAP_MS).await;
-        MoveEvent::Timeout
-    };
-    let sent = match responded.or(received).or(timeout).await {
-        MoveEvent::Responded(response) => match *response {
-            Ok(head) if head.response.status().is_success() => Ok(head),
-            response => {
-                let kind = response.map_or_else(|failure| failure.kind, |_| FailureKind::Failed);
-                exchange.record_failure(&choice.entry.endpoint, kind, clock::now());
-                return MoveResult::Kept(silent, None);
-            }
-        },
-        MoveEvent::Received(ReceiveResult::Failed(_)) | MoveEvent::Timeout => {
-            drop(silent);
-            sending.await
-        }
-        MoveEvent::Received(received) => return MoveResult::Kept(silent, Some(received)),
-    };
-    match sent {
-        Ok(head) if head.response.status().is_success() => MoveResult::Moved(head),
-        Ok(_) => MoveResult::Failed(FailureKind::Failed),
-        Err(failure) => MoveResult::Failed(failure.kind),
-    }
-}
--- a/crates/curranttrestle-gateway/src/front/mod.rs
+++ b/crates/curranttrestle-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod connection;
 pub mod endpoint_connection;
+pub mod event_order;
 pub mod event_stream;
 pub mod events;
 pub mod exchange;
@@ -13,7 +14,9 @@
 pub mod request;
 pub mod response;
 pub mod response_body;
+pub mod response_end;
 pub mod resumption;
+pub mod silent_stream;
 pub mod status;
 
 use std::cell::Cell;
