A silent engine keeps its stream until another engine has got the request

Cause: the time in which both engines may have the stream began with the decision to move it, not with the request to the other one. It begins once the request is counted as sent now.

--- a/crates/curranttrestle-gateway/src/front/silent_stream.rs
+++ b/crates/curranttrestle-gateway/src/front/silent_stream.rs
@@ -15,13 +15,16 @@
 /// a stream must not run at two of them for longer than some hundred milliseconds.
 const MAX_OVERLAP_MS: u64 = 150;
 
+/// Interval for checking whether the request was sent to the other endpoint.
+const SENT_CHECK_INTERVAL_MS: u64 = 10;
+
 /// What happened first while another endpoint was asked to resume the stream of a silent one.
 enum MoveEvent {
     /// The other endpoint responded or failed.
     Responded(Box<Result<ResponseHead, Failure>>),
     /// The silent endpoint sent events, or its response ended.
     Received(ReceiveResult),
-    /// Neither within [`MAX_OVERLAP_MS`].
+    /// Neither within [`MAX_OVERLAP_MS`] after the request was sent.
     Timeout,
 }
 
@@ -63,7 +66,12 @@
     let mut sending = std::pin::pin!(sending);
     let responded = async { MoveEvent::Responded(Box::new(sending.as_mut().await)) };
     let received = async { MoveEvent::Received(receive_events(&mut silent, splitter).await) };
+    let sends = exchange.sends.get();
     let timeout = async {
+        // Connecting and identifying the process take time in which the silent endpoint keeps the stream.
+        while exchange.sends.get() == sends {
+            sleep_ms(SENT_CHECK_INTERVAL_MS).await;
+        }
         sleep_ms(MAX_OVERLAP_MS).await;
         MoveEvent::Timeout
     };
