--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -81,6 +81,8 @@
     pub entry: EndpointEntry,
     /// When the process that got the request started, in Unix milliseconds; `None` if it is not known.
     started_unix_ms: Cell<Option<u64>>,
+    /// The run that got the request, as far as it was known when it was sent.
+    run: Cell<EndpointRun>,
     /// When the request got its connection, by the steady clock.
     connected_ms: Cell<u64>,
     /// When the request was last allowed to be sent, by the steady clock.
@@ -109,13 +111,20 @@
         self.started_unix_ms.get().is_some()
     }
 
-    /// The run that got the request, as far as it is known.
+    /// The run that got the request, as far as it was known when it was sent.
     #[must_use]
     pub fn run(&self) -> EndpointRun {
-        match self.started_unix_ms.get() {
+        self.run.get()
+    }
+
+    /// Records the process at the other end of the connection over which the request is to be sent.
+    fn set_process(&self, connection: &Connection) {
+        let started_unix_ms = connection.process_started_unix_ms;
+        self.started_unix_ms.set(started_unix_ms);
+        self.run.set(match started_unix_ms {
             Some(started_unix_ms) => endpoint_run(&self.endpoint, started_unix_ms),
             None => self.gateway.control.borrow().stated_runs.run(&self.entry),
-        }
+        });
     }
 
     /// The software version of the run that got the request.
@@ -194,6 +203,10 @@
         endpoint: choice.entry.endpoint.clone(),
         entry: choice.entry.clone(),
         started_unix_ms: Cell::new(None),
+        run: Cell::new(endpoint_run(
+            &choice.entry.endpoint,
+            choice.entry.started_unix_ms,
+        )),
         connected_ms: Cell::new(u64::MAX),
         allowed_ms: Cell::new(u64::MAX),
     };
@@ -284,10 +297,9 @@
 fn may_send_now(exchange: &Exchange, connection: &Connection, guard: &AttemptGuard) -> bool {
     let now = clock::now();
     guard.allowed_ms.set(now.steady_ms);
-    guard
-        .started_unix_ms
-        .set(connection.process_started_unix_ms);
-    exchange.may_send(&guard.endpoint, guard.run(), now)
+    guard.set_process(connection);
+    exchange.remaining_ms(now) > 0
+        && exchange.may_send(&guard.endpoint, guard.run(), now)
         && may_go_on(exchange, guard)
         && exchange.take_permit(&guard.endpoint, now)
 }
--- a/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
+++ b/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
@@ -101,7 +101,9 @@
         let control = gateway.control.borrow();
         control.stated_runs.skips_report(entry, now)
     };
-    if !guard.is_identified() && skips_report(clock::now()) {
+    // A stream that goes on elsewhere loses nothing if the run still serves.
+    let goes_on = is_resumable(exchange);
+    if !goes_on && !guard.is_identified() && skips_report(clock::now()) {
         return true;
     }
     let report = match open_unidentified(gateway, entry).await {
@@ -120,8 +122,7 @@
             record_unanswered_report(gateway, entry);
             (true, "nothing")
         }
-        // A process that ended accepts no connections.
-        Report::TimedOut => (true, "nothing-in-time"),
+        Report::TimedOut => (!goes_on, "nothing-in-time"),
         Report::Lost => (false, "no-answer"),
     };
     log::info!(
@@ -138,16 +139,14 @@
     entry: &EndpointEntry,
     mut connection: Connection,
 ) -> Result<Connection, ConnectError> {
-    let is_needed = matches!(
-        exchange.route.retry_policy,
-        RetryPolicy::Stream { resumable: true }
-    );
+    let is_needed = is_resumable(exchange) || exchange.required_version.get().is_some();
     if !is_needed || connection.process_started_unix_ms.is_some() {
         return Ok(connection);
     }
     let gateway = &exchange.gateway;
     if asks_for_run(gateway, entry) {
-        for _ in 0..MAX_REPORTS {
+        for number in 1..=MAX_REPORTS {
+            let is_last = number == MAX_REPORTS;
             match ask_for_run(exchange, entry, &mut connection).await {
                 Report::Started(started_unix_ms) => {
                     record_start(gateway, entry, started_unix_ms);
@@ -162,6 +161,9 @@
                     if let Some(started_unix_ms) = started_unix_ms {
                         record_start(gateway, entry, started_unix_ms);
                     }
+                    if is_last {
+                        record_unanswered_report(gateway, entry);
+                    }
                     connection = open_unidentified(gateway, entry).await?;
                 }
                 Report::Lost => connection = open_unidentified(gateway, entry).await?,
@@ -177,6 +179,11 @@
     Ok(connection)
 }
 
+fn is_resumable(exchange: &Exchange) -> bool {
+    let policy = exchange.route.retry_policy;
+    matches!(policy, RetryPolicy::Stream { resumable: true })
+}
+
 /// Whether an endpoint is asked for its run now. Entries without a start do not distinguish runs.
 fn asks_for_run(gateway: &Gateway, entry: &EndpointEntry) -> bool {
     let control = gateway.control.borrow();
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -39,7 +39,7 @@
 pub(crate) const TICK_INTERVAL_MS: u64 = 50;
 
 /// Time in which a gateway finds its peers, if some of them are running.
-const PEER_DISCOVERY_MS: u64 = 3_000;
+const PEER_DISCOVERY_MS: u64 = 4_000;
 
 /// Interval for recording the software versions in the directory.
 const VERSION_INTERVAL_MS: u64 = 1_000;
--- a/crates/curranttrestle-gateway/src/peers/mod.rs
+++ b/crates/curranttrestle-gateway/src/peers/mod.rs
@@ -93,6 +93,12 @@
         self.exchange.borrow().peering().is_first()
     }
 
+    /// Whether another gateway is live.
+    #[must_use]
+    pub fn has_live(&self) -> bool {
+        self.exchange.borrow().peering().live_count() > 1
+    }
+
     /// Adds the gateways that the store lists.
     pub fn add_listed(&self, listed: &[SocketAddr], now: Now) {
         self.exchange.borrow_mut().add_listed(listed, now);
--- a/crates/curranttrestle-gateway/src/reload.rs
+++ b/crates/curranttrestle-gateway/src/reload.rs
@@ -39,7 +39,7 @@
             return;
         };
         self.checked_ms = now.steady_ms;
-        // If there are none, the reader of the settings has logged an error.
+        // Without any, they are unchanged, or the reader has logged why they are invalid.
         if let Some(settings) = (self.read)(cause) {
             gateway.set_bounds(settings.bounds());
         }
--- a/crates/curranttrestle-gateway/src/settings.rs
+++ b/crates/curranttrestle-gateway/src/settings.rs
@@ -196,6 +196,8 @@
 pub struct ListingOptions {
     /// Time after the start in which the seeds respond, and between two attempts.
     pub settle_ms: u64,
+    /// Additional time after the start if seeds have responded.
+    pub found_peers_ms: u64,
     /// Time in which the gateways of the list respond.
     pub response_ms: u64,
     /// Interval between two reads by the first gateway.
@@ -206,6 +208,7 @@
     fn default() -> Self {
         Self {
             settle_ms: 2_500,
+            found_peers_ms: 6_000,
             response_ms: 1_000,
             interval_ms: 30_000,
         }
--- a/crates/curranttrestle-gateway/src/shutdown.rs
+++ b/crates/curranttrestle-gateway/src/shutdown.rs
@@ -36,7 +36,7 @@
         peers.send_due(gateway, now);
         settings.update(gateway, now);
         let options = gateway.bounds().stop;
-        // The platform may still apply the longest of them, and its kill cuts no more than this exit.
+        // The platform may still apply a longer time that was announced before.
         grace_ms = grace_ms.max(options.grace_ms);
         let elapsed_ms = now.since_ms(started_ms);
         if elapsed_ms >= options.accept_ms
--- a/crates/curranttrestle-gateway/src/store/gateways.rs
+++ b/crates/curranttrestle-gateway/src/store/gateways.rs
@@ -26,6 +26,10 @@
     // Gateways that start at the same time do not all read at the same time.
     let delay_ms = options.response_ms / 2;
     sleep_ms(options.settle_ms + rand::rng().random_range(0..=delay_ms)).await;
+    if peers.has_live() {
+        // The seeds work, so the list only helps gateways that start later.
+        sleep_ms(options.found_peers_ms).await;
+    }
     loop {
         if !peers.keeps_list() {
             sleep_ms(options.settle_ms).await;
