--- a/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
+++ b/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
@@ -92,18 +92,14 @@
     gateway.pool.open(entry.address, connect_timeout_ms).await
 }
 
-/// Whether the run that sent a response may still be alive: it responds over a new connection within
-/// [`REPORT_TIMEOUT_MS`], or the endpoint does not state its run. Such an endpoint is not asked each time,
-/// since it may count the question as a request.
+/// Whether the run that sent an unframed response may still serve, so that the end of the connection ends
+/// the response. The endpoint is asked over a new connection. If it does not state its run, the answer is
+/// yes, and it is not asked each time, since it may count the question as a request.
 pub async fn may_be_alive(exchange: &Exchange, guard: &AttemptGuard) -> bool {
     let (gateway, entry) = (&guard.gateway, &guard.entry);
-    let skips_report = |now| {
-        let control = gateway.control.borrow();
-        control.stated_runs.skips_report(entry, now)
-    };
     // A stream that goes on elsewhere loses nothing if the run still serves.
     let goes_on = is_resumable(exchange);
-    if !goes_on && !guard.is_identified() && skips_report(clock::now()) {
+    if !goes_on && !guard.is_identified() && skips_report(gateway, entry) {
         return true;
     }
     let report = match open_unidentified(gateway, entry).await {
@@ -144,7 +140,8 @@
         return Ok(connection);
     }
     let gateway = &exchange.gateway;
-    if asks_for_run(gateway, entry) {
+    // Entries without a start do not distinguish runs.
+    if entry.started_unix_ms > 0 && !skips_report(gateway, entry) {
         for number in 1..=MAX_REPORTS {
             let is_last = number == MAX_REPORTS;
             match ask_for_run(exchange, entry, &mut connection).await {
@@ -184,10 +181,9 @@
     matches!(policy, RetryPolicy::Stream { resumable: true })
 }
 
-/// Whether an endpoint is asked for its run now. Entries without a start do not distinguish runs.
-fn asks_for_run(gateway: &Gateway, entry: &EndpointEntry) -> bool {
+fn skips_report(gateway: &Gateway, entry: &EndpointEntry) -> bool {
     let control = gateway.control.borrow();
-    entry.started_unix_ms > 0 && !control.stated_runs.skips_report(entry, clock::now())
+    control.stated_runs.skips_report(entry, clock::now())
 }
 
 /// Asks an endpoint for its run. A response that has arrived may still wait for its turn in this gateway.
--- a/crates/curranttrestle-gateway/src/store/gateways.rs
+++ b/crates/curranttrestle-gateway/src/store/gateways.rs
@@ -1,7 +1,7 @@
 //! Keeps a list of live gateways in the store, and finds gateways through it.
 //!
-//! Only a gateway that knows of no live one with a lower address reads the list. One that is alone, because
-//! all its seeds are stale, is such a gateway, and so is one of each part of a fleet that is split in two.
+//! Only a gateway without a live peer of a lower address reads the list. One that is alone, because all its
+//! seeds are stale, is such a gateway, and so is one of each part of a fleet that is split in two.
 
 use std::rc::Rc;
 
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -232,8 +232,8 @@
         }
     }
 
-    /// Returns the streams to tell peers about: those of services with several versions, and those that
-    /// began at an unknown version.
+    /// Returns the streams to announce: those of services with several versions, and those that began at an
+    /// unknown version.
     pub fn take_announcements(&mut self, now: Now) -> Vec<StreamOrigin> {
         self.remove_expired(now);
         let retention_ms = self.options.retention_ms;
