Log on what evidence a client's stream goes on

stream-resumed said whether the version was known or the only one, but not who had seen that: the gateway may have started a moment ago, and so may the peers that replied. It has the number of replies, the time since the start and the age of the directory now.

--- a/crates/curranttrestle-gateway/src/front/resumption.rs
+++ b/crates/curranttrestle-gateway/src/front/resumption.rs
@@ -42,12 +42,18 @@
         .directory
         .age_ms(now)
         .filter(|_| !exchange.gateway.is_finding_peers(now));
+    let counts = stream.map(|stream| control.streams.reply_count(stream));
+    let (replied, silent) = counts.unwrap_or_default();
     let resumed_from = control
         .streams
         .resolve(stream, service, directory_age_ms, now);
-    let (id, resumed) = (&hints.attempt_id, hints.resumed_attempt_id.as_deref());
-    let resumed = resumed.unwrap_or("none");
-    log::info!("kind=stream-resumed id={id} resumed={resumed} version={resumed_from:?}");
+    log::info!(
+        "kind=stream-resumed id={} resumed={} version={resumed_from:?} replies={replied} silent={silent} running_ms={} directory_age_ms={}",
+        hints.attempt_id,
+        hints.resumed_attempt_id.as_deref().unwrap_or("none"),
+        exchange.gateway.running_ms(now),
+        control.directory.age_ms(now).unwrap_or_default()
+    );
     match resumed_from {
         ResumedFrom::Known(version) => {
             let service = control.service_of_version(&exchange.route, version);
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -220,12 +220,17 @@
         self.phase.get() == Phase::Running && self.control.borrow().is_ready()
     }
 
+    /// Time since the gateway started.
+    #[must_use]
+    pub fn running_ms(&self, now: Now) -> u64 {
+        now.since_ms(self.started_ms)
+    }
+
     /// Whether the gateway started so recently that it may not have found its peers yet.
     #[must_use]
     pub fn is_finding_peers(&self, now: Now) -> bool {
         let mut seeds = self.settings.seeds.iter();
-        seeds.any(|seed| *seed != self.settings.peers)
-            && now.since_ms(self.started_ms) < PEER_DISCOVERY_MS
+        seeds.any(|seed| *seed != self.settings.peers) && self.running_ms(now) < PEER_DISCOVERY_MS
     }
 
     /// Does what is due at regular intervals.
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -313,6 +313,13 @@
         }
     }
 
+    /// How many peers have replied to the question about a stream, and how many have not.
+    #[must_use]
+    pub fn reply_count(&self, stream: StreamKey) -> (usize, usize) {
+        let query = self.queries.get(&stream);
+        query.map_or((0, 0), |query| (query.replies.len(), query.asked.len()))
+    }
+
     /// Whether no further reply about a stream is needed.
     #[must_use]
     pub fn is_answered(&self, stream: StreamKey, now: Now) -> bool {
