Record in the store which software versions may have begun streams

Cause: a stream of unknown origin goes on if only one version was seen, and a process that has just started has seen what its first list holds. One reply of a peer that has just started, too, was taken for confirmation. In the trace of one test, version=OnlyVersion replies=1 running_ms=1052, 3 s after the stream had begun; the wrong version was then remembered as the origin, and another gateway resumed the stream as Known.

One object in the store names the versions at which streams may have begun. Gateways add a version as soon as they see it, and remove it 35 s after it was last listed. A stream that nobody knows goes on only if a read of the object, sent after the request arrived, the directory and all replies name a single version. Without such a read, only a gateway that has read the object before or has run for 30 s decides. The object names the era of the store, as it may come back from a copy. It also holds runs of endpoints that are not listed yet, which a client without the name of its stream could not ask for.

The test fleet says at its first start that it is one, as the platform does.

Ruled out: an origin of another stream (no stream was resumed as Known before a joined one).

--- a/crates/curranttrestle-gateway/src/changes.rs
+++ b/crates/curranttrestle-gateway/src/changes.rs
@@ -31,6 +31,8 @@
         let mut control = self.control.borrow_mut();
         control.apply_directory_changes(changes);
         control.observe_versions(clock::now());
+        drop(control);
+        self.version_reads.check();
     }
 
     /// Logs and counts evacuations that began or ended.
--- a/crates/curranttrestle-gateway/src/edge/mod.rs
+++ b/crates/curranttrestle-gateway/src/edge/mod.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use curranttrestle::coordination::gateway::evacuation::{EvacuationChange, EvacuationState};
+use curranttrestle::coordination::gateway::served_versions::{StoredRecord, VersionRecord};
 use curranttrestle::state::EndpointId;
 use curranttrestle::state::gateway::{EndpointEntry, RequestHints, ServiceConfig};
 use hyper::header::HeaderMap;
@@ -119,6 +120,38 @@
         revision: Option<u64>,
         timeout_ms: u64,
     ) -> impl Future<Output = Result<(), PlatformError>>;
+
+    /// Reads the record of the software versions that may have begun streams, with a linearizable read.
+    fn read_versions(
+        &self,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<VersionRead, PlatformError>>;
+
+    /// Writes the record unless it has changed since it was read at `position`.
+    fn write_versions(
+        &self,
+        record: &VersionRecord,
+        position: StorePosition,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<(), PlatformError>>;
+}
+
+/// The record of versions that a read returned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionRead {
+    /// The record.
+    pub stored: StoredRecord,
+    /// Where it was read.
+    pub position: StorePosition,
+}
+
+/// The state of an object of the store at a read, as the condition of a write.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StorePosition {
+    /// How often the store had come back from a copy.
+    pub era: u64,
+    /// The revision of the object; `None` if it did not exist.
+    pub revision: Option<u64>,
 }
 
 /// The gateways that the store lists, so that others find them.
--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -316,6 +316,7 @@
     let is_still_only = || {
         let only = control
             .streams
+            .served
             .only_version(ServiceKey::of(&exchange.service), clock::now());
         only == Some(required)
     };
--- a/crates/curranttrestle-gateway/src/front/resumption.rs
+++ b/crates/curranttrestle-gateway/src/front/resumption.rs
@@ -14,6 +14,9 @@
 /// How long peers may take to reply. They reply at once, and a lost datagram is not sent again.
 const MAX_WAIT_MS: u64 = 150;
 
+/// How long a read of the record of software versions may take.
+const MAX_READ_MS: u64 = 500;
+
 /// Interval for checking whether they replied.
 const CHECK_INTERVAL_MS: u64 = 5;
 
@@ -34,6 +37,7 @@
     if let Some(stream) = stream {
         ask_peers(exchange, StreamQuery { stream, service }).await;
     }
+    read_record(exchange, stream).await;
     let now = clock::now();
     let mut control = exchange.gateway.control.borrow_mut();
     control.observe_versions(now);
@@ -44,9 +48,10 @@
         .filter(|_| !exchange.gateway.is_finding_peers(now));
     let counts = stream.map(|stream| control.streams.reply_count(stream));
     let (replied, silent) = counts.unwrap_or_default();
-    let resumed_from = control
-        .streams
-        .resolve(stream, service, directory_age_ms, now);
+    let resumed_from =
+        control
+            .streams
+            .resolve(stream, service, directory_age_ms, exchange.arrived, now);
     log::info!(
         "kind=stream-resumed id={} resumed={} version={resumed_from:?} replies={replied} silent={silent} running_ms={} directory_age_ms={}",
         hints.attempt_id,
@@ -73,6 +78,34 @@
     }
 }
 
+/// Reads the record of software versions, unless it is known where the stream began.
+async fn read_record(exchange: &Exchange, stream: Option<StreamKey>) {
+    let gateway = &exchange.gateway;
+    let asked = clock::now();
+    let is_known = stream.is_some_and(|stream| {
+        let control = gateway.control.borrow();
+        control.streams.version_of(stream, asked).is_some()
+    });
+    let reads = &gateway.version_reads;
+    if is_known || reads.is_unavailable(asked) {
+        return;
+    }
+    reads.request();
+    loop {
+        let now = clock::now();
+        let is_read = gateway
+            .control
+            .borrow()
+            .streams
+            .served
+            .is_read_since(exchange.arrived.steady_ms);
+        if is_read || reads.is_unavailable(now) || now.since_ms(asked.steady_ms) >= MAX_READ_MS {
+            return;
+        }
+        sleep_ms(CHECK_INTERVAL_MS).await;
+    }
+}
+
 /// Asks peers about a stream that this gateway does not know, and waits for their replies.
 async fn ask_peers(exchange: &Exchange, query: StreamQuery) {
     let gateway = &exchange.gateway;
--- a/crates/curranttrestle-gateway/src/gateway.rs
+++ b/crates/curranttrestle-gateway/src/gateway.rs
@@ -30,7 +30,7 @@
 use crate::reload::SettingsCheck;
 use crate::settings::{Bounds, GatewaySettings, ListingOptions, ReloadCause};
 use crate::shutdown::shut_down;
-use crate::store;
+use crate::store::{self, VersionReads};
 use crate::strain::{StrainMonitor, WorkTotals, measure_own_delay};
 use crate::timer::sleep_ms;
 use crate::upstream::{HttpClient, HttpClientOptions, Pool, PoolLimits};
@@ -156,6 +156,8 @@
     pub connections: RefCell<ConnectionLimit>,
     /// State of the limits on clients.
     pub client_limits: ClientLimits,
+    /// Reads of the record of software versions.
+    pub version_reads: VersionReads,
     /// The current phase.
     pub phase: Cell<Phase>,
     /// When the gateway started, by the steady clock.
@@ -393,6 +395,7 @@
         receiving: ReceivingBodies::default(),
         client_limits: ClientLimits::default(),
         connections: RefCell::new(ConnectionLimit::new(None, settings.connections)),
+        version_reads: VersionReads::default(),
         phase: Cell::new(Phase::Running),
         started_ms: clock::now().steady_ms,
         successes: Cell::new(0),
@@ -462,6 +465,11 @@
         Rc::clone(&peers),
         ListingOptions::default(),
     )));
+    tasks.push(control.spawn(store::maintain_versions(
+        Rc::clone(&gateway),
+        Rc::clone(&platform),
+        Rc::clone(&peers),
+    )));
     let evacuation = gateway.control.borrow().evacuations.options();
     if let Some(options) = evacuation {
         let reading = store::maintain_evacuations(Rc::clone(&gateway), platform, options);
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod evacuations;
 mod gateways;
+mod versions;
 
 use std::rc::Rc;
 
@@ -19,6 +20,7 @@
 
 pub use evacuations::maintain_evacuations;
 pub use gateways::maintain_gateways;
+pub use versions::{VersionReads, maintain_versions};
 
 /// The failures of one task's calls: logs the first of consecutive ones and the recovery, and records
 /// outages.
@@ -269,6 +271,8 @@
         };
         if error == PlatformError::HistoryDiscarded {
             log::info!("kind=directory-history-gone");
+            // What this gateway recorded may be lost.
+            gateway.version_reads.request();
             sleep_ms(gateway.bounds().store.min_backoff_ms).await;
             continue;
         }
--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -457,7 +457,7 @@
     }
 
     /// All endpoints, including those that are leaving.
-    pub fn all_entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+    pub fn all_entries(&self) -> impl Iterator<Item = &EndpointEntry> + Clone {
         self.endpoints.values().map(|record| &record.entry)
     }
 }
--- a/crates/curranttrestle/src/coordination/gateway/mod.rs
+++ b/crates/curranttrestle/src/coordination/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod reported_load;
 pub mod request_quarantine;
 pub mod route_table;
+pub mod served_versions;
 pub mod shares;
 pub mod software_version;
 pub mod stated_runs;
--- a/crates/curranttrestle/src/coordination/gateway/software_version.rs
+++ b/crates/curranttrestle/src/coordination/gateway/software_version.rs
@@ -19,13 +19,24 @@
 
     /// The version of an endpoint.
     #[must_use]
+    pub fn of(entry: &EndpointEntry) -> Self {
+        Self::of_service(&entry.service, &entry.software_version)
+    }
+
+    /// A version of the software of a service.
+    ///
+    /// ```
+    /// use curranttrestle::coordination::gateway::software_version::VersionKey;
+    /// assert_ne!(VersionKey::of_service("a", "1"), VersionKey::of_service("b", "1"));
+    /// ```
+    #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         reason = "the key is a truncated hash"
     )]
-    pub fn of(entry: &EndpointEntry) -> Self {
-        let service = xxh3_64(entry.service.as_bytes());
-        let hash = xxh3_64_with_seed(entry.software_version.as_bytes(), service);
+    pub fn of_service(service: &str, software_version: &str) -> Self {
+        let service = xxh3_64(service.as_bytes());
+        let hash = xxh3_64_with_seed(software_version.as_bytes(), service);
         Self(hash as u32)
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
@@ -4,12 +4,11 @@
 //! a gateway reads its new entry. A connection ends with its process, so what the endpoint states over a
 //! connection holds for all that follows over it, whatever the directory lists.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::control::Control;
 use super::directory::{Directory, EndpointRun, endpoint_run};
 use super::software_version::VersionKey;
-use super::stream_versions::ServiceKey;
 use crate::state::gateway::EndpointEntry;
 use crate::state::{EndpointId, Now};
 
@@ -150,16 +149,21 @@
         is_new
     }
 
-    /// Records the software versions in the directory, and which services have unlisted runs.
+    /// Records the software versions in the directory, and the runs that it does not list yet.
     pub fn observe_versions(&mut self, now: Now) {
+        if !self.directory.is_loaded() {
+            return;
+        }
         self.stated_runs.remove_outdated(&self.directory, now);
-        let endpoints = self.stated_runs.unlisted.keys();
-        let entries = endpoints.filter_map(|endpoint| self.directory.entry(endpoint));
-        let services: IndexSet<ServiceKey> = entries
-            .map(|entry| ServiceKey::of(&entry.service))
-            .collect();
-        self.streams.set_services_with_unlisted_runs(services);
-        self.streams.observe(self.directory.all_entries(), now);
+        let unlisted = self.stated_runs.unlisted.iter();
+        let unlisted = unlisted.filter_map(|(endpoint, run)| {
+            let entry = self.directory.entry(endpoint)?;
+            let run = endpoint_run(endpoint, run.started_unix_ms);
+            Some((entry.service.as_str(), run))
+        });
+        let unlisted: Vec<(&str, EndpointRun)> = unlisted.collect();
+        let entries = self.directory.all_entries();
+        self.streams.served.observe(entries, &unlisted, now);
     }
 
     /// Replaces the key of an unlisted run by its software version once the directory lists that run.
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -14,9 +14,9 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::load_relay::{DataCentreKey, LivePeer};
+use super::served_versions::ServedVersions;
 use super::software_version::VersionKey;
 use crate::state::Now;
-use crate::state::gateway::EndpointEntry;
 
 /// Options of the memory of streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,8 +30,14 @@
     pub announcement_peers: usize,
     /// Further peers of each group that are asked, as some of those that were told may be gone.
     pub extra_query_peers: usize,
-    /// Maximum age of the directory on which a gateway without peers relies.
+    /// Maximum age of the directory on which a gateway without peers relies, and up to which it shows that
+    /// a version is no longer listed.
     pub max_directory_age_ms: u64,
+    /// How much longer than for streams an unlisted version stays recorded, as gateways read the directory
+    /// at different times.
+    pub removal_delay_ms: u64,
+    /// Whether no gateway has run before, so that a missing record says that no stream has begun.
+    pub is_first_start: bool,
 }
 
 impl Default for StreamVersionOptions {
@@ -42,6 +48,8 @@
             announcement_peers: 2,
             extra_query_peers: 1,
             max_directory_age_ms: 4_000,
+            removal_delay_ms: 5_000,
+            is_first_start: false,
         }
     }
 }
@@ -143,7 +151,8 @@
 /// use curranttrestle::state::Now;
 /// let versions = StreamVersions::new(StreamVersionOptions::default());
 /// assert_eq!(versions.version_of(StreamKey::of("a"), Now::default()), None);
-/// assert_eq!(versions.only_version(ServiceKey::of("model"), Now::default()), None);
+/// let service = ServiceKey::of("model");
+/// assert_eq!(versions.served.only_version(service, Now::default()), None);
 /// ```
 #[derive(Clone, Debug)]
 pub struct StreamVersions {
@@ -155,10 +164,8 @@
     unannounced: VecDeque<Unannounced>,
     /// Whether a stream that began at an unknown version is among them.
     has_unknown: bool,
-    /// When each version was last seen in the directory, by the steady clock.
-    seen: IndexMap<ServiceKey, IndexMap<VersionKey, u64>>,
-    /// Services of which a run is not listed in the directory yet.
-    services_with_unlisted_runs: IndexSet<ServiceKey>,
+    /// The versions at which streams may have begun.
+    pub served: ServedVersions,
     queries: IndexMap<StreamKey, Query>,
 }
 
@@ -172,45 +179,11 @@
             expiries: VecDeque::new(),
             unannounced: VecDeque::new(),
             has_unknown: false,
-            seen: IndexMap::new(),
-            services_with_unlisted_runs: IndexSet::new(),
+            served: ServedVersions::new(options),
             queries: IndexMap::new(),
         }
     }
 
-    /// Records the entries of the directory.
-    pub fn observe<'a>(&mut self, entries: impl Iterator<Item = &'a EndpointEntry>, now: Now) {
-        for entry in entries {
-            let versions = self.seen.entry(ServiceKey::of(&entry.service)).or_default();
-            versions.insert(VersionKey::of(entry), now.steady_ms);
-        }
-        let retention_ms = self.options.retention_ms;
-        self.seen.retain(|_, versions| {
-            versions.retain(|_, seen_ms| now.since_ms(*seen_ms) < retention_ms);
-            !versions.is_empty()
-        });
-    }
-
-    /// Replaces the services of which a run is not listed in the directory yet.
-    pub fn set_services_with_unlisted_runs(&mut self, services: IndexSet<ServiceKey>) {
-        self.services_with_unlisted_runs = services;
-    }
-
-    /// The only version of a service that was seen recently; `None` if there were several or none, or if
-    /// a run of the service is not listed yet.
-    #[must_use]
-    pub fn only_version(&self, service: ServiceKey, now: Now) -> Option<VersionKey> {
-        if self.services_with_unlisted_runs.contains(&service) {
-            return None;
-        }
-        let versions = self.seen.get(&service)?;
-        let mut recent = versions
-            .iter()
-            .filter(|(_, seen_ms)| now.since_ms(**seen_ms) < self.options.retention_ms);
-        let (version, _) = recent.next()?;
-        recent.next().is_none().then_some(*version)
-    }
-
     /// Records that the first event of a stream came from an endpoint of this version.
     pub fn record_begun(
         &mut self,
@@ -236,28 +209,15 @@
     /// unknown version.
     pub fn take_announcements(&mut self, now: Now) -> Vec<StreamOrigin> {
         self.remove_expired(now);
-        let retention_ms = self.options.retention_ms;
-        let is_mixed = |versions: &IndexMap<VersionKey, u64>| {
-            let recent = versions.values();
-            recent
-                .filter(|seen_ms| now.since_ms(**seen_ms) < retention_ms)
-                .count()
-                > 1
-        };
-        let mixed: IndexSet<ServiceKey> = self
-            .seen
-            .iter()
-            .filter(|(_, versions)| is_mixed(versions))
-            .map(|(service, _)| *service)
-            .chain(self.services_with_unlisted_runs.iter().copied())
-            .collect();
-        if mixed.is_empty() && !std::mem::take(&mut self.has_unknown) {
+        let has_unknown = std::mem::take(&mut self.has_unknown);
+        if !has_unknown && !self.served.has_mixed(now) {
             return Vec::new();
         }
         let mut announced = Vec::new();
+        let served = &self.served;
         self.unannounced.retain(|stream| {
             let is_unknown = stream.origin.version == VersionKey::UNKNOWN;
-            let is_announced = is_unknown || mixed.contains(&stream.service);
+            let is_announced = is_unknown || served.is_mixed(stream.service, now);
             if is_announced {
                 announced.push(stream.origin);
             }
@@ -286,7 +246,7 @@
         StreamReply {
             stream: query.stream,
             version: self.version_of(query.stream, now),
-            only_version: self.only_version(query.service, now),
+            only_version: self.served.only_version(query.service, now),
         }
     }
 
@@ -330,27 +290,31 @@
                 .is_some_and(|query| query.asked.is_empty())
     }
 
-    /// Ends the question about a stream, and decides where the stream may go on. `directory_age_ms` is
-    /// the time since the directory was last confirmed; `None` before the first read.
+    /// Ends the question about a stream that was asked at `asked`, and decides where the stream may go on.
+    /// `directory_age_ms` is the time since the directory was last confirmed; `None` before the first read.
     pub fn resolve(
         &mut self,
         stream: Option<StreamKey>,
         service: ServiceKey,
         directory_age_ms: Option<u64>,
+        asked: Now,
         now: Now,
     ) -> ResumedFrom {
         let query = stream.and_then(|stream| self.queries.swap_remove(&stream));
         if let Some(version) = stream.and_then(|stream| self.version_of(stream, now)) {
             return ResumedFrom::Known(version);
         }
-        let Some(version) = self.only_version(service, now) else {
+        let Some(version) = self.served.only_version(service, now) else {
             return ResumedFrom::Unknown;
         };
         let query = query.unwrap_or_default();
         let has_peers = !query.asked.is_empty() || !query.replies.is_empty();
         let is_recent =
             directory_age_ms.is_some_and(|age_ms| age_ms < self.options.max_directory_age_ms);
-        let is_confirmed = if has_peers {
+        let is_recorded = self.served.is_confirmed_since(asked.steady_ms);
+        let is_confirmed = if is_recorded {
+            true
+        } else if has_peers {
             // A gateway that is cut off does not see a version that was added since.
             !query.replies.is_empty()
         } else {
--- a/crates/curranttrestle/tests/gateway/main.rs
+++ b/crates/curranttrestle/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod prompt_uses;
 mod request_quarantine;
 mod route_table;
+mod served_versions;
 mod shares;
 mod stated_runs;
 mod stream_versions;
--- /dev/null
+++ b/crates/curranttrestle/tests/gateway/served_versions.rs
@@ -0,0 +1,145 @@
+use curranttrestle::coordination::gateway::directory::endpoint_run;
+use curranttrestle::coordination::gateway::served_versions::{
+    RecordDue, RecordRole, ServedVersions, StoredRecord, StreamSource, VersionRecord,
+};
+use curranttrestle::coordination::gateway::software_version::VersionKey;
+use curranttrestle::coordination::gateway::stream_versions::{ServiceKey, StreamVersionOptions};
+use curranttrestle::state::gateway::EndpointEntry;
+
+use super::support::{at, entry};
+
+const KEEPER: RecordRole = RecordRole::Keeper;
+
+/// How long a version stays recorded after it was last listed.
+const KEPT_MS: u64 = 35_000;
+
+fn service() -> ServiceKey {
+    ServiceKey::of("model")
+}
+
+fn of_version(version: &str) -> EndpointEntry {
+    EndpointEntry {
+        software_version: version.to_owned(),
+        ..entry("model", 0)
+    }
+}
+
+fn record(versions: &[&str]) -> VersionRecord {
+    let sources = versions.iter();
+    let sources = sources.map(|version| StreamSource::Version((*version).to_owned()));
+    VersionRecord::from([("model".to_owned(), sources.collect())])
+}
+
+/// A gateway that has just started and whose directory lists a version.
+fn started(version: &str, options: StreamVersionOptions) -> ServedVersions {
+    let mut served = ServedVersions::new(options);
+    list(&mut served, version, 0);
+    served
+}
+
+fn list(served: &mut ServedVersions, version: &str, steady_ms: u64) {
+    served.observe([of_version(version)].iter(), &[], at(steady_ms));
+}
+
+fn only_version(served: &ServedVersions, steady_ms: u64) -> Option<VersionKey> {
+    served.only_version(service(), at(steady_ms))
+}
+
+#[test]
+fn gateway_that_has_just_started_takes_the_listed_version_for_the_only_one() {
+    let mut served = started("2", StreamVersionOptions::default());
+    assert_eq!(only_version(&served, 0), None);
+    let recorded = StoredRecord::Current(record(&["1", "2"]));
+    served.apply(&recorded, at(0), at(0));
+    assert_eq!(only_version(&served, 0), None);
+    let recorded = StoredRecord::Current(record(&["2"]));
+    served.apply(&recorded, at(100), at(100));
+    let version = VersionKey::of(&of_version("2"));
+    assert_eq!(only_version(&served, 100), Some(version));
+}
+
+#[test]
+fn missing_record_says_that_nothing_served_before() {
+    for is_first_start in [false, true] {
+        let options = StreamVersionOptions {
+            is_first_start,
+            ..StreamVersionOptions::default()
+        };
+        let mut served = started("2", options);
+        served.apply(&StoredRecord::Missing, at(0), at(0));
+        let next = served.next_record(&StoredRecord::Missing, KEEPER, Some(0), at(0));
+        assert_eq!(only_version(&served, 0).is_some(), is_first_start);
+        assert_eq!(next.is_some(), is_first_start);
+        list(&mut served, "2", 30_000);
+        let next = served.next_record(&StoredRecord::Missing, KEEPER, Some(0), at(30_000));
+        assert_eq!(next, Some(record(&["2"])));
+    }
+}
+
+#[test]
+fn record_from_before_the_store_came_back_from_a_copy_counts_as_complete() {
+    let outdated = StoredRecord::Outdated(record(&["1"]));
+    let mut served = started("1", StreamVersionOptions::default());
+    served.apply(&outdated, at(0), at(0));
+    assert_eq!(only_version(&served, 0), None);
+    assert_eq!(served.next_record(&outdated, KEEPER, Some(0), at(0)), None);
+    // Another gateway read the record before.
+    let mut served = started("1", StreamVersionOptions::default());
+    let current = StoredRecord::Current(record(&["1", "2"]));
+    served.apply(&current, at(0), at(0));
+    served.apply(&outdated, at(100), at(100));
+    let next = served.next_record(&outdated, KEEPER, Some(0), at(100));
+    assert_eq!(next, Some(record(&["1", "2"])));
+}
+
+#[test]
+fn version_is_removed_from_the_record_while_clients_may_resume_its_streams() {
+    let current = StoredRecord::Current(record(&["1", "2"]));
+    let mut served = started("2", StreamVersionOptions::default());
+    served.apply(&current, at(0), at(0));
+    list(&mut served, "2", KEPT_MS);
+    let next =
+        |role, age_ms, steady_ms| served.next_record(&current, role, Some(age_ms), at(steady_ms));
+    assert_eq!(next(KEEPER, 0, KEPT_MS - 1), None);
+    // A directory that is too old does not show that the version is gone.
+    assert_eq!(next(KEEPER, 4_000, KEPT_MS), None);
+    assert_eq!(next(RecordRole::Reserve, 0, KEPT_MS), None);
+    assert_eq!(next(KEEPER, 0, KEPT_MS), Some(record(&["2"])));
+    assert_eq!(served.due(KEEPER, at(KEPT_MS)), RecordDue::Refresh);
+}
+
+#[test]
+fn removed_version_is_added_again_by_a_gateway_that_only_read_it() {
+    let mut served = started("2", StreamVersionOptions::default());
+    served.apply(&StoredRecord::Current(record(&["1", "2"])), at(0), at(0));
+    let without = StoredRecord::Current(record(&["2"]));
+    served.apply(&without, at(1_000), at(1_000));
+    assert_eq!(
+        served.next_record(&without, KEEPER, Some(0), at(1_000)),
+        None
+    );
+    assert_eq!(served.due(KEEPER, at(1_000)), RecordDue::No);
+}
+
+#[test]
+fn stream_of_a_run_that_is_not_listed_goes_on_at_the_only_listed_version() {
+    let run = endpoint_run(&"model-0".into(), 2);
+    let current = StoredRecord::Current(record(&["1"]));
+    let mut served = started("1", StreamVersionOptions::default());
+    served.apply(&current, at(0), at(0));
+    served.observe([of_version("1")].iter(), &[("model", run)], at(0));
+    assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::Now);
+    let next = served.next_record(&current, KEEPER, Some(0), at(0));
+    let with_run = StoredRecord::Current(next.expect("the run is added"));
+    let mut other = started("1", StreamVersionOptions::default());
+    other.apply(&with_run, at(0), at(0));
+    assert_eq!(only_version(&other, 0), None);
+    let listed = EndpointEntry {
+        started_unix_ms: 2,
+        ..of_version("1")
+    };
+    other.observe([listed].iter(), &[], at(700));
+    assert!(only_version(&other, 700).is_some());
+    let next = other.next_record(&with_run, KEEPER, Some(0), at(700));
+    assert_eq!(next, Some(record(&["1"])));
+}
--- a/crates/curranttrestle/tests/gateway/stated_runs.rs
+++ b/crates/curranttrestle/tests/gateway/stated_runs.rs
@@ -1,5 +1,6 @@
 use curranttrestle::coordination::gateway::control::{Control, ControlOptions, PlacementRequest};
 use curranttrestle::coordination::gateway::directory::endpoint_run;
+use curranttrestle::coordination::gateway::served_versions::{StoredRecord, VersionRecord};
 use curranttrestle::coordination::gateway::software_version::VersionKey;
 use curranttrestle::coordination::gateway::stream_versions::ServiceKey;
 use curranttrestle::state::gateway::EndpointEntry;
@@ -12,6 +13,8 @@
     control.apply_config(config(5), 10, at(0).steady_ms);
     let entries = vec![entry("model", 0), entry("model", 1)];
     control.directory.replace(entries, at(0));
+    let record = StoredRecord::Current(VersionRecord::new());
+    control.streams.served.apply(&record, at(0), at(0));
     control
 }
 
@@ -88,18 +91,29 @@
     listed.record_stated_start(&"model-0".into(), 10, at(0));
     listed.directory.set(restarted(8));
     listed.observe_versions(at(1_000));
-    assert!(listed.streams.only_version(service, at(1_000)).is_some());
+    assert!(
+        listed
+            .streams
+            .served
+            .only_version(service, at(1_000))
+            .is_some()
+    );
     let mut stated_again = control();
     stated_again.record_stated_start(&"model-0".into(), 10, at(0));
     stated_again.record_stated_start(&"model-0".into(), 1, at(1_000));
     stated_again.observe_versions(at(1_000));
-    let only = stated_again.streams.only_version(service, at(1_000));
+    let only = stated_again.streams.served.only_version(service, at(1_000));
     assert!(only.is_some());
     let mut old = control();
     old.record_stated_start(&"model-0".into(), 10, at(0));
-    assert_eq!(old.streams.only_version(service, at(1_000)), None);
+    assert_eq!(old.streams.served.only_version(service, at(1_000)), None);
     old.observe_versions(at(30_000));
-    assert!(old.streams.only_version(service, at(30_000)).is_some());
+    assert!(
+        old.streams
+            .served
+            .only_version(service, at(30_000))
+            .is_some()
+    );
 }
 
 #[test]
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -1,11 +1,13 @@
 use std::net::SocketAddr;
 
 use curranttrestle::coordination::gateway::load_relay::{DataCentreKey, LivePeer, data_centre_key};
+use curranttrestle::coordination::gateway::served_versions::{StoredRecord, VersionRecord};
 use curranttrestle::coordination::gateway::software_version::VersionKey;
 use curranttrestle::coordination::gateway::stream_versions::{
     ResumedFrom, ServiceKey, StreamKey, StreamOrigin, StreamReply, StreamVersionOptions,
     StreamVersions,
 };
+use curranttrestle::state::Now;
 use curranttrestle::state::gateway::EndpointEntry;
 
 use super::support::{at, entry};
@@ -28,10 +30,21 @@
 fn versions(seen: &[&str]) -> StreamVersions {
     let mut versions = StreamVersions::new(StreamVersionOptions::default());
     let entries: Vec<EndpointEntry> = seen.iter().map(|version| of_version(version)).collect();
-    versions.observe(entries.iter(), at(0));
+    versions.served.observe(entries.iter(), &[], at(0));
+    // The gateway has not read the record since, and knows from an earlier read what served before.
+    let record = StoredRecord::Current(VersionRecord::new());
+    versions.served.apply(&record, at(0), at(0));
     versions
 }
 
+/// A time after the last read of the record.
+fn after_last_read(now: Now) -> Now {
+    Now {
+        steady_ms: now.steady_ms + 1,
+        ..now
+    }
+}
+
 fn peer(index: u16, data_centre: &str) -> LivePeer {
     LivePeer {
         address: SocketAddr::from(([10, 0, 0, 1], index)),
@@ -45,7 +58,9 @@
     let mut versions = versions(&["1"]);
     versions.record_begun(stream, service(), key("1"), at(0));
     assert!(versions.take_announcements(at(50)).is_empty());
-    versions.observe([of_version("1"), of_version("2")].iter(), at(100));
+    versions
+        .served
+        .observe([of_version("1"), of_version("2")].iter(), &[], at(100));
     let origin = StreamOrigin {
         stream,
         version: key("1"),
@@ -57,11 +72,27 @@
 #[test]
 fn a_version_that_no_longer_serves_still_counts_for_streams_that_began_there() {
     let mut versions = versions(&["1", "2"]);
-    versions.observe([of_version("2")].iter(), at(20_000));
-    let resumed = versions.resolve(None, service(), Some(0), at(20_000));
+    versions
+        .served
+        .observe([of_version("2")].iter(), &[], at(20_000));
+    let resumed = versions.resolve(
+        None,
+        service(),
+        Some(0),
+        after_last_read(at(20_000)),
+        at(20_000),
+    );
     assert_eq!(resumed, ResumedFrom::Unknown);
-    versions.observe([of_version("2")].iter(), at(40_000));
-    let resumed = versions.resolve(None, service(), Some(0), at(40_000));
+    versions
+        .served
+        .observe([of_version("2")].iter(), &[], at(40_000));
+    let resumed = versions.resolve(
+        None,
+        service(),
+        Some(0),
+        after_last_read(at(40_000)),
+        at(40_000),
+    );
     assert_eq!(resumed, ResumedFrom::OnlyVersion(key("2")));
 }
 
@@ -72,7 +103,13 @@
     let mut versions = versions(&["1"]);
     versions.record_query(stream, &peers);
     assert!(!versions.is_answered(stream, at(0)));
-    let resumed = versions.resolve(Some(stream), service(), Some(0), at(0));
+    let resumed = versions.resolve(
+        Some(stream),
+        service(),
+        Some(0),
+        after_last_read(at(0)),
+        at(0),
+    );
     assert_eq!(resumed, ResumedFrom::Unknown);
 }
 
@@ -93,7 +130,13 @@
             only_version,
         };
         versions.receive_reply(peers[0], reply, at(0));
-        let resumed = versions.resolve(Some(stream), service(), Some(0), at(0));
+        let resumed = versions.resolve(
+            Some(stream),
+            service(),
+            Some(0),
+            after_last_read(at(0)),
+            at(0),
+        );
         assert_eq!(resumed, expected);
     }
 }
@@ -130,8 +173,11 @@
 fn stream_goes_on_at_any_version_while_a_run_of_its_service_is_not_listed() {
     let mut versions = versions(&["1"]);
     let unlisted = VersionKey::of_unlisted_run(7);
-    versions.set_services_with_unlisted_runs([service()].into_iter().collect());
-    let resumed = versions.resolve(None, service(), Some(0), at(0));
+    let entries = [of_version("1")];
+    versions
+        .served
+        .observe(entries.iter(), &[("model", 7)], at(0));
+    let resumed = versions.resolve(None, service(), Some(0), after_last_read(at(0)), at(0));
     assert_eq!(resumed, ResumedFrom::Unknown);
     let stream = StreamKey::of("a");
     versions.record_begun(stream, service(), unlisted, at(0));
