Record a run that is not listed only once a stream has begun there

An engine that starts again in place is a run of unknown version until its entry is read, and each gateway that saw one recorded it. Others can hardly ever resolve it if the engine starts again before it is listed, so streams of unknown origin were refused for 35 s. Only streams that began there matter, so the first event of one records the run.

--- a/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
+++ b/crates/curranttrestle-gateway/src/front/endpoint_connection.rs
@@ -263,7 +263,6 @@
     let now = clock::now();
     let mut control = gateway.control.borrow_mut();
     if control.record_stated_start(&entry.endpoint, started_unix_ms, now) {
-        gateway.version_reads.check();
         log::warn!(
             "kind=endpoint-run-not-listed endpoint={} started_unix_ms={started_unix_ms} listed_unix_ms={}",
             entry.endpoint,
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -265,7 +265,9 @@
         if let Some(attempt_id) = began_with {
             let mut control = self.gateway.control.borrow_mut();
             let (stream, service) = (StreamKey::of(attempt_id), ServiceKey::of(&self.service));
-            control.streams.record_begun(stream, service, version, now);
+            if control.streams.record_begun(stream, service, version, now) {
+                self.gateway.version_reads.check();
+            }
         }
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/served_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/served_versions.rs
@@ -110,6 +110,8 @@
     recorded_ms: Option<u64>,
     /// Whether it is a run that another one has replaced or that is listed by now.
     is_resolved: bool,
+    /// Whether it has begun a stream through this gateway.
+    has_begun: bool,
 }
 
 impl Observed {
@@ -119,6 +121,7 @@
             seen_ms: None,
             recorded_ms: None,
             is_resolved: false,
+            has_begun: false,
         }
     }
 
@@ -135,9 +138,14 @@
         })
     }
 
-    /// Whether it is missing in the record.
+    /// Whether it is missing in the record. The version of a run that is not listed will hardly ever be known
+    /// to others, so it is recorded only once a stream has begun there.
     fn is_to_be_added(&self) -> bool {
-        self.recorded_ms.is_none() && self.seen_ms.is_some() && !self.is_resolved
+        let is_relevant = match self.source {
+            StreamSource::Version(_) => self.seen_ms.is_some(),
+            StreamSource::UnlistedRun(_) => self.has_begun && !self.is_resolved,
+        };
+        self.recorded_ms.is_none() && is_relevant
     }
 }
 
@@ -215,6 +223,17 @@
         self.remove_expired(now);
     }
 
+    /// Records that a stream of a service has begun at a version, or at the run of an endpoint that is not
+    /// listed. Returns whether the record has to change.
+    pub fn record_begun(&mut self, service: ServiceKey, version: VersionKey) -> bool {
+        let service = self.services.get_mut(&service);
+        let Some(observed) = service.and_then(|service| service.sources.get_mut(&version)) else {
+            return false;
+        };
+        let is_first = !std::mem::replace(&mut observed.has_begun, true);
+        is_first && observed.is_to_be_added()
+    }
+
     fn service(&mut self, name: &str) -> &mut Service {
         let service = self.services.entry(ServiceKey::of(name));
         service.or_insert_with(|| Service {
@@ -404,7 +423,8 @@
             directory_age_ms.is_some_and(|age_ms| age_ms < self.options.max_directory_age_ms);
         let is_kept = |observed: &&Observed| {
             let is_removable = is_recent && observed.is_unlisted(unlisted_ms, now);
-            !observed.is_resolved && !is_removable
+            let is_recorded = observed.recorded_ms.is_some();
+            (is_recorded && !observed.is_resolved && !is_removable) || observed.is_to_be_added()
         };
         let mut next = VersionRecord::new();
         for service in self.services.values() {
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -184,14 +184,15 @@
         }
     }
 
-    /// Records that the first event of a stream came from an endpoint of this version.
+    /// Records that the first event of a stream came from an endpoint of this version. Returns whether the
+    /// record of versions has to change.
     pub fn record_begun(
         &mut self,
         stream: StreamKey,
         service: ServiceKey,
         version: VersionKey,
         now: Now,
-    ) {
+    ) -> bool {
         let origin = StreamOrigin { stream, version };
         self.remember(origin, now);
         self.has_unknown |= version == VersionKey::UNKNOWN;
@@ -203,6 +204,7 @@
         if self.unannounced.len() > self.options.max_streams {
             self.unannounced.pop_front();
         }
+        self.served.record_begun(service, version)
     }
 
     /// Returns the streams to announce: those of services with several versions, and those that began at an
--- a/crates/curranttrestle/tests/gateway/served_versions.rs
+++ b/crates/curranttrestle/tests/gateway/served_versions.rs
@@ -128,6 +128,9 @@
     let mut served = started("1", StreamVersionOptions::default());
     served.apply(&current, at(0), at(0));
     served.observe([of_version("1")].iter(), &[("model", run)], at(0));
+    assert_eq!(only_version(&served, 0), None);
+    assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::No);
+    assert!(served.record_begun(service(), VersionKey::of_unlisted_run(run)));
     assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::Now);
     let next = served.next_record(&current, KEEPER, Some(0), at(0));
     let with_run = StoredRecord::Current(next.expect("the run is added"));
