Streams may have begun at any service to which streams go

What callers saw: when a route moved to another service, or had weights over two services, a stream that a client resumed went on at the other service. No gateway had to start.

Cause: which versions may have begun a stream was decided for the service of the moment. Two services with one version each did not count as several, so origins were not announced, and peers confirmed the wrong version. The same class: what is configured now says nothing about when the stream began.

The record, the gateways' own observations and the announcements cover all services to which streams go or went. So streams are announced while there are several, and those of unknown origin are refused; where one service has streams, as before, nothing changes.

--- a/crates/curranttrestle-gateway/src/front/attempt.rs
+++ b/crates/curranttrestle-gateway/src/front/attempt.rs
@@ -8,7 +8,7 @@
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::placement::Choice;
 use curranttrestle::coordination::gateway::software_version::VersionKey;
-use curranttrestle::coordination::gateway::stream_versions::ServiceKey;
+
 use curranttrestle::state::gateway::EndpointEntry;
 use curranttrestle::state::{EndpointId, Now};
 use futures_lite::FutureExt;
@@ -314,10 +314,7 @@
     let required = control.listed_version(required);
     // A second version may have been found since the only one was required.
     let is_still_only = || {
-        let only = control
-            .streams
-            .served
-            .only_version(ServiceKey::of(&exchange.service), clock::now());
+        let only = control.streams.served.only_version(clock::now());
         only == Some(required)
     };
     let may_go_on = version == required
--- a/crates/curranttrestle-gateway/src/front/exchange.rs
+++ b/crates/curranttrestle-gateway/src/front/exchange.rs
@@ -9,7 +9,7 @@
 use curranttrestle::coordination::gateway::outlier_detection::FailureKind;
 use curranttrestle::coordination::gateway::request_quarantine::RequestIdentity;
 use curranttrestle::coordination::gateway::software_version::VersionKey;
-use curranttrestle::coordination::gateway::stream_versions::{ServiceKey, StreamKey};
+use curranttrestle::coordination::gateway::stream_versions::StreamKey;
 use curranttrestle::state::gateway::{RequestHints, RetryPolicy, Route};
 use curranttrestle::state::{EndpointId, Now};
 use hyper::header::HeaderMap;
@@ -264,8 +264,8 @@
         };
         if let Some(attempt_id) = began_with {
             let mut control = self.gateway.control.borrow_mut();
-            let (stream, service) = (StreamKey::of(attempt_id), ServiceKey::of(&self.service));
-            if control.streams.record_begun(stream, service, version, now) {
+            let stream = StreamKey::of(attempt_id);
+            if control.streams.record_begun(stream, version, now) {
                 self.gateway.version_reads.check();
             }
         }
--- a/crates/curranttrestle-gateway/src/front/resumption.rs
+++ b/crates/curranttrestle-gateway/src/front/resumption.rs
@@ -33,8 +33,8 @@
         return Ok(());
     }
     let stream = hints.resumed_attempt_id.as_deref().map(StreamKey::of);
-    let service = ServiceKey::of(&exchange.service);
     if let Some(stream) = stream {
+        let service = ServiceKey::of(&exchange.service);
         ask_peers(exchange, StreamQuery { stream, service }).await;
     }
     read_record(exchange, stream).await;
@@ -48,10 +48,9 @@
         .filter(|_| !exchange.gateway.is_finding_peers(now));
     let counts = stream.map(|stream| control.streams.reply_count(stream));
     let (replied, silent) = counts.unwrap_or_default();
-    let resumed_from =
-        control
-            .streams
-            .resolve(stream, service, directory_age_ms, exchange.arrived, now);
+    let resumed_from = control
+        .streams
+        .resolve(stream, directory_age_ms, exchange.arrived, now);
     log::info!(
         "kind=stream-resumed id={} resumed={} version={resumed_from:?} replies={replied} silent={silent} running_ms={} directory_age_ms={}",
         hints.attempt_id,
@@ -60,18 +59,15 @@
         control.directory.age_ms(now).unwrap_or_default()
     );
     match resumed_from {
-        ResumedFrom::Known(version) => {
+        ResumedFrom::Known(version) | ResumedFrom::OnlyVersion(version) => {
             let service = control.service_of_version(&exchange.route, version);
             let service = service.map(ToOwned::to_owned);
             drop(control);
             exchange.service = service.unwrap_or_else(|| exchange.service.clone());
             exchange.required_version.set(Some(version));
-            exchange.continues_known_stream = true;
-            Ok(())
-        }
-        ResumedFrom::OnlyVersion(version) => {
-            exchange.required_version.set(Some(version));
-            exchange.requires_only_version.set(true);
+            let is_known = matches!(resumed_from, ResumedFrom::Known(_));
+            exchange.continues_known_stream = is_known;
+            exchange.requires_only_version.set(!is_known);
             Ok(())
         }
         ResumedFrom::Unknown => Err(UNKNOWN_VERSION),
--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -246,6 +246,9 @@
         .map(|customer| customer.keys.len())
         .sum();
     if control.apply_config(config, read.revision, sent.steady_ms) {
+        // Streams may go to other services now.
+        control.observe_versions(clock::now());
+        gateway.version_reads.check();
         log::info!(
             "kind=config-in-force version={version} revision={} routes={routes} customers={customer_count} keys={keys} age_ms={}",
             read.revision,
--- a/crates/curranttrestle/src/coordination/gateway/control.rs
+++ b/crates/curranttrestle/src/coordination/gateway/control.rs
@@ -175,7 +175,7 @@
 pub struct Control {
     pub(super) options: ControlOptions,
     /// The configuration in force; `None` before the first one.
-    routes: Option<RouteTable>,
+    pub(super) routes: Option<RouteTable>,
     /// Proofs that the configuration in force is the newest one.
     pub config_freshness: Freshness,
     /// The endpoints in the directory.
--- a/crates/curranttrestle/src/coordination/gateway/route_table.rs
+++ b/crates/curranttrestle/src/coordination/gateway/route_table.rs
@@ -1,6 +1,6 @@
 //! Finds the route of a request and the customer that owns an API key.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::state::gateway::{Customer, Route, Service, ServiceConfig};
 
@@ -22,6 +22,8 @@
     /// The index of a customer by name.
     customers: IndexMap<String, usize>,
     services: IndexMap<String, usize>,
+    /// The services to which streams may go.
+    stream_services: IndexSet<String>,
 }
 
 impl RouteTable {
@@ -41,6 +43,12 @@
                 keys.insert(key.clone(), index);
             }
         }
+        let streams = config
+            .routes
+            .iter()
+            .filter(|route| route.retry_policy.is_stream());
+        let targets = streams.flat_map(|route| &route.targets);
+        let stream_services = targets.map(|target| target.service.clone()).collect();
         let services = config.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index));
         Self {
@@ -48,6 +56,7 @@
             keys,
             customers,
             services: services.collect(),
+            stream_services,
             config,
         }
     }
@@ -58,6 +67,12 @@
         &self.config
     }
 
+    /// Whether streams may go to a service.
+    #[must_use]
+    pub fn has_streams(&self, service: &str) -> bool {
+        self.stream_services.contains(service)
+    }
+
     /// Returns the route with the longest path prefix that matches `path`. The port and the case of
     /// `host` are ignored.
     #[must_use]
--- a/crates/curranttrestle/src/coordination/gateway/served_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/served_versions.rs
@@ -1,4 +1,6 @@
-//! Which software versions of each service may have begun streams recently.
+//! Which software versions of which services may have begun streams recently.
+//!
+//! Routes lead to several services, or move from one to another, so a stream may have begun at any of them.
 //!
 //! The directory lists what serves at the moment, and a process that has just started has seen nothing
 //! else. What served before is in a record in the store. A gateway adds a version to it as soon as it sees
@@ -8,7 +10,7 @@
 
 use super::directory::{EndpointRun, endpoint_run};
 use super::software_version::VersionKey;
-use super::stream_versions::{ServiceKey, StreamVersionOptions};
+use super::stream_versions::StreamVersionOptions;
 use crate::state::Now;
 use crate::state::gateway::EndpointEntry;
 
@@ -151,7 +153,6 @@
 
 #[derive(Clone, Debug, Default)]
 struct Service {
-    name: String,
     sources: IndexMap<VersionKey, Observed>,
 }
 
@@ -169,7 +170,8 @@
 #[derive(Clone, Debug)]
 pub struct ServedVersions {
     options: StreamVersionOptions,
-    services: IndexMap<ServiceKey, Service>,
+    /// By name.
+    services: IndexMap<String, Service>,
     /// Since when the directory has been observed, by the steady clock.
     observed_since_ms: Option<u64>,
     /// Whether a current record was read or written, or there was nothing to record before.
@@ -194,8 +196,8 @@
         }
     }
 
-    /// Records the entries of the directory, and the runs of endpoints that it does not list yet, each with
-    /// its service.
+    /// Records the entries of services to which streams may go, and the runs of their endpoints that the
+    /// directory does not list yet, each with its service.
     pub fn observe<'a>(
         &mut self,
         entries: impl Iterator<Item = &'a EndpointEntry> + Clone,
@@ -223,11 +225,12 @@
         self.remove_expired(now);
     }
 
-    /// Records that a stream of a service has begun at a version, or at the run of an endpoint that is not
-    /// listed. Returns whether the record has to change.
-    pub fn record_begun(&mut self, service: ServiceKey, version: VersionKey) -> bool {
-        let service = self.services.get_mut(&service);
-        let Some(observed) = service.and_then(|service| service.sources.get_mut(&version)) else {
+    /// Records that a stream has begun at a version, or at the run of an endpoint that is not listed. Returns
+    /// whether the record has to change.
+    pub fn record_begun(&mut self, version: VersionKey) -> bool {
+        let mut services = self.services.values_mut();
+        let observed = services.find_map(|service| service.sources.get_mut(&version));
+        let Some(observed) = observed else {
             return false;
         };
         let is_first = !std::mem::replace(&mut observed.has_begun, true);
@@ -235,11 +238,7 @@
     }
 
     fn service(&mut self, name: &str) -> &mut Service {
-        let service = self.services.entry(ServiceKey::of(name));
-        service.or_insert_with(|| Service {
-            name: name.to_owned(),
-            sources: IndexMap::new(),
-        })
+        self.services.entry(name.to_owned()).or_default()
     }
 
     fn resolve_runs<'a>(
@@ -300,44 +299,33 @@
         self.read_ms.is_some_and(|sent_ms| sent_ms >= asked_ms)
     }
 
-    /// The only version of a service at which streams may have begun that clients may still resume; `None`
-    /// if there were several or none, or if that is not known.
+    /// The only version at which streams may have begun that clients may still resume; `None` if there were
+    /// several or none, or if that is not known.
     #[must_use]
-    pub fn only_version(&self, service: ServiceKey, now: Now) -> Option<VersionKey> {
+    pub fn only_version(&self, now: Now) -> Option<VersionKey> {
         if !self.knows_past(now) {
             return None;
         }
-        let mut present = self.present(service, now);
+        let mut present = self.present(now);
         let (version, observed) = present.next()?;
         let is_listed = matches!(observed.source, StreamSource::Version(_));
         (is_listed && present.next().is_none()).then_some(version)
     }
 
-    /// Whether streams of any service may have begun at several versions.
-    #[must_use]
-    pub fn has_mixed(&self, now: Now) -> bool {
-        let mut services = self.services.keys();
-        services.any(|service| self.is_mixed(*service, now))
-    }
-
-    /// Whether streams of a service may have begun at several versions.
+    /// Whether streams may have begun at several versions.
     #[must_use]
-    pub fn is_mixed(&self, service: ServiceKey, now: Now) -> bool {
-        let mut present = self.present(service, now);
+    pub fn is_mixed(&self, now: Now) -> bool {
+        let mut present = self.present(now);
         let first = present.next();
         let is_unlisted = first
             .is_some_and(|(_, observed)| matches!(observed.source, StreamSource::UnlistedRun(_)));
         is_unlisted || present.next().is_some()
     }
 
-    fn present(
-        &self,
-        service: ServiceKey,
-        now: Now,
-    ) -> impl Iterator<Item = (VersionKey, &Observed)> {
+    fn present(&self, now: Now) -> impl Iterator<Item = (VersionKey, &Observed)> {
         let retention_ms = self.options.retention_ms;
-        let service = self.services.get(&service).into_iter();
-        let sources = service.flat_map(|service| &service.sources);
+        let services = self.services.values();
+        let sources = services.flat_map(|service| &service.sources);
         let present = sources.filter(move |(_, observed)| {
             let is_recent = observed.is_recent(retention_ms, now);
             !observed.is_resolved && (observed.recorded_ms.is_some() || is_recent)
@@ -357,10 +345,8 @@
             }
         }
         if matches!(stored, StoredRecord::Current(_)) {
-            for service in self.services.values_mut() {
-                let recorded = stored
-                    .content()
-                    .and_then(|record| record.get(&service.name));
+            for (name, service) in &mut self.services {
+                let recorded = stored.content().and_then(|record| record.get(name));
                 for observed in service.sources.values_mut() {
                     if recorded.is_none_or(|sources| !sources.contains(&observed.source)) {
                         observed.recorded_ms = None;
@@ -427,12 +413,12 @@
             (is_recorded && !observed.is_resolved && !is_removable) || observed.is_to_be_added()
         };
         let mut next = VersionRecord::new();
-        for service in self.services.values() {
+        for (name, service) in &self.services {
             let kept = service.sources.values().filter(is_kept);
             let kept: IndexSet<StreamSource> =
                 kept.map(|observed| observed.source.clone()).collect();
             if !kept.is_empty() {
-                next.insert(service.name.clone(), kept);
+                next.insert(name.clone(), kept);
             }
         }
         let is_unchanged = match stored {
--- a/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
@@ -151,18 +151,20 @@
 
     /// Records the software versions in the directory, and the runs that it does not list yet.
     pub fn observe_versions(&mut self, now: Now) {
-        if !self.directory.is_loaded() {
+        let Some(routes) = self.routes.as_ref().filter(|_| self.directory.is_loaded()) else {
             return;
-        }
+        };
         self.stated_runs.remove_outdated(&self.directory, now);
         let unlisted = self.stated_runs.unlisted.iter();
         let unlisted = unlisted.filter_map(|(endpoint, run)| {
             let entry = self.directory.entry(endpoint)?;
+            let entry = routes.has_streams(&entry.service).then_some(entry)?;
             let run = endpoint_run(endpoint, run.started_unix_ms);
             Some((entry.service.as_str(), run))
         });
         let unlisted: Vec<(&str, EndpointRun)> = unlisted.collect();
         let entries = self.directory.all_entries();
+        let entries = entries.filter(|entry| routes.has_streams(&entry.service));
         self.streams.served.observe(entries, &unlisted, now);
     }
 
--- a/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stream_versions.rs
@@ -107,7 +107,8 @@
     pub stream: StreamKey,
     /// The version at which it began; `None` if the peer does not know.
     pub version: Option<VersionKey>,
-    /// The only version of the service that the peer saw recently; `None` if there were several.
+    /// The only version at which streams may have begun, as far as the peer knows; `None` if there were
+    /// several.
     pub only_version: Option<VersionKey>,
 }
 
@@ -116,7 +117,7 @@
 pub enum ResumedFrom {
     /// It began at this version.
     Known(VersionKey),
-    /// No gateway remembers it, but the service recently had this version only.
+    /// No gateway remembers it, but streams can only have begun at this version.
     OnlyVersion(VersionKey),
     /// It may have begun at any of several versions.
     Unknown,
@@ -131,7 +132,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Unannounced {
     origin: StreamOrigin,
-    service: ServiceKey,
     expires_ms: u64,
 }
 
@@ -146,13 +146,12 @@
 ///
 /// ```
 /// use curranttrestle::coordination::gateway::stream_versions::{
-///     ServiceKey, StreamKey, StreamVersionOptions, StreamVersions,
+///     StreamKey, StreamVersionOptions, StreamVersions,
 /// };
 /// use curranttrestle::state::Now;
 /// let versions = StreamVersions::new(StreamVersionOptions::default());
 /// assert_eq!(versions.version_of(StreamKey::of("a"), Now::default()), None);
-/// let service = ServiceKey::of("model");
-/// assert_eq!(versions.served.only_version(service, Now::default()), None);
+/// assert_eq!(versions.served.only_version(Now::default()), None);
 /// ```
 #[derive(Clone, Debug)]
 pub struct StreamVersions {
@@ -186,25 +185,18 @@
 
     /// Records that the first event of a stream came from an endpoint of this version. Returns whether the
     /// record of versions has to change.
-    pub fn record_begun(
-        &mut self,
-        stream: StreamKey,
-        service: ServiceKey,
-        version: VersionKey,
-        now: Now,
-    ) -> bool {
+    pub fn record_begun(&mut self, stream: StreamKey, version: VersionKey, now: Now) -> bool {
         let origin = StreamOrigin { stream, version };
         self.remember(origin, now);
         self.has_unknown |= version == VersionKey::UNKNOWN;
         self.unannounced.push_back(Unannounced {
             origin,
-            service,
             expires_ms: now.steady_ms + self.options.retention_ms,
         });
         if self.unannounced.len() > self.options.max_streams {
             self.unannounced.pop_front();
         }
-        self.served.record_begun(service, version)
+        self.served.record_begun(version)
     }
 
     /// Returns the streams to announce: those of services with several versions, and those that began at an
@@ -212,14 +204,14 @@
     pub fn take_announcements(&mut self, now: Now) -> Vec<StreamOrigin> {
         self.remove_expired(now);
         let has_unknown = std::mem::take(&mut self.has_unknown);
-        if !has_unknown && !self.served.has_mixed(now) {
+        let is_mixed = self.served.is_mixed(now);
+        if !has_unknown && !is_mixed {
             return Vec::new();
         }
         let mut announced = Vec::new();
-        let served = &self.served;
         self.unannounced.retain(|stream| {
             let is_unknown = stream.origin.version == VersionKey::UNKNOWN;
-            let is_announced = is_unknown || served.is_mixed(stream.service, now);
+            let is_announced = is_unknown || is_mixed;
             if is_announced {
                 announced.push(stream.origin);
             }
@@ -248,7 +240,7 @@
         StreamReply {
             stream: query.stream,
             version: self.version_of(query.stream, now),
-            only_version: self.served.only_version(query.service, now),
+            only_version: self.served.only_version(now),
         }
     }
 
@@ -297,7 +289,6 @@
     pub fn resolve(
         &mut self,
         stream: Option<StreamKey>,
-        service: ServiceKey,
         directory_age_ms: Option<u64>,
         asked: Now,
         now: Now,
@@ -306,7 +297,7 @@
         if let Some(version) = stream.and_then(|stream| self.version_of(stream, now)) {
             return ResumedFrom::Known(version);
         }
-        let Some(version) = self.served.only_version(service, now) else {
+        let Some(version) = self.served.only_version(now) else {
             return ResumedFrom::Unknown;
         };
         let query = query.unwrap_or_default();
--- a/crates/curranttrestle/tests/gateway/served_versions.rs
+++ b/crates/curranttrestle/tests/gateway/served_versions.rs
@@ -3,7 +3,7 @@
     RecordDue, RecordRole, ServedVersions, StoredRecord, StreamSource, VersionRecord,
 };
 use curranttrestle::coordination::gateway::software_version::VersionKey;
-use curranttrestle::coordination::gateway::stream_versions::{ServiceKey, StreamVersionOptions};
+use curranttrestle::coordination::gateway::stream_versions::StreamVersionOptions;
 use curranttrestle::state::gateway::EndpointEntry;
 
 use super::support::{at, entry};
@@ -13,10 +13,6 @@
 /// How long a version stays recorded after it was last listed.
 const KEPT_MS: u64 = 35_000;
 
-fn service() -> ServiceKey {
-    ServiceKey::of("model")
-}
-
 fn of_version(version: &str) -> EndpointEntry {
     EndpointEntry {
         software_version: version.to_owned(),
@@ -42,7 +38,7 @@
 }
 
 fn only_version(served: &ServedVersions, steady_ms: u64) -> Option<VersionKey> {
-    served.only_version(service(), at(steady_ms))
+    served.only_version(at(steady_ms))
 }
 
 #[test]
@@ -130,7 +126,7 @@
     served.observe([of_version("1")].iter(), &[("model", run)], at(0));
     assert_eq!(only_version(&served, 0), None);
     assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::No);
-    assert!(served.record_begun(service(), VersionKey::of_unlisted_run(run)));
+    assert!(served.record_begun(VersionKey::of_unlisted_run(run)));
     assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::Now);
     let next = served.next_record(&current, KEEPER, Some(0), at(0));
     let with_run = StoredRecord::Current(next.expect("the run is added"));
--- a/crates/curranttrestle/tests/gateway/stated_runs.rs
+++ b/crates/curranttrestle/tests/gateway/stated_runs.rs
@@ -2,7 +2,6 @@
 use curranttrestle::coordination::gateway::directory::endpoint_run;
 use curranttrestle::coordination::gateway::served_versions::{StoredRecord, VersionRecord};
 use curranttrestle::coordination::gateway::software_version::VersionKey;
-use curranttrestle::coordination::gateway::stream_versions::ServiceKey;
 use curranttrestle::state::gateway::EndpointEntry;
 
 use super::support::{at, config, entry, prompt, route};
@@ -81,7 +80,6 @@
 
 #[test]
 fn stated_run_that_is_never_listed_counts_for_good() {
-    let service = ServiceKey::of("model");
     let restarted = |started_unix_ms| EndpointEntry {
         started_unix_ms,
         ..entry("model", 0)
@@ -91,29 +89,18 @@
     listed.record_stated_start(&"model-0".into(), 10, at(0));
     listed.directory.set(restarted(8));
     listed.observe_versions(at(1_000));
-    assert!(
-        listed
-            .streams
-            .served
-            .only_version(service, at(1_000))
-            .is_some()
-    );
+    assert!(listed.streams.served.only_version(at(1_000)).is_some());
     let mut stated_again = control();
     stated_again.record_stated_start(&"model-0".into(), 10, at(0));
     stated_again.record_stated_start(&"model-0".into(), 1, at(1_000));
     stated_again.observe_versions(at(1_000));
-    let only = stated_again.streams.served.only_version(service, at(1_000));
+    let only = stated_again.streams.served.only_version(at(1_000));
     assert!(only.is_some());
     let mut old = control();
     old.record_stated_start(&"model-0".into(), 10, at(0));
-    assert_eq!(old.streams.served.only_version(service, at(1_000)), None);
+    assert_eq!(old.streams.served.only_version(at(1_000)), None);
     old.observe_versions(at(30_000));
-    assert!(
-        old.streams
-            .served
-            .only_version(service, at(30_000))
-            .is_some()
-    );
+    assert!(old.streams.served.only_version(at(30_000)).is_some());
 }
 
 #[test]
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -4,18 +4,13 @@
 use curranttrestle::coordination::gateway::served_versions::{StoredRecord, VersionRecord};
 use curranttrestle::coordination::gateway::software_version::VersionKey;
 use curranttrestle::coordination::gateway::stream_versions::{
-    ResumedFrom, ServiceKey, StreamKey, StreamOrigin, StreamReply, StreamVersionOptions,
-    StreamVersions,
+    ResumedFrom, StreamKey, StreamOrigin, StreamReply, StreamVersionOptions, StreamVersions,
 };
 use curranttrestle::state::Now;
 use curranttrestle::state::gateway::EndpointEntry;
 
 use super::support::{at, entry};
 
-fn service() -> ServiceKey {
-    ServiceKey::of("model")
-}
-
 fn of_version(version: &str) -> EndpointEntry {
     EndpointEntry {
         software_version: version.to_owned(),
@@ -56,7 +51,7 @@
 fn streams_are_announced_only_once_a_second_version_serves() {
     let stream = StreamKey::of("a");
     let mut versions = versions(&["1"]);
-    versions.record_begun(stream, service(), key("1"), at(0));
+    versions.record_begun(stream, key("1"), at(0));
     assert!(versions.take_announcements(at(50)).is_empty());
     versions
         .served
@@ -75,24 +70,12 @@
     versions
         .served
         .observe([of_version("2")].iter(), &[], at(20_000));
-    let resumed = versions.resolve(
-        None,
-        service(),
-        Some(0),
-        after_last_read(at(20_000)),
-        at(20_000),
-    );
+    let resumed = versions.resolve(None, Some(0), after_last_read(at(20_000)), at(20_000));
     assert_eq!(resumed, ResumedFrom::Unknown);
     versions
         .served
         .observe([of_version("2")].iter(), &[], at(40_000));
-    let resumed = versions.resolve(
-        None,
-        service(),
-        Some(0),
-        after_last_read(at(40_000)),
-        at(40_000),
-    );
+    let resumed = versions.resolve(None, Some(0), after_last_read(at(40_000)), at(40_000));
     assert_eq!(resumed, ResumedFrom::OnlyVersion(key("2")));
 }
 
@@ -103,13 +86,7 @@
     let mut versions = versions(&["1"]);
     versions.record_query(stream, &peers);
     assert!(!versions.is_answered(stream, at(0)));
-    let resumed = versions.resolve(
-        Some(stream),
-        service(),
-        Some(0),
-        after_last_read(at(0)),
-        at(0),
-    );
+    let resumed = versions.resolve(Some(stream), Some(0), after_last_read(at(0)), at(0));
     assert_eq!(resumed, ResumedFrom::Unknown);
 }
 
@@ -130,13 +107,7 @@
             only_version,
         };
         versions.receive_reply(peers[0], reply, at(0));
-        let resumed = versions.resolve(
-            Some(stream),
-            service(),
-            Some(0),
-            after_last_read(at(0)),
-            at(0),
-        );
+        let resumed = versions.resolve(Some(stream), Some(0), after_last_read(at(0)), at(0));
         assert_eq!(resumed, expected);
     }
 }
@@ -177,10 +148,10 @@
     versions
         .served
         .observe(entries.iter(), &[("model", 7)], at(0));
-    let resumed = versions.resolve(None, service(), Some(0), after_last_read(at(0)), at(0));
+    let resumed = versions.resolve(None, Some(0), after_last_read(at(0)), at(0));
     assert_eq!(resumed, ResumedFrom::Unknown);
     let stream = StreamKey::of("a");
-    versions.record_begun(stream, service(), unlisted, at(0));
+    versions.record_begun(stream, unlisted, at(0));
     assert_eq!(versions.take_announcements(at(50)).len(), 1);
 }
 
@@ -188,7 +159,7 @@
 fn stream_that_began_at_an_unknown_version_is_not_announced() {
     let mut versions = versions(&["1"]);
     let stream = StreamKey::of("a");
-    versions.record_begun(stream, service(), VersionKey::UNKNOWN, at(0));
+    versions.record_begun(stream, VersionKey::UNKNOWN, at(0));
     let origin = StreamOrigin {
         stream,
         version: VersionKey::UNKNOWN,
