An entry does not confirm a connection that was opened during an outage of the store

What callers saw: a stream went on at an endpoint that had started again, maybe with another version, while the store was away. Only endpoints that do not state their run are concerned.

Cause: an entry was taken for that of the process at the other end of a connection if the store responded 3 s after the connection was opened, because a later process would have written its entry by then. During an outage it could not, and the first response after it confirmed a connection of 4,344 ms with an entry that was older. The 3 s now begin with the return of the store.

--- a/crates/curranttrestle/src/coordination/gateway/directory.rs
+++ b/crates/curranttrestle/src/coordination/gateway/directory.rs
@@ -176,12 +176,13 @@
     }
 
     /// Whether the entry of an endpoint describes the process at the other end of a connection that was
-    /// opened at `opened_ms` of the steady clock: the store responded so long after that that a later
-    /// process would have written its entry.
+    /// opened at `opened_ms` of the steady clock: the store has responded for so long after that that a
+    /// later process would have written its entry.
     #[must_use]
     pub fn confirms_connection(&self, opened_ms: u64) -> bool {
+        let writable_ms = opened_ms.max(self.store_recovered_ms.unwrap_or_default());
         self.responded_ms.is_some_and(|responded_ms| {
-            responded_ms.saturating_sub(opened_ms) >= self.options.entry_delay_ms
+            responded_ms.saturating_sub(writable_ms) >= self.options.entry_delay_ms
         })
     }
 
