Remove a run from the record as soon as any gateway has seen its entry

A run of unknown version makes streams of unknown origin wait until it is listed. Its entry was noticed only if it was still there at the end of a batch of changes, and removed up to 2.5 s later.

--- a/crates/curranttrestle-gateway/src/store/mod.rs
+++ b/crates/curranttrestle-gateway/src/store/mod.rs
@@ -363,7 +363,10 @@
     let mut control = gateway.control.borrow_mut();
     let now = clock::now();
     let change = match event {
-        EndpointEvent::Written(entry) => control.directory.set(entry),
+        EndpointEvent::Written(entry) => {
+            control.observe_entry_version(&entry, now);
+            control.directory.set(entry)
+        }
         EndpointEvent::Removed(endpoint) => control.directory.remove(&endpoint, now),
         EndpointEvent::Unreadable(endpoint, reason) => {
             log::warn!("kind=entry-skipped name={endpoint} reason={reason:?}");
--- a/crates/curranttrestle/src/coordination/gateway/served_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/served_versions.rs
@@ -206,12 +206,7 @@
     ) {
         self.observed_since_ms.get_or_insert(now.steady_ms);
         for entry in entries.clone() {
-            let service = self.service(&entry.service);
-            let observed = service.sources.entry(VersionKey::of(entry));
-            let observed = observed.or_insert_with(|| {
-                Observed::new(StreamSource::Version(entry.software_version.clone()))
-            });
-            observed.seen_ms = Some(now.steady_ms);
+            self.observe_entry(entry, now);
         }
         for (service, run) in unlisted_runs {
             let sources = &mut self.service(service).sources;
@@ -225,6 +220,20 @@
         self.remove_expired(now);
     }
 
+    /// Records an entry that the directory may replace before the next call of [`Self::observe`].
+    pub fn observe_entry(&mut self, entry: &EndpointEntry, now: Now) {
+        let sources = &mut self.service(&entry.service).sources;
+        let observed = sources.entry(VersionKey::of(entry));
+        let observed = observed.or_insert_with(|| {
+            Observed::new(StreamSource::Version(entry.software_version.clone()))
+        });
+        observed.seen_ms = Some(now.steady_ms);
+        let run = endpoint_run(&entry.endpoint, entry.started_unix_ms);
+        if let Some(observed) = sources.get_mut(&VersionKey::of_unlisted_run(run)) {
+            observed.is_resolved = true;
+        }
+    }
+
     /// Records that a stream has begun at a version, or at the run of an endpoint that is not listed. Returns
     /// whether the record has to change.
     pub fn record_begun(&mut self, version: VersionKey) -> bool {
@@ -373,15 +382,16 @@
             RecordRole::Keeper => self.options.retention_ms + removal_delay_ms,
             RecordRole::Reserve => self.options.retention_ms + 2 * removal_delay_ms,
         };
-        let (mut has_new, mut has_old) = (false, false);
+        let (mut has_change, mut has_old) = (false, false);
         let services = self.services.values();
         for observed in services.flat_map(|service| service.sources.values()) {
-            has_new |= observed.is_to_be_added();
-            has_old |= observed.is_resolved || observed.is_unlisted(unlisted_ms, now);
+            let is_run_listed = observed.recorded_ms.is_some() && observed.is_resolved;
+            has_change |= observed.is_to_be_added() || is_run_listed;
+            has_old |= observed.is_unlisted(unlisted_ms, now);
         }
-        if self.read_ms.is_none() || (has_new && self.knows_past(now)) {
+        if self.read_ms.is_none() || (has_change && self.knows_past(now)) {
             RecordDue::Now
-        } else if has_new || has_old {
+        } else if has_change || has_old {
             RecordDue::Refresh
         } else {
             RecordDue::No
--- a/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
+++ b/crates/curranttrestle/src/coordination/gateway/stated_runs.rs
@@ -168,6 +168,14 @@
         self.streams.served.observe(entries, &unlisted, now);
     }
 
+    /// Records the software version of an entry that the directory has just read.
+    pub fn observe_entry_version(&mut self, entry: &EndpointEntry, now: Now) {
+        let routes = self.routes.as_ref();
+        if routes.is_some_and(|routes| routes.has_streams(&entry.service)) {
+            self.streams.served.observe_entry(entry, now);
+        }
+    }
+
     /// Replaces the key of an unlisted run by its software version once the directory lists that run.
     /// Other keys are returned unchanged.
     #[must_use]
