Time without the directory does not count as time in which a version was unlisted

Found by the review of the record. A gateway that was paused for 36 s removed a version from the record at once, although it had served until just before; so did one that knew it from the record alone and had not read the directory meanwhile.

A version that returns while another gateway removes it stayed out of the record, since the copy of the one that lists it again still had it. A version that returns is looked up again.

--- a/crates/curranttrestle/src/coordination/gateway/served_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/served_versions.rs
@@ -114,6 +114,8 @@
     is_resolved: bool,
     /// Whether it has begun a stream through this gateway.
     has_begun: bool,
+    /// Whether it was listed when the directory was last observed.
+    is_listed: bool,
 }
 
 impl Observed {
@@ -124,6 +126,7 @@
             recorded_ms: None,
             is_resolved: false,
             has_begun: false,
+            is_listed: false,
         }
     }
 
@@ -174,6 +177,8 @@
     services: IndexMap<String, Service>,
     /// Since when the directory has been observed, by the steady clock.
     observed_since_ms: Option<u64>,
+    /// When the directory was last observed, by the steady clock.
+    observed_ms: Option<u64>,
     /// Whether a current record was read or written, or there was nothing to record before.
     has_record: bool,
     /// When the last read that returned a current record was sent, by the steady clock.
@@ -190,6 +195,7 @@
             options,
             services: IndexMap::new(),
             observed_since_ms: None,
+            observed_ms: None,
             has_record: false,
             confirmed_ms: None,
             read_ms: None,
@@ -205,6 +211,14 @@
         now: Now,
     ) {
         self.observed_since_ms.get_or_insert(now.steady_ms);
+        self.record_gap(now);
+        let sources = self.services.values_mut();
+        for observed in sources.flat_map(|service| service.sources.values_mut()) {
+            // It may have served until just now.
+            if std::mem::take(&mut observed.is_listed) {
+                observed.seen_ms = Some(now.steady_ms);
+            }
+        }
         for entry in entries.clone() {
             self.observe_entry(entry, now);
         }
@@ -220,14 +234,37 @@
         self.remove_expired(now);
     }
 
+    /// After a time without observations, nothing counts as unlisted during it.
+    fn record_gap(&mut self, now: Now) {
+        let before_ms = self.observed_ms.replace(now.steady_ms);
+        let has_gap = before_ms
+            .is_some_and(|before_ms| now.since_ms(before_ms) >= self.options.max_directory_age_ms);
+        if !has_gap {
+            return;
+        }
+        self.observed_since_ms = Some(now.steady_ms);
+        let sources = self.services.values_mut();
+        for observed in sources.flat_map(|service| service.sources.values_mut()) {
+            let recorded_ms = observed.recorded_ms.map(|_| now.steady_ms);
+            observed.recorded_ms = recorded_ms;
+        }
+    }
+
     /// Records an entry that the directory may replace before the next call of [`Self::observe`].
     pub fn observe_entry(&mut self, entry: &EndpointEntry, now: Now) {
+        let retention_ms = self.options.retention_ms;
         let sources = &mut self.service(&entry.service).sources;
         let observed = sources.entry(VersionKey::of(entry));
         let observed = observed.or_insert_with(|| {
             Observed::new(StreamSource::Version(entry.software_version.clone()))
         });
+        let is_gone = !observed.is_recent(retention_ms, now);
+        if is_gone && !observed.is_listed {
+            // Another gateway may be removing it from the record.
+            observed.recorded_ms = None;
+        }
         observed.seen_ms = Some(now.steady_ms);
+        observed.is_listed = true;
         let run = endpoint_run(&entry.endpoint, entry.started_unix_ms);
         if let Some(observed) = sources.get_mut(&VersionKey::of_unlisted_run(run)) {
             observed.is_resolved = true;
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -67,6 +67,10 @@
 #[test]
 fn a_version_that_no_longer_serves_still_counts_for_streams_that_began_there() {
     let mut versions = versions(&["1", "2"]);
+    // The gateway notices its removal.
+    versions
+        .served
+        .observe([of_version("2")].iter(), &[], at(1_000));
     versions
         .served
         .observe([of_version("2")].iter(), &[], at(20_000));
