Peers that were not asked count when a client does not name its stream

Reads of the record are at least 2 ms a gateway apart, at most 250 ms, so that a large fleet that loses a gateway does not use up the rate of the store, and a read that succeeds ends the time in which none is expected to.

--- a/crates/curranttrestle-gateway/src/front/resumption.rs
+++ b/crates/curranttrestle-gateway/src/front/resumption.rs
@@ -17,7 +17,7 @@
 /// How long a read of the record of software versions may take.
 const MAX_READ_MS: u64 = 500;
 
-/// Interval for checking whether they replied.
+/// Interval for checking whether peers replied or the read has ended.
 const CHECK_INTERVAL_MS: u64 = 5;
 
 /// Determines the software version at which the stream of a client has to go on, if the client resumes
@@ -25,7 +25,7 @@
 ///
 /// # Errors
 ///
-/// [`UNKNOWN_VERSION`] if no gateway that responds knows where the stream began, and the service has
+/// [`UNKNOWN_VERSION`] if no gateway that responds knows where the stream began, and it may have begun at
 /// several versions.
 pub async fn require_version(exchange: &mut Exchange) -> Result<(), &'static str> {
     let hints = &exchange.hints;
@@ -41,11 +41,13 @@
     let now = clock::now();
     let mut control = exchange.gateway.control.borrow_mut();
     control.observe_versions(now);
-    // Peers that are not found yet may have seen other versions.
+    // Peers that are not found yet or were not asked may have seen other versions.
+    let peers = exchange.gateway.peers.get();
+    let has_unasked = stream.is_none() && peers.is_some_and(|peers| peers.has_live());
     let directory_age_ms = control
         .directory
         .age_ms(now)
-        .filter(|_| !exchange.gateway.is_finding_peers(now));
+        .filter(|_| !exchange.gateway.is_finding_peers(now) && !has_unasked);
     let counts = stream.map(|stream| control.streams.reply_count(stream));
     let (replied, silent) = counts.unwrap_or_default();
     let resumed_from = control
--- a/crates/curranttrestle-gateway/src/store/versions.rs
+++ b/crates/curranttrestle-gateway/src/store/versions.rs
@@ -23,6 +23,13 @@
 /// Minimum interval between two reads. Streams that are resumed meanwhile share the next one.
 const MIN_READ_INTERVAL_MS: u64 = 50;
 
+/// In a large fleet, all gateways may read at once when one of them is lost: this times the number of
+/// gateways is the minimum interval if it is larger than [`MIN_READ_INTERVAL_MS`].
+const MIN_READ_INTERVAL_MS_PER_GATEWAY: u64 = 2;
+
+/// Upper limit of the minimum interval, since clients wait for a read.
+const MAX_READ_INTERVAL_MS: u64 = 250;
+
 /// Interval between two reads of a record that cannot or need not be changed yet.
 const REFRESH_INTERVAL_MS: u64 = 2_500;
 
@@ -77,7 +84,9 @@
         match result {
             Ok(()) => {
                 health.log_recovery();
-                sleep_ms(MIN_READ_INTERVAL_MS).await;
+                gateway.version_reads.unavailable_until_ms.set(0);
+                let gateways = gateway.control.borrow().fleet_size();
+                sleep_ms(min_read_interval_ms(gateways)).await;
             }
             // Another gateway has just written it.
             Err(PlatformError::Conflict) => {
@@ -106,6 +115,13 @@
     }
 }
 
+/// Minimum interval between two reads in a fleet of `gateways` instances.
+fn min_read_interval_ms(gateways: usize) -> u64 {
+    let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
+    let fleet_interval_ms = gateways.saturating_mul(MIN_READ_INTERVAL_MS_PER_GATEWAY);
+    fleet_interval_ms.clamp(MIN_READ_INTERVAL_MS, MAX_READ_INTERVAL_MS)
+}
+
 /// Whether the same call would fail in the same way again.
 fn is_rejected(error: &PlatformError) -> bool {
     match error {
