Write the record again also after all gateways started beside a store that came back from a copy

A gateway that had read the outdated record had nothing to add to it, so it never looked again once it had run for 30 s. A record that is missing or outdated is now read every 2.5 s until one of the gateways may write it.

The unit test failed before (due: No) and holds.

--- a/crates/curranttrestle/src/coordination/gateway/served_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/served_versions.rs
@@ -185,6 +185,8 @@
     confirmed_ms: Option<u64>,
     /// When the last read was sent, by the steady clock.
     read_ms: Option<u64>,
+    /// Whether the last read returned a current record.
+    is_current: bool,
 }
 
 impl ServedVersions {
@@ -199,6 +201,7 @@
             has_record: false,
             confirmed_ms: None,
             read_ms: None,
+            is_current: false,
         }
     }
 
@@ -382,6 +385,7 @@
     /// Applies the record that a call to the store returned or wrote; the call was sent at `sent`.
     pub fn apply(&mut self, stored: &StoredRecord, sent: Now, now: Now) {
         self.read_ms = Some(sent.steady_ms);
+        self.is_current = matches!(stored, StoredRecord::Current(_));
         match stored {
             StoredRecord::Missing => self.has_record |= self.options.is_first_start,
             StoredRecord::Outdated(_) => {}
@@ -390,7 +394,7 @@
                 self.confirmed_ms = Some(sent.steady_ms);
             }
         }
-        if matches!(stored, StoredRecord::Current(_)) {
+        if self.is_current {
             for (name, service) in &mut self.services {
                 let recorded = stored.content().and_then(|record| record.get(name));
                 for observed in service.sources.values_mut() {
@@ -428,7 +432,7 @@
         }
         if self.read_ms.is_none() || (has_change && self.knows_past(now)) {
             RecordDue::Now
-        } else if has_change || has_old {
+        } else if has_change || has_old || !(self.is_current || self.services.is_empty()) {
             RecordDue::Refresh
         } else {
             RecordDue::No
--- a/crates/curranttrestle/tests/gateway/served_versions.rs
+++ b/crates/curranttrestle/tests/gateway/served_versions.rs
@@ -96,6 +96,17 @@
     assert_eq!(next, Some(record(&["1", "2"])));
 }
 
+#[test]
+fn record_from_before_the_store_came_back_from_a_copy_is_never_written_again() {
+    let outdated = StoredRecord::Outdated(record(&["1"]));
+    let mut served = started("1", StreamVersionOptions::default());
+    served.apply(&outdated, at(0), at(0));
+    list_until(&mut served, "1", 30_000);
+    assert_ne!(served.due(RecordRole::Reserve, at(30_000)), RecordDue::No);
+    let next = served.next_record(&outdated, KEEPER, Some(0), at(30_000));
+    assert_eq!(next, Some(record(&["1"])));
+}
+
 #[test]
 fn version_is_removed_from_the_record_while_clients_may_resume_its_streams() {
     let current = StoredRecord::Current(record(&["1", "2"]));
