--- a/crates/curranttrestle-gateway/src/store/versions.rs
+++ b/crates/curranttrestle-gateway/src/store/versions.rs
@@ -164,9 +164,9 @@
 
 fn role(peers: &Peers) -> RecordRole {
     if peers.keeps_list() {
-        RecordRole::Keeper
+        RecordRole::Primary
     } else {
-        RecordRole::Reserve
+        RecordRole::Secondary
     }
 }
 
--- a/crates/curranttrestle/src/coordination/gateway/served_versions.rs
+++ b/crates/curranttrestle/src/coordination/gateway/served_versions.rs
@@ -87,9 +87,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordRole {
     /// The first one to remove what no longer serves.
-    Keeper,
-    /// Removes it later, if the keeper does not.
-    Reserve,
+    Primary,
+    /// Removes it later, if the first one does not.
+    Secondary,
 }
 
 /// Whether the record has to be read.
@@ -166,9 +166,9 @@
 /// use curranttrestle::coordination::gateway::stream_versions::StreamVersionOptions;
 /// use curranttrestle::state::Now;
 /// let (mut served, now) = (ServedVersions::new(StreamVersionOptions::default()), Now::default());
-/// assert!(!served.knows_past(now));
+/// assert!(!served.knows_recent_versions(now));
 /// served.apply(&StoredRecord::Current(Default::default()), now, now);
-/// assert!(served.knows_past(now));
+/// assert!(served.knows_recent_versions(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct ServedVersions {
@@ -328,7 +328,7 @@
 
     /// Whether all versions are known at which streams began that clients may still resume.
     #[must_use]
-    pub fn knows_past(&self, now: Now) -> bool {
+    pub fn knows_recent_versions(&self, now: Now) -> bool {
         let retention_ms = self.options.retention_ms;
         self.has_record
             || self
@@ -352,7 +352,7 @@
     /// several or none, or if that is not known.
     #[must_use]
     pub fn only_version(&self, now: Now) -> Option<VersionKey> {
-        if !self.knows_past(now) {
+        if !self.knows_recent_versions(now) {
             return None;
         }
         let mut present = self.present(now);
@@ -420,8 +420,8 @@
     pub fn due(&self, role: RecordRole, now: Now) -> RecordDue {
         let removal_delay_ms = self.options.removal_delay_ms;
         let unlisted_ms = match role {
-            RecordRole::Keeper => self.options.retention_ms + removal_delay_ms,
-            RecordRole::Reserve => self.options.retention_ms + 2 * removal_delay_ms,
+            RecordRole::Primary => self.options.retention_ms + removal_delay_ms,
+            RecordRole::Secondary => self.options.retention_ms + 2 * removal_delay_ms,
         };
         let (mut has_change, mut has_old) = (false, false);
         let services = self.services.values();
@@ -430,7 +430,7 @@
             has_change |= observed.is_to_be_added() || is_run_listed;
             has_old |= observed.is_unlisted(unlisted_ms, now);
         }
-        if self.read_ms.is_none() || (has_change && self.knows_past(now)) {
+        if self.read_ms.is_none() || (has_change && self.knows_recent_versions(now)) {
             RecordDue::Now
         } else if has_change || has_old || !(self.is_current || self.services.is_empty()) {
             RecordDue::Refresh
@@ -449,12 +449,12 @@
         directory_age_ms: Option<u64>,
         now: Now,
     ) -> Option<VersionRecord> {
-        if !self.knows_past(now) {
+        if !self.knows_recent_versions(now) {
             return None;
         }
         let unlisted_ms = match role {
-            RecordRole::Keeper => self.options.retention_ms + self.options.removal_delay_ms,
-            RecordRole::Reserve => 2 * self.options.retention_ms,
+            RecordRole::Primary => self.options.retention_ms + self.options.removal_delay_ms,
+            RecordRole::Secondary => 2 * self.options.retention_ms,
         };
         let is_recent =
             directory_age_ms.is_some_and(|age_ms| age_ms < self.options.max_directory_age_ms);
--- a/crates/curranttrestle/tests/gateway/served_versions.rs
+++ b/crates/curranttrestle/tests/gateway/served_versions.rs
@@ -9,7 +9,7 @@
 
 use super::support::{at, config, entry};
 
-const KEEPER: RecordRole = RecordRole::Keeper;
+const PRIMARY: RecordRole = RecordRole::Primary;
 
 /// How long a version stays recorded after it was last listed.
 const KEPT_MS: u64 = 35_000;
@@ -71,11 +71,11 @@
         };
         let mut served = started("2", options);
         served.apply(&StoredRecord::Missing, at(0), at(0));
-        let next = served.next_record(&StoredRecord::Missing, KEEPER, Some(0), at(0));
+        let next = served.next_record(&StoredRecord::Missing, PRIMARY, Some(0), at(0));
         assert_eq!(only_version(&served, 0).is_some(), is_first_start);
         assert_eq!(next.is_some(), is_first_start);
         list_until(&mut served, "2", 30_000);
-        let next = served.next_record(&StoredRecord::Missing, KEEPER, Some(0), at(30_000));
+        let next = served.next_record(&StoredRecord::Missing, PRIMARY, Some(0), at(30_000));
         assert_eq!(next, Some(record(&["2"])));
     }
 }
@@ -86,13 +86,13 @@
     let mut served = started("1", StreamVersionOptions::default());
     served.apply(&outdated, at(0), at(0));
     assert_eq!(only_version(&served, 0), None);
-    assert_eq!(served.next_record(&outdated, KEEPER, Some(0), at(0)), None);
+    assert_eq!(served.next_record(&outdated, PRIMARY, Some(0), at(0)), None);
     // Another gateway read the record before.
     let mut served = started("1", StreamVersionOptions::default());
     let current = StoredRecord::Current(record(&["1", "2"]));
     served.apply(&current, at(0), at(0));
     served.apply(&outdated, at(100), at(100));
-    let next = served.next_record(&outdated, KEEPER, Some(0), at(100));
+    let next = served.next_record(&outdated, PRIMARY, Some(0), at(100));
     assert_eq!(next, Some(record(&["1", "2"])));
 }
 
@@ -102,8 +102,8 @@
     let mut served = started("1", StreamVersionOptions::default());
     served.apply(&outdated, at(0), at(0));
     list_until(&mut served, "1", 30_000);
-    assert_ne!(served.due(RecordRole::Reserve, at(30_000)), RecordDue::No);
-    let next = served.next_record(&outdated, KEEPER, Some(0), at(30_000));
+    assert_ne!(served.due(RecordRole::Secondary, at(30_000)), RecordDue::No);
+    let next = served.next_record(&outdated, PRIMARY, Some(0), at(30_000));
     assert_eq!(next, Some(record(&["1"])));
 }
 
@@ -115,12 +115,12 @@
     list_until(&mut served, "2", KEPT_MS);
     let next =
         |role, age_ms, steady_ms| served.next_record(&current, role, Some(age_ms), at(steady_ms));
-    assert_eq!(next(KEEPER, 0, KEPT_MS - 1), None);
+    assert_eq!(next(PRIMARY, 0, KEPT_MS - 1), None);
     // A directory that is too old does not show that the version is gone.
-    assert_eq!(next(KEEPER, 4_000, KEPT_MS), None);
-    assert_eq!(next(RecordRole::Reserve, 0, KEPT_MS), None);
-    assert_eq!(next(KEEPER, 0, KEPT_MS), Some(record(&["2"])));
-    assert_eq!(served.due(KEEPER, at(KEPT_MS)), RecordDue::Refresh);
+    assert_eq!(next(PRIMARY, 4_000, KEPT_MS), None);
+    assert_eq!(next(RecordRole::Secondary, 0, KEPT_MS), None);
+    assert_eq!(next(PRIMARY, 0, KEPT_MS), Some(record(&["2"])));
+    assert_eq!(served.due(PRIMARY, at(KEPT_MS)), RecordDue::Refresh);
 }
 
 #[test]
@@ -130,10 +130,10 @@
     let without = StoredRecord::Current(record(&["2"]));
     served.apply(&without, at(1_000), at(1_000));
     assert_eq!(
-        served.next_record(&without, KEEPER, Some(0), at(1_000)),
+        served.next_record(&without, PRIMARY, Some(0), at(1_000)),
         None
     );
-    assert_eq!(served.due(KEEPER, at(1_000)), RecordDue::No);
+    assert_eq!(served.due(PRIMARY, at(1_000)), RecordDue::No);
 }
 
 #[test]
@@ -144,10 +144,10 @@
     served.apply(&current, at(0), at(0));
     served.observe([of_version("1")].iter(), &[("model", run)], at(0));
     assert_eq!(only_version(&served, 0), None);
-    assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::No);
+    assert_eq!(served.due(RecordRole::Secondary, at(0)), RecordDue::No);
     assert!(served.record_begun(VersionKey::of_unlisted_run(run)));
-    assert_eq!(served.due(RecordRole::Reserve, at(0)), RecordDue::Now);
-    let next = served.next_record(&current, KEEPER, Some(0), at(0));
+    assert_eq!(served.due(RecordRole::Secondary, at(0)), RecordDue::Now);
+    let next = served.next_record(&current, PRIMARY, Some(0), at(0));
     let with_run = StoredRecord::Current(next.expect("the run is added"));
     let mut other = started("1", StreamVersionOptions::default());
     other.apply(&with_run, at(0), at(0));
@@ -158,7 +158,7 @@
     };
     other.observe([listed].iter(), &[], at(700));
     assert!(only_version(&other, 700).is_some());
-    let next = other.next_record(&with_run, KEEPER, Some(0), at(700));
+    let next = other.next_record(&with_run, PRIMARY, Some(0), at(700));
     assert_eq!(next, Some(record(&["1"])));
 }
 
@@ -170,7 +170,7 @@
     served.apply(&current, at(0), at(0));
     // The first list after the pause.
     list(&mut served, "1", KEPT_MS);
-    let next = served.next_record(&current, KEEPER, Some(0), at(KEPT_MS));
+    let next = served.next_record(&current, PRIMARY, Some(0), at(KEPT_MS));
     assert_eq!(next, None);
 }
 
@@ -182,7 +182,7 @@
     list(&mut served, "2", KEPT_MS);
     let both = [of_version("1"), of_version("2")];
     served.observe(both.iter(), &[], at(KEPT_MS + 100));
-    let due = served.due(RecordRole::Reserve, at(KEPT_MS + 100));
+    let due = served.due(RecordRole::Secondary, at(KEPT_MS + 100));
     assert_ne!(due, RecordDue::No);
 }
 
@@ -215,6 +215,6 @@
     let next = control
         .streams
         .served
-        .next_record(&current, KEEPER, age_ms, now);
+        .next_record(&current, PRIMARY, age_ms, now);
     assert_eq!(next, None);
 }
--- a/crates/curranttrestle/tests/gateway/stream_versions.rs
+++ b/crates/curranttrestle/tests/gateway/stream_versions.rs
@@ -170,3 +170,27 @@
     };
     assert_eq!(versions.take_announcements(at(50)), [origin]);
 }
+
+#[test]
+fn stream_of_the_only_recorded_version_cannot_be_resumed_while_peers_are_silent() {
+    let stream = StreamKey::of("a");
+    let peers = [peer(1, "a").address, peer(2, "a").address];
+    for (only_version, expected) in [
+        (None, ResumedFrom::OnlyVersion(key("1"))),
+        (Some(key("2")), ResumedFrom::Unknown),
+    ] {
+        let mut versions = versions(&["1"]);
+        versions.record_query(stream, &peers);
+        if only_version.is_some() {
+            let reply = StreamReply {
+                stream,
+                version: None,
+                only_version,
+            };
+            versions.receive_reply(peers[0], reply, at(0));
+        }
+        // The record was read after the request arrived.
+        let resumed = versions.resolve(Some(stream), Some(0), at(0), at(0));
+        assert_eq!(resumed, expected);
+    }
+}
